Begin work on pipelined requests as they are read

Cause: the library's server reads a request once the one before it has been answered, so look-ups sent behind a slow one waited for it, and were passed on in the midst of a stop that began after they had been read: their connection closed without an answer.

All framing stays the library's.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -58,6 +58,7 @@
 
 	leaving    atomic.Bool
 	inFlight   atomic.Int64
+	aheads     atomic.Int64 // Requests begun before their turn.
 	idle       idleConns
 	changed    chan struct{}
 	toPush     chan struct{}
@@ -100,7 +101,7 @@
 	live, stop := context.WithCancel(context.Background())
 	defer stop()
 	front := &http.Server{
-		Handler: v, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader, ConnState: v.idle.note, ErrorLog: nil,
+		Handler: v, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader, ConnState: v.idle.note, ConnContext: connContext, ErrorLog: nil,
 	}
 	var servers []*http.Server
 	serving := lifecycle.NewServing(len(further) + 2)
@@ -108,7 +109,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	go serving.Run(front.Serve, callerListener{listener, &v.idle})
+	go serving.Run(front.Serve, callerListener{listener, v})
 	for addr, h := range further {
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
--- a/io/entry/idle.go
+++ b/io/entry/idle.go
@@ -7,69 +7,6 @@
 	"time"
 )
 
-// callerListener wraps callers' connections, so that those which carry no
-// request can be closed without a race.
-type callerListener struct {
-	net.Listener
-	conns *idleConns
-}
-
-// Accept implements net.Listener.
-func (l callerListener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &callerConn{Conn: raw}, nil
-}
-
-// callerConn is one caller's connection.
-//
-// Closing an idle connection while a request arrives loses the request: the
-// process has read it, the caller gets no answer and cannot tell whether it
-// ran. So an idle connection is never closed from outside. Its blocked read is
-// made to time out, on which the server closes it; a read that has just
-// returned a request takes the timeout back and is served as usual.
-type callerConn struct {
-	net.Conn
-	mu       sync.Mutex
-	expiring bool
-	deadline time.Time // Set by the server.
-}
-
-// Read implements net.Conn.
-func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.expiring {
-			c.expiring = false
-			_ = c.Conn.SetReadDeadline(c.deadline)
-		}
-	}
-	return n, err
-}
-
-// SetReadDeadline implements net.Conn.
-func (c *callerConn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.deadline = t
-	if c.expiring {
-		return nil
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
-// expire ends a blocked read.
-func (c *callerConn) expire() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.expiring = true
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
-}
-
 // idleConns are the callers' connections that carry no request. The limit on
 // how long they may stay idle is part of the rules and changes with them, which
 // the server's own timeout cannot. The zero value is ready.
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -55,14 +55,17 @@
 }
 
 // done logs a request that was answered by an upstream.
-func (l *requestLog) done(v *VM, req *request, a *answer) {
+func (l *requestLog) done(v *VM, res result) {
 	if !l.served.take() {
 		return
 	}
-	now := time.Now()
+	now, req, a := time.Now(), res.request, res.answer
 	f := v.circumstances(now, req)
 	f["Target"], f["TargetZone"], f["Status"] = a.target.ID, a.target.Zone, a.resp.StatusCode
 	f["Tries"], f["TookMs"] = a.tries, now.Sub(req.started).Milliseconds()
+	if behind := now.Sub(res.readyAt); behind >= time.Millisecond {
+		f["BehindMs"] = behind.Milliseconds() // It was ready before its turn.
+	}
 	l.log.WithFields(f).Info("RequestAnswered")
 }
 
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -52,24 +52,39 @@
 func (v *VM) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	v.inFlight.Add(1)
 	defer v.inFlight.Add(-1)
-	if v.leaving.Load() {
+	conn := callerOf(r)
+	begun := conn.begin(r)
+	defer conn.end()
+	var res result
+	if begun != nil {
+		defer begun.release()
+		res = begun.wait()
+	} else {
+		res = v.serve(r.Context(), r)
+		defer res.stop()
+	}
+	if v.leaving.Load() && conn.mayClose() {
 		w.Header().Set("Connection", "close")
 	}
-	req, e := v.admit(r)
-	if e != nil {
-		v.refuse(w, r, req, e)
+	if res.err != nil {
+		v.refuse(w, r, res.request, res.err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
-	defer cancel()
-	a, e := v.carry(ctx, req)
-	if e != nil {
-		v.refuse(w, r, req, e)
-		return
+	v.counts.served(time.Since(res.request.started))
+	v.requests.done(v, res)
+	res.answer.relay(w)
+}
+
+// serve carries a request and returns what became of it.
+func (v *VM) serve(ctx context.Context, r *http.Request) result {
+	req, e := v.admit(r)
+	res := result{request: req, err: e, stop: func() {}}
+	if e == nil {
+		ctx, res.stop = context.WithDeadline(ctx, req.deadline)
+		res.answer, res.err = v.carry(ctx, req)
 	}
-	v.counts.served(time.Since(req.started))
-	v.requests.done(v, req, a)
-	a.relay(w)
+	res.readyAt = time.Now()
+	return res
 }
 
 // admit finds a request's route and takes its body in.
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -67,6 +67,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if ctx.Err() != nil {
+		// The caller has left, or its time is over: nothing is written for it.
+		p.put(call.Target, c)
+		return nil, verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.ReasonCanceled, 0)
+	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	e := &exchange{conn: c, call: call, wrote: make(chan struct{})}
 	before := c.written.Load()
