Give a final answer to all that is under way before a stop ends

Change: 0.2 s before its end a VM that stops answers what is left (502 or 503 with when to come back), in order; it takes new requests for 0.48 of the grace time, 2.9 s at most, 0.55 before.

TestStopGivesFinalAnswersBeforeItsEnd failed first.

--- a/io/entry/ahead_test.go
+++ b/io/entry/ahead_test.go
@@ -308,3 +308,31 @@
 	}
 	g.open("/get/other")
 }
+
+// A VM stops. On one connection an answer is ready behind a request that hangs; on
+// another a request waits for an upstream that never reads it. Both connections
+// used to be cut at the end of the grace time, with an answer in hand or without
+// a word. All get a final answer before the process ends.
+func TestStopGivesFinalAnswersBeforeItsEnd(t *testing.T) {
+	v, g, _ := startGated(t, func(cfg *settings.Entry) { cfg.StopGrace = 2 * time.Second })
+	behind, alone := dialLine(t, v), dialLine(t, v)
+	behind.send(t, get("/get/hangs"), get("/get/ready"))
+	alone.send(t, get("/get/alone"))
+	for _, p := range []string{"/get/hangs", "/get/ready", "/get/alone"} {
+		eventually(t, p+" reaches an upstream", func() bool { return g.has(p) })
+	}
+	g.open("/get/ready")
+	v.stop()
+	if status, _, closes := behind.answer(t); status != http.StatusBadGateway || closes {
+		t.Errorf("the request that hangs: %d, close %v, want 502 and the connection open", status, closes)
+	}
+	if status, body, closes := behind.answer(t); status != http.StatusOK || body != "/get/ready" || !closes {
+		t.Errorf("the request behind it: %d %q, close %v", status, body, closes)
+	}
+	if status, _, closes := alone.answer(t); status != http.StatusBadGateway || !closes {
+		t.Errorf("the request alone: %d, close %v, want 502 and the end", status, closes)
+	}
+	if err := <-v.done; err != nil {
+		t.Errorf("Run: %v", err)
+	}
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -57,6 +57,8 @@
 	targets   atomic.Pointer[map[string]bool]
 
 	leaving    atomic.Bool
+	work       context.Context // Ends when a stop gives up on what is left.
+	giveUp     context.CancelFunc
 	inFlight   atomic.Int64
 	aheads     atomic.Int64 // Requests begun before their turn.
 	idle       idleConns
@@ -83,6 +85,7 @@
 		v.replicas[name] = replica.NewTable(name, func(key string, a, b []byte) bool { return p.Same(name, key, a, b) })
 	}
 	v.requests.log = log
+	v.work, v.giveUp = context.WithCancel(context.Background())
 	v.Configure(cfg)
 	return v
 }
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -243,7 +243,7 @@
 	}
 	v.stop()
 	answered, unread := 0, 0
-	closesAt := time.Now().Add(time.Duration(0.55 * float64(v.cfg.StopGrace)))
+	closesAt := time.Now().Add(time.Duration(0.48 * float64(v.cfg.StopGrace)))
 	for i, c := range conns {
 		// Around the moment at which idle connections are closed.
 		<-time.After(time.Until(closesAt.Add(time.Duration(i-10) * time.Millisecond)))
--- a/io/entry/leave.go
+++ b/io/entry/leave.go
@@ -12,9 +12,21 @@
 const (
 	// leaveServing is the part of the grace time in which a VM that leaves still
 	// takes new requests: callers may know it from look-ups they have cached.
-	leaveServing = 0.55
-	// leaveMargin is left of the grace time at the end, for the exit itself.
+	leaveServing = 0.48
+	// maxLeaveServing bounds that time. Who sends later than three seconds after the
+	// stop is held to know of it; a request taken then and cut at the end is lost.
+	maxLeaveServing = 2900 * time.Millisecond
+	// leaveMargin is left of the grace time at the end, for the exit itself, but no
+	// more than marginShare of it.
 	leaveMargin = 400 * time.Millisecond
+	marginShare = 0.08
+	// leaveAnswering is the time before that in which requests that are still under
+	// way get a final answer. Cut instead, their callers could not tell, and answers
+	// that are ready behind them on their connections would be lost.
+	leaveAnswering = 200 * time.Millisecond
+	// leaveWorking is the part of the grace time that requests under way are given
+	// at least.
+	leaveWorking = 0.85
 	// leaveTick is how often the connections that are left are counted.
 	leaveTick = 20 * time.Millisecond
 	// leavePartners is how many VMs are told at once.
@@ -29,18 +41,22 @@
 	started := time.Now()
 	v.leaving.Store(true)
 	v.log.WithField("InFlight", v.inFlight.Load()).Info("VMLeaving")
-	ctx, cancel := context.WithTimeout(context.Background(), grace-leaveMargin)
+	margin := min(leaveMargin, share(grace, marginShare))
+	ctx, cancel := context.WithTimeout(context.Background(), grace-margin)
 	defer cancel()
 	v.publish(started)
 	v.exchangeWith(ctx, v.partners(started), leavePartners)
 	withdrawn := make(chan struct{})
 	w := &withdrawal{vm: v, done: withdrawn}
 	go w.run(ctx)
-	lifecycle.Pause(ctx, time.Duration(leaveServing*float64(grace)))
+	lifecycle.Pause(ctx, min(maxLeaveServing, share(grace, leaveServing)))
 	// The callers' server is not shut down by the library, which closes idle
 	// connections while a request may be arriving on them.
 	front.Close()
 	v.idle.closeAll()
+	working := max(share(grace, leaveWorking), grace-margin-leaveAnswering)
+	last := time.AfterFunc(time.Until(started.Add(working)), v.giveUp)
+	defer last.Stop()
 	for v.idle.count() > 0 && lifecycle.Pause(ctx, leaveTick) {
 	}
 	v.log.WithField("Connections", v.idle.count()).Info("FrontClosed")
@@ -50,6 +66,9 @@
 	<-withdrawn
 }
 
+// share returns a part of a time.
+func share(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
+
 // withdrawal takes the VM's registered address back.
 type withdrawal struct {
 	vm   *VM
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -81,7 +81,12 @@
 	res := result{request: req, err: e, stop: func() {}}
 	if e == nil {
 		ctx, res.stop = context.WithDeadline(ctx, req.deadline)
+		release := context.AfterFunc(v.work, res.stop)
 		res.answer, res.err = v.carry(ctx, req)
+		release()
+		if e = res.err; e != nil && e.Reason == verdict.ReasonCanceled && v.work.Err() != nil {
+			res.err = verdict.Wrap(e, e.Verdict, verdict.ReasonLeaving, comeBack)
+		}
 	}
 	res.readyAt = time.Now()
 	return res
