Tell incarnations of an upstream by ID and start, and refuse malformed registrations

Cause: an upstream may start again under its ID; it was judged by the life before, and its connections kept. An entry that another program wrote was taken for an upstream with one slot and no name.

Change: the time of the start is part of an incarnation: state, connections and late words of another start count for nothing. A registration with a field missing, of another type, in an unknown state or zone names no upstream and is logged once a version; the others hold.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -163,7 +163,8 @@
 	b.vms = slices.Clone(names)
 }
 
-// SetTargets replaces the targets. What is known of those that stay is kept.
+// SetTargets replaces the targets. What is known of those that stay is kept; one that
+// has started again under its ID is another, of which nothing is known.
 func (b *Balancer) SetTargets(targets []*target.Target) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -171,7 +172,7 @@
 	services := make(map[string]*pool)
 	for _, t := range targets {
 		s := b.states[t.ID]
-		if s == nil {
+		if s == nil || s.Born != t.Born {
 			s = &state{seed: xxhash.Sum64String(t.ID), weight: float64(t.Slots), usual: b.statsOf(t.Service), others: b.crowdOf(t)}
 			if t.Zone == b.zone {
 				s.weight *= zonePull
--- a/core/balance/suspect_test.go
+++ b/core/balance/suspect_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"auburnlatch/core/balance"
+	"auburnlatch/core/target"
 )
 
 // A target fails every request while its health answers are good. Its callers
@@ -184,3 +185,38 @@
 		b.Done(now, l, balance.Outcome{Answered: true, Failed: true})
 	}
 }
+
+// An upstream is left alone for its failures and is cold for this VM. It starts
+// again under the same ID. Judged by the life before, it got nothing for seconds,
+// and what it had learned there was taken for known.
+func TestUpstreamThatStartsAgainIsAnother(t *testing.T) {
+	now := start
+	b := balance.New("vm", "r", "z")
+	one := func(born int64) *target.Target {
+		return &target.Target{ID: "a", Born: born, Service: "s", Zone: "z", Region: "r", Slots: 4, Usable: true}
+	}
+	b.SetTargets([]*target.Target{one(1)})
+	req := balance.Request{Service: "s", Key: "k"}
+	for range 5 {
+		l, err := b.Choose(now, req)
+		if err != nil {
+			break
+		}
+		b.Done(now, l, balance.Outcome{Failed: true, Unreachable: true})
+	}
+	held, err := b.Choose(now.Add(10*time.Second), balance.Request{Service: "s", Key: "k", Idempotent: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := b.Dump(now)[0]; d.Failing == 0 || !d.Suspect {
+		t.Fatalf("the failures were not noted: %+v", d)
+	}
+	b.SetTargets([]*target.Target{one(2)})
+	b.Done(now, held, balance.Outcome{Failed: true, Unreachable: true}) // A late word of the first life.
+	if d := b.Dump(now)[0]; d.Failing != 0 || d.Suspect || d.InFlight != 0 || d.Latency != 0 {
+		t.Errorf("the new start is judged by the one before: %+v", d)
+	}
+	if got, want := one(1).Incarnation(), one(2).Incarnation(); got == want {
+		t.Errorf("both starts are named %q, so that one's connections are used for the other", got)
+	}
+}
--- a/core/target/target.go
+++ b/core/target/target.go
@@ -1,8 +1,9 @@
 // Package target keeps which upstreams there are: their incarnations, and which
 // of them may be sent requests now.
 //
-// An upstream registers itself anew with each start, under an ID of its own, so
-// that an address says nothing about who is behind it. What is registered is
+// An upstream registers itself anew with each start. An incarnation is its ID and
+// the time of its start: it may start again under the ID that it had, and knows
+// nothing of before then. An address says nothing about who is behind it. What is registered is
 // read from a copy of the platform's table and can lag or lapse.
 //
 // # Usage
@@ -13,12 +14,16 @@
 package target
 
 import (
+	"strconv"
 	"time"
 )
 
 // Registration is what an upstream says of itself.
 type Registration struct {
-	ID      string
+	ID string
+	// Born is the time of its start in Unix milliseconds; 0: it says none, and its
+	// ID is its alone.
+	Born    int64
 	Service string
 	// Addr is IP:port.
 	Addr string
@@ -39,6 +44,7 @@
 // Target is one incarnation of an upstream.
 type Target struct {
 	ID      string
+	Born    int64 // As in Registration.
 	Service string
 	Addr    string
 	Zone    string
@@ -50,6 +56,15 @@
 	ColdUntil time.Time
 }
 
+// Incarnation names this start of the upstream. What is known of another one, its
+// connections included, says nothing about it.
+func (t *Target) Incarnation() string {
+	if t.Born == 0 {
+		return t.ID
+	}
+	return t.ID + "@" + strconv.FormatInt(t.Born, 10)
+}
+
 // Cold reports whether the target bears only few requests.
 func (t *Target) Cold(now time.Time) bool { return now.Before(t.ColdUntil) }
 
@@ -84,8 +99,9 @@
 	for i := range list {
 		reg := &list[i]
 		lapsed := reg.Removed && reg.AfterGap && now.Sub(reg.RemovedAt) < LapseGrace
-		if reg.Removed && !lapsed {
-			continue
+		region := r.Regions[reg.Zone]
+		if reg.Removed && !lapsed || region == "" {
+			continue // Gone, or at a place that is not there.
 		}
 		soon = soon || lapsed
 		cold := reg.ReadAt.Add(reg.ColdLeft)
@@ -93,7 +109,7 @@
 			cold = until
 		}
 		targets = append(targets, &Target{
-			ID: reg.ID, Service: reg.Service, Addr: reg.Addr, Zone: reg.Zone, Region: r.Regions[reg.Zone], Slots: max(1, reg.Slots),
+			ID: reg.ID, Born: reg.Born, Service: reg.Service, Addr: reg.Addr, Zone: reg.Zone, Region: region, Slots: max(1, reg.Slots),
 			Usable: !reg.Draining && !ev.Zones[reg.Zone], ColdUntil: cold,
 		})
 	}
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -206,7 +206,7 @@
 	h.Set(v.protocol.ExpectTarget, lease.Target.ID)
 	h.Set(v.protocol.DeadlineMillis, strconv.FormatInt(max(1, time.Until(req.deadline).Milliseconds()), 10))
 	return &upstream.Call{
-		Target: lease.Target.ID, Addr: lease.Target.Addr,
+		Target: lease.Target.Incarnation(), Addr: lease.Target.Addr,
 		Method: req.http.Method, URI: req.http.RequestURI, Host: req.http.Host, Header: h,
 		Body: req.body, Rest: req.rest, Length: req.length,
 		EchoHeader: v.protocol.RequestID, EchoID: req.id,
--- a/io/entry/copies.go
+++ b/io/entry/copies.go
@@ -254,7 +254,7 @@
 	for _, row := range rows {
 		reg, err := v.platform.Registration(row)
 		if err != nil {
-			v.log.WithFields(logrus.Fields{"Target": row.Key, "Err": err}).Warn("RegistrationNotDecoded")
+			v.misread(row, err)
 			continue
 		}
 		list = append(list, reg)
@@ -264,7 +264,7 @@
 	targets, soon := v.registry.Update(now, list, ev)
 	there := make(map[string]bool, len(targets))
 	for _, t := range targets {
-		there[t.ID] = true
+		there[t.Incarnation()] = true
 	}
 	v.balancer.SetTargets(targets)
 	if old := v.targets.Swap(&there); old == nil || len(*old) != len(there) {
@@ -273,6 +273,22 @@
 	return soon
 }
 
+// misread logs, once for each version of it, that a row names no upstream.
+func (v *VM) misread(row replica.Row, err error) {
+	if v.refusedRows[row.Key] == row.Version {
+		return
+	}
+	if len(v.refusedRows) >= maxRefusedRows {
+		clear(v.refusedRows)
+	}
+	v.refusedRows[row.Key] = row.Version
+	v.log.WithFields(logrus.Fields{"Target": row.Key, "Version": row.Version, "Err": err}).Warn("RegistrationNotDecoded")
+}
+
+// maxRefusedRows bounds what is remembered of rows that could not be decoded: some
+// times as many as a large deployment has upstreams.
+const maxRefusedRows = 5000
+
 // staleCopies logs when a copy has not been confirmed for so long that the
 // bound on leaving upstreams may not be kept, and when it is confirmed again.
 type staleCopies struct {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -48,13 +48,16 @@
 	peers    *peer.Client
 	known    addresses
 
-	registry  target.Registry // Of applyLoop alone.
-	balancer  *balance.Balancer
-	retries   balance.RetryBudget
-	upstreams *upstream.Pool
-	picks     route.Picks
-	table     atomic.Pointer[route.Table]
-	targets   atomic.Pointer[map[string]bool]
+	registry target.Registry // Of applyLoop alone.
+	// refusedRows is the version of each row that could not be decoded, of applyLoop
+	// alone.
+	refusedRows map[string]uint64
+	balancer    *balance.Balancer
+	retries     balance.RetryBudget
+	upstreams   *upstream.Pool
+	picks       route.Picks
+	table       atomic.Pointer[route.Table]
+	targets     atomic.Pointer[map[string]bool]
 
 	leaving    atomic.Bool
 	work       context.Context // Ends when a stop gives up on what is left.
@@ -77,9 +80,9 @@
 		replicas:  peer.Replicas{},
 		peers:     peer.NewClient(),
 		balancer:  balance.New(cfg.Name, cfg.Region, cfg.Zone),
-		upstreams: upstream.NewPool(),
-		changed:   make(chan struct{}, 1),
-		toPush:    make(chan struct{}, 1),
+		upstreams: upstream.NewPool(), refusedRows: make(map[string]uint64),
+		changed: make(chan struct{}, 1),
+		toPush:  make(chan struct{}, 1),
 	}
 	for _, name := range []string{TableRules, TableTargets} {
 		v.replicas[name] = replica.NewTable(name, func(key string, a, b []byte) bool { return p.Same(name, key, a, b) })
