Say from the logs why requests were not answered in time

auburnlatch logs causes gives each late or refused request one cause, by route and by spans of time. Lines about requests tell the objective, what the upstream was believed to have, whether it is the object's owner, the round trip and the wait behind others.

--- a/cmd/auburnlatch/logs.go
+++ b/cmd/auburnlatch/logs.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"text/tabwriter"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -40,6 +41,35 @@
 // logsCmd has the commands on saved logs.
 type logsCmd struct {
 	Summary summaryCmd `cmd:"" help:"Count what went wrong, by event, reason, service and zone."`
+	Causes  causesCmd  `cmd:"" help:"Say why requests were not answered in time, one cause each."`
+}
+
+// causesCmd gives each request that was late or given up on one cause.
+type causesCmd struct {
+	Files []string      `arg:"" optional:"" help:"Saved logs of all VMs; none: standard input." type:"existingfile"`
+	Every time.Duration `help:"Count by spans of this length." default:"0s"`
+}
+
+// Run prints the counts, the highest first.
+func (c *causesCmd) Run(a *app) error {
+	lines, err := readLogs(c.Files)
+	if err != nil {
+		return err
+	}
+	counts := logline.Causes(lines, c.Every)
+	if a.json {
+		return json.NewEncoder(os.Stdout).Encode(counts)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "FROM\tROUTE\tCAUSE\tREASON\tCOUNT\tOF")
+	for _, n := range counts {
+		from := "-"
+		if !n.From.IsZero() {
+			from = n.From.Format(time.TimeOnly)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\n", from, dash(n.Route), n.Cause, dash(n.Reason), n.N, n.Asked)
+	}
+	return w.Flush()
 }
 
 // summaryCmd counts what went wrong.
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -65,8 +65,12 @@
 	// traffic has the figures of the request's route.
 	traffic *traffic
 	sentAt  time.Time
-	// ahead is how many requests the target was believed to have before this.
-	ahead float64
+	// Ahead is how many requests the target was believed to have before this.
+	Ahead float64
+	// Owner says that the target is the one that the request's object belongs to.
+	Owner bool
+	// Trip is the usual round trip to the target, 0 where none is known.
+	Trip time.Duration
 }
 
 // Outcome is what came of a request.
@@ -234,12 +238,12 @@
 	}
 	p.refresh(now)
 	tr := b.traffic(req)
-	s := b.pick(now, p, req, tr)
+	s, owner := b.pick(now, p, req, tr)
 	if s == nil && !p.distrust {
 		// Suspicion may have come over all of them since the last look.
 		p.refreshed = time.Time{}
 		p.refresh(now)
-		s = b.pick(now, p, req, tr)
+		s, owner = b.pick(now, p, req, tr)
 	}
 	if s == nil {
 		return Lease{}, verdict.New(verdict.NotRun, verdict.ReasonNoCapacity, comeBack)
@@ -250,28 +254,30 @@
 	if s.inFlight == 0 {
 		s.quietSince = now
 	}
-	lease := Lease{Target: s.Target, state: s, traffic: tr, sentAt: now, ahead: s.busy(now)}
+	lease := Lease{Target: s.Target, state: s, traffic: tr, sentAt: now, Ahead: s.busy(now), Owner: owner, Trip: b.roundTrip(s)}
 	s.inFlight++
 	return lease, nil
 }
 
 // pick returns the target of a request, or nil where none has room: the owner
-// of its object, else the first in the object's order that is clearly idle.
-func (b *Balancer) pick(now time.Time, p *pool, req Request, tr *traffic) *state {
+// of its object, else the first in the object's order that is clearly idle. owns says
+// that it is the owner.
+func (b *Balancer) pick(now time.Time, p *pool, req Request, tr *traffic) (s *state, owns bool) {
 	factors := b.factors(p, tr.exponent)
 	if !req.Single && b.joined {
 		if owner := b.ownerOf(now, p, req, factors); owner != nil && b.mayUse(now, p, owner, req) {
-			if !b.room(now, owner, req) {
-				_, owner = b.search(now, p, req, factors)
+			if b.room(now, owner, req) {
+				return b.taken(now, p, owner), true
 			}
-			return b.taken(now, p, owner)
+			_, spare := b.search(now, p, req, factors)
+			return b.taken(now, p, spare), false
 		}
 	}
 	first, spare := b.search(now, p, req, factors)
-	if first == nil || !b.room(now, first, req) {
-		first = spare
+	if first != nil && b.room(now, first, req) {
+		return b.taken(now, p, first), true
 	}
-	return b.taken(now, p, first)
+	return b.taken(now, p, spare), false
 }
 
 // search returns the first target in an object's order that may be used, and the
@@ -377,7 +383,7 @@
 		b.tripTook(s.Zone, o.Connect)
 	}
 	if o.Answered {
-		s.answered(now, max(0, now.Sub(l.sentAt)-b.roundTrip(s)), l.ahead)
+		s.answered(now, max(0, now.Sub(l.sentAt)-b.roundTrip(s)), l.Ahead)
 	}
 	if o.Load != nil {
 		s.reported, s.reportedAt = *o.Load, now
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -12,7 +12,6 @@
 	"github.com/cockroachdb/errors"
 
 	"auburnlatch/core/balance"
-	"auburnlatch/core/target"
 	"auburnlatch/core/verdict"
 	"auburnlatch/io/forward"
 	"auburnlatch/io/upstream"
@@ -34,9 +33,9 @@
 	resp *http.Response
 	body []byte
 	rest io.ReadCloser // What the buffer did not take; nil: nothing.
-	// target gave the answer, at the tries-th try.
-	target *target.Target
-	tries  int
+	// lease is the place at the target that gave it, at the tries-th try.
+	lease balance.Lease
+	tries int
 }
 
 // carry sends a request to an upstream and returns its answer. It is sent
@@ -59,7 +58,7 @@
 		tried = append(tried, lease.Target.ID)
 		a, e := v.try(ctx, req, lease)
 		if a != nil {
-			a.target, a.tries = lease.Target, len(tried)
+			a.lease, a.tries = lease, len(tried)
 		}
 		if e == nil && !(req.idempotent() && a.resp.StatusCode >= http.StatusInternalServerError) {
 			last.drop()
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -61,7 +61,11 @@
 	}
 	now, req, a := time.Now(), res.request, res.answer
 	f := v.circumstances(now, req)
-	f["Target"], f["TargetZone"], f["Status"] = a.target.ID, a.target.Zone, a.resp.StatusCode
+	f["Target"], f["TargetZone"], f["Status"] = a.lease.Target.ID, a.lease.Target.Zone, a.resp.StatusCode
+	f["Owner"], f["Ahead"], f["Slots"] = a.lease.Owner, int(a.lease.Ahead), a.lease.Target.Slots
+	if a.lease.Trip > 0 {
+		f["TripMs"] = a.lease.Trip.Milliseconds()
+	}
 	f["Tries"], f["TookMs"] = a.tries, now.Sub(req.started).Milliseconds()
 	if behind := now.Sub(res.readyAt); behind >= time.Millisecond {
 		f["BehindMs"] = behind.Milliseconds() // It was ready before its turn.
@@ -120,6 +124,7 @@
 	}
 	if req.route != nil {
 		f["Route"], f["Service"], f["Object"] = req.route.Name, req.service, req.key
+		f["ObjectiveMs"] = req.route.Objective.Milliseconds()
 	}
 	return f
 }
