Let requests wait for a starting VM's first copies; switch mechanisms off for measurement

Cause: requests that reached a VM in its first quarter of a second were refused and came back half a second later, 250 at a moment when all VMs started anew. Change: they wait for the copies, 0.4 s after the start at the longest.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -115,6 +115,7 @@
 	placeChanges uint64
 	joined       bool
 	tell         func()
+	off          [mechanisms]bool
 }
 
 // Option varies a Balancer.
@@ -126,6 +127,7 @@
 // pool is the targets of one service.
 type pool struct {
 	states   []*state
+	off      *[mechanisms]bool
 	byRegion []regionSlots
 	// factors are the regions' by exponent, see Balancer.factors.
 	factors map[float64][]float64
@@ -146,7 +148,7 @@
 	}
 	p.refreshed = now
 	p.usual = usualLatency(p.states)
-	p.distrust = p.suspects(now) > panicShare*float64(len(p.states))
+	p.distrust = !p.off[Panic] && p.suspects(now) > panicShare*float64(len(p.states))
 }
 
 // New returns a Balancer for a VM without targets.
@@ -182,8 +184,8 @@
 	for _, t := range targets {
 		s := b.states[t.ID]
 		if s == nil || s.Born != t.Born {
-			s = &state{seed: xxhash.Sum64String(t.ID), weight: float64(t.Slots), usual: b.statsOf(t.Service), others: b.crowdOf(t)}
-			if t.Zone == b.zone {
+			s = &state{seed: xxhash.Sum64String(t.ID), weight: float64(t.Slots), usual: b.statsOf(t.Service), others: b.crowdOf(t), off: &b.off}
+			if t.Zone == b.zone && !b.off[ZonePull] {
 				s.weight *= zonePull
 			}
 		}
@@ -192,7 +194,7 @@
 		states[t.ID] = s
 		p := services[t.Service]
 		if p == nil {
-			p = &pool{}
+			p = &pool{off: &b.off}
 			services[t.Service] = p
 		}
 		p.states = append(p.states, s)
@@ -264,7 +266,7 @@
 // that it is the owner.
 func (b *Balancer) pick(now time.Time, p *pool, req Request, tr *traffic) (s *state, owns bool) {
 	factors := b.factors(p, tr.exponent)
-	if !req.Single && b.joined {
+	if !req.Single && b.joined && !b.off[Placing] {
 		if owner := b.ownerOf(now, p, req, factors); owner != nil && b.mayUse(now, p, owner, req) {
 			if b.room(now, owner, req) {
 				return b.taken(now, p, owner), true
@@ -293,7 +295,7 @@
 		if first == nil || cost < firstCost {
 			first, firstCost = s, cost
 		}
-		if (spare == nil || cost < spareCost) && s.busy(now) < idleBelow*float64(s.Slots) {
+		if (spare == nil || cost < spareCost) && !b.off[Spare] && s.busy(now) < idleBelow*float64(s.Slots) {
 			spare, spareCost = s, cost
 		}
 	}
@@ -318,6 +320,9 @@
 // that is worth most. A long queue of slow work helps nobody: all behind it are
 // late as well.
 func (b *Balancer) room(now time.Time, s *state, req Request) bool {
+	if b.off[Depth] {
+		return true
+	}
 	depth := otherDepth
 	if req.Urgent {
 		depth = urgentDepth
@@ -396,9 +401,9 @@
 		s.judge(now, 1, false)
 	}
 	switch {
-	case o.Failed:
+	case o.Failed && !b.off[FailureCounts]:
 		s.judge(now, 1, o.Unreachable)
-	case o.Refused:
+	case o.Refused && !b.off[RefusalCounts]:
 		s.judge(now, refusalCounts, false)
 	case o.Answered:
 		s.judge(now, 0, false)
--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -211,7 +211,7 @@
 // mayMove moves an object to an emptier target, seldom: so that targets which join,
 // or come back, get their part.
 func (b *Balancer) mayMove(now time.Time, p *pool, placed *placements, pl *placement, req Request, factors []float64) {
-	if now.Sub(placed.moved) < moveEvery || now.Sub(placed.looked) < max(lookEvery, time.Duration(len(p.states))*lookPerTarget) || len(req.Tried) > 0 {
+	if b.off[Moves] || now.Sub(placed.moved) < moveEvery || now.Sub(placed.looked) < max(lookEvery, time.Duration(len(p.states))*lookPerTarget) || len(req.Tried) > 0 {
 		return
 	}
 	placed.looked = now
--- a/core/balance/state.go
+++ b/core/balance/state.go
@@ -17,6 +17,7 @@
 	seed uint64
 	// usual is what all targets of its service are like.
 	usual *serviceStats
+	off   *[mechanisms]bool
 	// others is the usual use of its service's targets in its region.
 	others *crowd
 	// weight is the target's part of its region's objects.
@@ -133,7 +134,7 @@
 // silent reports whether requests are under way and nothing has come back for
 // too long, as from a host without power: it sends no reset.
 func (s *state) silent(now time.Time) bool {
-	if s.inFlight == 0 || s.quietSince.IsZero() {
+	if s.off[SilentSuspects] || s.inFlight == 0 || s.quietSince.IsZero() {
 		return false
 	}
 	return now.Sub(s.quietSince) > s.silentAfter()
@@ -158,7 +159,7 @@
 	if now.Before(s.ejectedUntil) || s.silent(now) {
 		return true
 	}
-	return s.answers >= minAnswers && usual > 0 && s.latency > max(slowAtLeast, slowFactor*usual)
+	return !s.off[SlowSuspects] && s.answers >= minAnswers && usual > 0 && s.latency > max(slowAtLeast, slowFactor*usual)
 }
 
 // answered takes in an answer of whatever status.
--- a/core/balance/weigh.go
+++ b/core/balance/weigh.go
@@ -79,7 +79,12 @@
 	if b.farTrip > 0 && req.Objective > 0 {
 		exponent = tripAversion * float64(b.farTrip) / float64(req.Objective)
 	}
-	exponent += bytesAversion * t.bytes / bytesUnit
+	if b.off[Distance] {
+		exponent = 0
+	}
+	if !b.off[Bytes] {
+		exponent += bytesAversion * t.bytes / bytesUnit
+	}
 	if !t.measured || math.Abs(exponent-t.exponent) >= tripHold {
 		t.exponent, t.measured = math.Round(exponent/tripStep)*tripStep, true
 	}
@@ -107,7 +112,9 @@
 	}
 	far := math.Exp(-exponent)
 	list := slices.Clone(p.byRegion)
-	fit(list, far)
+	if !b.off[RegionFit] {
+		fit(list, far)
+	}
 	factors := make([]float64, len(list))
 	for i, r := range list {
 		factors[i] = r.weight
--- a/io/entry/copies.go
+++ b/io/entry/copies.go
@@ -267,7 +267,11 @@
 		there[t.Incarnation()] = true
 	}
 	v.balancer.SetTargets(targets)
-	if old := v.targets.Swap(&there); old == nil || len(*old) != len(there) {
+	old := v.targets.Swap(&there)
+	if old == nil {
+		close(v.loaded)
+	}
+	if old == nil || len(*old) != len(there) {
 		v.log.WithFields(logrus.Fields{"Targets": len(there), "Evacuated": len(ev.Zones)}).Info("TargetsInForce")
 	}
 	return soon
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -65,6 +65,7 @@
 	inFlight   atomic.Int64
 	aheads     atomic.Int64 // Requests begun before their turn.
 	idle       idleConns
+	loaded     chan struct{} // Closed when rules and upstreams are known.
 	changed    chan struct{}
 	toPush     chan struct{}
 	placed     chan struct{} // Objects were placed here.
@@ -81,6 +82,7 @@
 		replicas:  peer.Replicas{},
 		peers:     peer.NewClient(),
 		upstreams: upstream.NewPool(), refusedRows: make(map[string]uint64),
+		loaded:  make(chan struct{}),
 		changed: make(chan struct{}, 1),
 		toPush:  make(chan struct{}, 1),
 		placed:  make(chan struct{}, 1),
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -27,6 +27,12 @@
 	// notReadyWait is when to come back to a VM that knows no rules yet: about
 	// what a start takes.
 	notReadyWait = 500 * time.Millisecond
+	// holdAtStart is how long after its start a VM lets requests wait for its first
+	// copies of the rules and of the upstreams: two reads across regions and what they
+	// take to be decoded, 0.25 s where all VMs start at once. Refused instead, 250
+	// callers came back half a second later, on new connections. A VM that gets no
+	// copies in that time refuses.
+	holdAtStart = 400 * time.Millisecond
 	// defaultDeadline holds where neither the caller nor the route says one.
 	defaultDeadline = 30 * time.Second
 )
@@ -95,6 +101,7 @@
 // admit finds a request's route and takes its body in.
 func (v *VM) admit(r *http.Request) (*request, *verdict.Error) {
 	req := &request{started: time.Now(), http: r, id: r.Header.Get(v.protocol.RequestID)}
+	v.awaitCopies(r.Context(), req.started)
 	table := v.table.Load()
 	if table == nil || v.targets.Load() == nil {
 		return req, verdict.New(verdict.NotRun, verdict.ReasonNotReady, notReadyWait)
@@ -116,6 +123,20 @@
 	return req, nil
 }
 
+// awaitCopies waits for the copies that requests are carried by, right after the
+// start.
+func (v *VM) awaitCopies(ctx context.Context, now time.Time) {
+	left := holdAtStart - now.Sub(v.started)
+	if left <= 0 || v.table.Load() != nil && v.targets.Load() != nil {
+		return
+	}
+	select {
+	case <-v.loaded:
+	case <-ctx.Done():
+	case <-time.After(left):
+	}
+}
+
 // deadline is the earlier of the caller's and the route's.
 func (v *VM) deadline(req *request) time.Time {
 	left := defaultDeadline
--- /dev/null
+++ b/io/entry/start_test.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"auburnlatch/io/settings"
+)
+
+// All VMs start anew under load. A request that reaches a VM while it reads its first
+// copies used to be refused and came back half a second later. It waits for them, no
+// longer than they usually take, and not at all later on.
+func TestRequestWaitsForTheFirstCopies(t *testing.T) {
+	for _, tc := range []struct {
+		name                string
+		loaded, after, want time.Duration
+	}{
+		{"they come", 200 * time.Millisecond, 0, 200 * time.Millisecond},
+		{"they do not come", time.Minute, 0, holdAtStart},
+		{"the request came late", time.Minute, holdAtStart - 50*time.Millisecond, 50 * time.Millisecond},
+		{"the platform has been away since the start", time.Minute, time.Second, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				v := New(&settings.Entry{Name: "a"}, nil, Protocol{}, logrus.NewEntry(logrus.New()))
+				time.AfterFunc(tc.loaded, func() { close(v.loaded) })
+				time.Sleep(tc.after)
+				began := time.Now()
+				v.awaitCopies(context.Background(), began)
+				if got := time.Since(began); got != tc.want {
+					t.Errorf("it waited %v, want %v", got, tc.want)
+				}
+				time.Sleep(2 * time.Minute)
+			})
+		})
+	}
+}
