--- a/core/member/member.go
+++ b/core/member/member.go
@@ -107,8 +107,6 @@
 	Leaving bool
 	// Dispatches says that the VM knows its zone well enough to take slots.
 	Dispatches bool
-	// Use is what the VM carries, in steps of its teller's own unit.
-	Use int
 	// Version of the inventory in force.
 	Version uint64
 	// Held slots by target.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -65,7 +65,6 @@
 	inFlight   atomic.Int64
 	aheads     atomic.Int64 // Requests begun before their turn.
 	idle       idleConns
-	use        use
 	loaded     chan struct{} // Closed when rules and upstreams are known.
 	changed    chan struct{}
 	toPush     chan struct{}
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -31,7 +31,6 @@
 	copies := &staleCopies{log: v.log, stale: make(map[string]bool)}
 	lifecycle.Every(ctx, heartbeat, func(now time.Time) {
 		v.members.Tick(now)
-		v.use.beat()
 		v.publish(now)
 		n := 1
 		if v.behind(now) {
@@ -64,7 +63,7 @@
 func (v *VM) publish(now time.Time) {
 	cfg := v.cfg.Load()
 	v.members.Publish(now, member.VM{
-		Name: cfg.Name, Zone: cfg.Zone, Leaving: v.leaving.Load(), Dispatches: v.Ready(), Use: v.use.published(),
+		Name: cfg.Name, Zone: cfg.Zone, Leaving: v.leaving.Load(), Dispatches: v.Ready(),
 		Address: member.Address{Name: cfg.Name, Zone: cfg.Zone, Caller: cfg.FrontAddr, Peer: cfg.PeerAddr, Leaving: v.leaving.Load()},
 	})
 }
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -77,7 +77,6 @@
 		return
 	}
 	v.counts.served(time.Since(res.request.started))
-	v.use.carried(len(res.request.body) + len(res.answer.body))
 	v.requests.done(v, res)
 	res.answer.relay(w)
 }
