--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -110,6 +110,7 @@
 	farTrip  time.Duration            // The mean to other regions.
 	routes   map[string]*traffic
 	placed   map[placeKey]*placements
+	objects  int // Of placed.
 	news     []Placement
 	// placeChanges counts changes of placed; joined says that others' are known.
 	placeChanges uint64
--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -33,9 +33,9 @@
 	moveRatio = 1.5
 	// forgetPlaced is how long an object keeps its place without a request.
 	forgetPlaced = time.Minute
-	// maxPlaced bounds the objects of a route that have a place, at 120 bytes each;
-	// the others go by their order alone.
-	maxPlaced = 16 << 10
+	// maxPlaced bounds the objects that have a place, at 120 bytes each: 8 MB, however
+	// many keys callers make up. The others go by their order alone.
+	maxPlaced = 64 << 10
 	// maxNews bounds what is kept to be told.
 	maxNews = 4 << 10
 )
@@ -120,7 +120,7 @@
 	placed, hash := b.placements(req.Service, req.Route), xxhash.Sum64String(req.Key)
 	pl := placed.objects[hash]
 	if pl == nil {
-		if len(placed.objects) >= maxPlaced {
+		if b.objects >= maxPlaced {
 			return nil
 		}
 		pl = &placement{Placement: Placement{Service: req.Service, Route: req.Route, Object: hash}}
@@ -165,7 +165,10 @@
 	pl.Target, pl.Born, pl.Made = s.ID, s.Born, now.UnixMilli()
 	pl.Version++
 	b.placeChanges++
-	placed.objects[pl.Object] = pl
+	if placed.objects[pl.Object] == nil {
+		placed.objects[pl.Object] = pl
+		b.objects++
+	}
 	if len(b.news) < maxNews {
 		b.news = append(b.news, pl.Placement)
 	}
@@ -254,11 +257,12 @@
 		placed := b.placements(told.Service, told.Route)
 		pl := placed.objects[told.Object]
 		if pl == nil {
-			if len(placed.objects) >= maxPlaced {
+			if b.objects >= maxPlaced {
 				continue
 			}
 			pl = &placement{used: now}
 			placed.objects[told.Object] = pl
+			b.objects++
 		}
 		switch {
 		case told.beats(pl.Placement):
@@ -289,11 +293,7 @@
 func (b *Balancer) Placed() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	n := 0
-	for _, placed := range b.placed {
-		n += len(placed.objects)
-	}
-	return n
+	return b.objects
 }
 
 // Forget drops the places of objects that nobody has asked for in a while.
@@ -305,6 +305,7 @@
 			if now.Sub(pl.used) > forgetPlaced {
 				placed.assign(pl, nil)
 				delete(placed.objects, hash)
+				b.objects--
 			}
 		}
 	}
--- a/core/balance/place_test.go
+++ b/core/balance/place_test.go
@@ -223,6 +223,22 @@
 	}
 }
 
+// A caller makes up a new key for each request. What is remembered of places must stay
+// bounded, be forgotten, and leave the choice working.
+func TestMadeUpKeysAreBounded(t *testing.T) {
+	b := vmOf("north", fleet(50, map[string]int{"north": 4}))
+	for i := range 70_000 {
+		answered(b, start, choose(t, b, start, balance.Request{Route: fmt.Sprint("route", i%300), Key: fmt.Sprint(i)}))
+	}
+	if n := b.Placed(); n > 64<<10 {
+		t.Errorf("%d objects have a place", n)
+	}
+	b.Forget(start.Add(2 * time.Minute))
+	if n := b.Placed(); n != 0 {
+		t.Errorf("%d objects have a place two minutes later", n)
+	}
+}
+
 // BenchmarkChooseOwner is a choice of an object that has its place.
 func BenchmarkChooseOwner(bench *testing.B) {
 	b := vmOf("north", fleet(4, map[string]int{"north": 700, "south": 700}))
--- a/io/entry/start_test.go
+++ b/io/entry/start_test.go
@@ -28,13 +28,13 @@
 			synctest.Test(t, func(t *testing.T) {
 				v := New(&settings.Entry{Name: "a"}, nil, Protocol{}, logrus.NewEntry(logrus.New()))
 				time.AfterFunc(tc.loaded, func() { close(v.loaded) })
-				time.Sleep(tc.after)
+				<-time.After(tc.after)
 				began := time.Now()
 				v.awaitCopies(context.Background(), began)
 				if got := time.Since(began); got != tc.want {
 					t.Errorf("it waited %v, want %v", got, tc.want)
 				}
-				time.Sleep(2 * time.Minute)
+				<-time.After(2 * time.Minute) // The bubble ends with its timers.
 			})
 		})
 	}
