--- a/core/balance/place_test.go
+++ b/core/balance/place_test.go
@@ -252,3 +252,21 @@
 		b.Done(start, l, balance.Outcome{Answered: true})
 	}
 }
+
+// A Balancer without one of its mechanisms must still choose, so that what the
+// mechanism is worth can be measured.
+func TestWithout(t *testing.T) {
+	targets := fleet(5, map[string]int{"north": 6, "south": 6})
+	for m := balance.Placing; m <= balance.Panic; m++ {
+		b := balance.New("vm", "north", "north-0", balance.Without(m))
+		b.SetTargets(targets)
+		b.Join()
+		list := owners(t, b, start, 72)
+		if again := owners(t, b, start, 72); moved(list, again) > 1 {
+			t.Errorf("without mechanism %d: %d of 72 objects do not stay", m, moved(list, again))
+		}
+		if placed := b.Placed() > 0; placed == (m == balance.Placing) {
+			t.Errorf("without mechanism %d: objects have places: %v", m, placed)
+		}
+	}
+}
