Demo: wait until each VM sees all slots

Cause: the check failed once beside load: a VM refused an upload with NoCapacity 36 ms after another one's status had shown all slots. It waits for each VM now.

--- a/tools/demo/steps.go
+++ b/tools/demo/steps.go
@@ -185,26 +185,36 @@
 
 // slots waits until each zone's VMs have taken exactly its slots into use.
 func (s *stage) slots(ctx context.Context) (string, error) {
-	const want = 8 // Of each service in each zone.
-	err := until(ctx, serveLimit, func() error {
-		_, body, err := call(ctx, http.MethodGet, "http://"+s.ports.addrs[vms[0].Name+"/operator"]+"/status", nil, nil)
-		if err != nil {
-			return err
-		}
-		st := &schema.Status{}
-		if err := protojson.Unmarshal(body, st); err != nil {
-			return err
+	for _, vm := range vms {
+		if err := until(ctx, serveLimit, func() error { return s.seesAllSlots(ctx, vm.Name) }); err != nil {
+			return "", errors.Wrap(err, vm.Name)
 		}
-		for _, z := range st.GetZones() {
-			for _, svc := range z.GetServices() {
-				if svc.GetSlots() != want {
-					return errors.Newf("%s has %d slots of %s, want %d", z.GetZone(), svc.GetSlots(), svc.GetService(), want)
-				}
+	}
+	return fmt.Sprintf("%d of each service in each zone, as each VM sees it", slotsAZone), nil
+}
+
+// slotsAZone are those of each service in each zone.
+const slotsAZone = 8
+
+// seesAllSlots reports whether a VM knows of all slots. What one VM knows another may
+// not have heard yet, and it refuses what it has no slots for.
+func (s *stage) seesAllSlots(ctx context.Context, vm string) error {
+	_, body, err := call(ctx, http.MethodGet, "http://"+s.ports.addrs[vm+"/operator"]+"/status", nil, nil)
+	if err != nil {
+		return err
+	}
+	st := &schema.Status{}
+	if err := protojson.Unmarshal(body, st); err != nil {
+		return err
+	}
+	for _, z := range st.GetZones() {
+		for _, svc := range z.GetServices() {
+			if svc.GetSlots() != slotsAZone {
+				return errors.Newf("%s has %d slots of %s, want %d", z.GetZone(), svc.GetSlots(), svc.GetService(), slotsAZone)
 			}
 		}
-		return nil
-	})
-	return fmt.Sprintf("%d of each service in each zone", want), err
+	}
+	return nil
 }
 
 // kill ends a VM without a word. A caller that finds it dead goes to the next
