--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -10,8 +10,8 @@
 // Tuning of placements.
 const (
 	// placeAmong is how many targets, first in an object's order, are weighed for it.
-	// Hashing alone gives the busiest of 12 targets with 72 objects 1.5 to 2 times
-	// the mean; the emptier one of three gives it 1.1 times. More than three gain
+	// By hashing alone the busiest of 12 targets with 72 objects had 1.5 and 1.9 times
+	// the mean of two services' requests, by the emptiest of three 1.2 times. More than three gain
 	// little, and VMs that do not hear each other disagree about more.
 	placeAmong = 3
 	// moveEvery is the least time between two objects of a route that a VM moves to
@@ -19,21 +19,20 @@
 	// must not change regions faster than operators allow.
 	moveEvery = 2 * time.Second
 	// lookEvery is the least time between two looks for such a target, and at least
-	// lookPerTarget for each of a service: at 35 ns a target that is a fifth of what
-	// the choice itself takes, for a VM that has 1,000 requests a second and 1,400
-	// targets.
+	// lookPerTarget for each of a service: at 35 ns a target 0.23 us a request,
+	// worked out, for a VM that has 1,000 requests a second and 1,400 targets.
 	lookEvery     = 20 * time.Millisecond
 	lookPerTarget = 150 * time.Microsecond
 	// moveGain is by how many objects the emptier target must be better off before a
 	// move, and moveRatio how many times fuller the other must be than it will be then.
 	// VMs weigh regions a little differently; with the first alone, and four times as
-	// often, objects went to and fro between them, which cost 0.002 to 0.004 of the
-	// credit on three deployments.
+	// often, objects went to and fro between them, and three deployments earned 0.001 to
+	// 0.004 less, no more than the same code played again differs by.
 	moveGain  = 2
 	moveRatio = 1.5
 	// forgetPlaced is how long an object keeps its place without a request.
 	forgetPlaced = time.Minute
-	// maxPlaced bounds the objects that have a place, at 120 bytes each: 8 MB, however
+	// maxPlaced bounds the objects that have a place, at 120 bytes each, worked out: 8 MB, however
 	// many keys callers make up. The others go by their order alone.
 	maxPlaced = 64 << 10
 	// maxNews bounds what is kept to be told.
@@ -85,7 +84,7 @@
 // first few in the object's order. That makes the targets' parts even, which a
 // hash does not with some tens of objects for each, and leaves an object where it is
 // when targets come and go. In the model with 72 objects and 12 targets at 65 % of
-// their slots the share in time is 0.68 in the first four seconds against 0.49,
+// their slots the share in time is 0.66 in the first four seconds against 0.49,
 // and 0.94 against 0.79 after a sixth of the targets has left.
 //
 // A VM that hears nobody places by itself, and two VMs that differ cost an object one
--- a/io/entry/ahead.go
+++ b/io/entry/ahead.go
@@ -30,8 +30,9 @@
 )
 
 // ahead is a request on which work began when it was read, behind others on its
-// connection. On the pattern of look-ups of 3.5 s sent up to four behind one another
-// that halves the time to an answer where upstreams have room.
+// connection. Where look-ups of 3.5 s are sent behind one
+// another the mean worth of five days rose from 0.652 to 0.656, with repeats up to 0.004
+// apart; what it buys above all is that a stop finds nothing read and not begun.
 type ahead struct {
 	vm     *VM
 	http   *http.Request
--- a/io/entry/placement.go
+++ b/io/entry/placement.go
@@ -130,25 +130,32 @@
 
 // neighbors returns the addresses of the other VMs of the region.
 func (v *VM) neighbors(now time.Time) []string {
-	cfg := v.cfg.Load()
 	var addrs []string
+	for _, vm := range v.regionMates(now) {
+		addrs = append(addrs, vm.Address.Peer)
+	}
+	return addrs
+}
+
+// regionMates returns the other live VMs of the region.
+func (v *VM) regionMates(now time.Time) []*member.VM {
+	cfg := v.cfg.Load()
+	var list []*member.VM
 	for _, m := range v.members.Mates(now) {
 		if m.State == member.Live && cfg.Regions[m.VM.Zone] == cfg.Region {
-			addrs = append(addrs, m.VM.Address.Peer)
+			list = append(list, m.VM)
 		}
 	}
-	return addrs
+	return list
 }
 
 // keepsPlacements reports whether this VM writes the region's placements to the
 // platform. Two that both think so overwrite each other with the same.
 func (v *VM) keepsPlacements(now time.Time) bool {
-	cfg := v.cfg.Load()
-	names := []string{cfg.Name}
-	for _, m := range v.members.Mates(now) {
-		if m.State == member.Live && cfg.Regions[m.VM.Zone] == cfg.Region {
-			names = append(names, m.VM.Name)
-		}
+	self := v.cfg.Load().Name
+	names := []string{self}
+	for _, vm := range v.regionMates(now) {
+		names = append(names, vm.Name)
 	}
-	return dispatch.Rank("placements", names)[0] == cfg.Name
+	return dispatch.Rank("placements", names)[0] == self
 }
