--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -13,7 +13,8 @@
 //	t := replica.NewTable("targets", same)
 //	t.Apply(now, delta)                  // From the platform or a VM.
 //	d, ok := t.Since(now, version)       // For a VM that is at version.
-//	age := t.Age(now)                    // How long ago the platform confirmed it.
+//	t.Renew(version, asOf)               // An answer proved the version the newest.
+//	asOf, changes := t.Sure()            // As of when the copy is known to be the newest.
 package replica
 
 import (
@@ -21,6 +22,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"auburnlatch/core/lease"
 )
 
 // Row is one row of a table. A removed row keeps its place, so that others hear
@@ -51,6 +54,10 @@
 	Version uint64
 	// Age is the time since the platform confirmed the version as its newest.
 	Age time.Duration
+	// SureAge is the time since the moment as of which the version was certainly the newest,
+	// suspensions included, at the VM that tells it. Age may be too low by what a message
+	// or a suspension took.
+	SureAge time.Duration
 }
 
 // Delta brings a copy that is at version From or later up to To.
@@ -94,6 +101,7 @@
 	forgotten uint64
 	changes   uint64
 	newest    uint64 // Of the rows.
+	sure      lease.Lease
 }
 
 // NewTable returns an empty copy. same reports whether two values of a row mean
@@ -118,6 +126,25 @@
 	return h
 }
 
+// Renew takes in that a version was the table's newest as of a moment. That counts where
+// the copy is complete as of that version: one that could not take the changes in is not
+// sure of them.
+func (t *Table) Renew(version uint64, asOf lease.Moment) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.confirmed.IsZero() && t.version >= version {
+		t.sure.Renew(asOf)
+	}
+}
+
+// Sure returns the moment as of which the copy certainly was the newest, and the number of
+// its changes, as Rows does.
+func (t *Table) Sure() (asOf lease.Moment, changes uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sure.AsOf(), t.changes
+}
+
 // Loaded reports whether the copy has ever been filled.
 func (t *Table) Loaded() bool {
 	t.mu.Lock()
--- a/core/route/doc.go
+++ b/core/route/doc.go
@@ -12,7 +12,11 @@
 //	service := r.Pick(key, &picks)  // which part of a split route
 package route
 
-import "time"
+import (
+	"time"
+
+	"auburnlatch/core/team"
+)
 
 // Kind says what may be repeated.
 type Kind int
@@ -62,6 +66,8 @@
 	Sticky bool
 	// Homes are the regions that may serve the route; none: all may.
 	Homes []string
+	// Open routes need no key where there are teams.
+	Open bool
 }
 
 // Part is a service's share of a route.
@@ -110,4 +116,6 @@
 	Routes   []*Route
 	Services []*Service
 	Limits   Limits
+	// Teams are those whose keys callers need; nil: nobody needs one.
+	Teams []*team.Team
 }
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -4,11 +4,15 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"auburnlatch/core/team"
 )
 
 // Table finds the route of a request. It is immutable.
 type Table struct {
-	Config   *Config
+	Config *Config
+	// Teams finds teams by their keys; nil: there are none, and nobody needs a key.
+	Teams    *team.Directory
 	hosts    map[string]*host
 	services map[string]*Service
 	priority map[string]int
@@ -36,6 +40,13 @@
 			return nil, errors.Wrapf(err, "route %q", r.Name)
 		}
 	}
+	if cfg.Teams != nil {
+		dir, err := team.NewDirectory(cfg.Teams)
+		if err != nil {
+			return nil, err
+		}
+		t.Teams = dir
+	}
 	return t, nil
 }
 
--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -85,6 +85,9 @@
 	ReasonMisdirected   Reason = "Misdirected"
 	ReasonTooLarge      Reason = "TooLarge"
 	ReasonQuarantined   Reason = "Quarantined"
+	ReasonUnknownKey    Reason = "UnknownKey"
+	ReasonOverLimit     Reason = "OverLimit"
+	ReasonNotSure       Reason = "NotSure"
 )
 
 // Error is a request given up on.
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -79,6 +79,9 @@
 		if !v.mayRetry(ctx, req, e, sent) {
 			break
 		}
+		if e == nil || e.Verdict != verdict.NotRun {
+			v.limits.Charge(req.team) // It runs once more.
+		}
 	}
 	if last != nil {
 		return last, nil
@@ -114,7 +117,7 @@
 	table := v.table.Load()
 	want := balance.Request{
 		Service: req.service, Route: req.route.Name, Key: req.key, Idempotent: req.idempotent(), Tried: tried, Avoid: avoid,
-		Urgent: req.route.Priority <= table.UrgentPriority(req.service),
+		Urgent: req.team.Rank(req.route.Priority) <= table.UrgentPriority(req.service),
 	}
 	if within := req.route.Objective; within > 0 {
 		want.Objective = within
@@ -123,8 +126,8 @@
 	if want.Key == "" || !req.route.Sticky {
 		want.Key, want.Single = req.id, true
 	}
-	if len(req.route.Homes) > 0 {
-		want.Allowed = req.route.Home
+	if len(req.route.Homes) > 0 || req.team != nil && len(req.team.Homes) > 0 {
+		want.Allowed = func(region string) bool { return req.route.Home(region) && req.team.Home(region) }
 	}
 	if s := table.Service(req.service); s != nil {
 		want.ColdPerSecond = s.ColdPerSecond
@@ -209,6 +212,7 @@
 	h := req.http.Header.Clone()
 	forward.StripHopByHop(h)
 	forward.StripOwn(h)
+	setTeam(h, v.protocol.Team, v.table.Load(), req.team)
 	h.Del("Expect")
 	h.Del("Content-Length")
 	h.Set(v.protocol.ExpectTarget, lease.Target.ID)
--- a/io/entry/copies.go
+++ b/io/entry/copies.go
@@ -12,6 +12,7 @@
 	"auburnlatch/core/replica"
 	"auburnlatch/core/route"
 	"auburnlatch/core/target"
+	"auburnlatch/io/clock"
 	"auburnlatch/io/lifecycle"
 )
 
@@ -32,6 +33,13 @@
 	// watchSlack after.
 	watchWait  = time.Second
 	watchSlack = 500 * time.Millisecond
+	// watchShare is how long that may be, of RevokeWithin, where keys can be taken away,
+	// and sureShare how old the certainty about the rules may become before a VM that is no
+	// watcher asks the platform, askTurn later for each VM that comes before it.
+	watchShare = 0.1
+	sureShare  = 0.4
+	askTurn    = 80 * time.Millisecond
+	askTurns   = 12
 	// callTimeout bounds a call to the platform that is not held back.
 	callTimeout = time.Second
 	// afterFailure is the pause after a failed call: calls are paid for, also
@@ -85,13 +93,13 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		others := len(v.watchers(now)) > 0
-		if (others || v.settling(now)) && v.replicas[TableRules].Head(now).Age < watchWait+v.staleAge() {
+		if !v.rulesDue(now, others) {
 			if !lifecycle.Pause(ctx, pollTick) {
 				return
 			}
 			continue
 		}
-		err := v.refresh(ctx, TableRules, watchWait)
+		err := v.refresh(ctx, TableRules, v.rulesWait(others))
 		if ctx.Err() != nil {
 			return
 		}
@@ -102,6 +110,39 @@
 	}
 }
 
+// rulesDue reports whether this VM has to ask the platform for the rules itself.
+func (v *VM) rulesDue(now time.Time, others bool) bool {
+	switch {
+	case v.settling(now):
+		return false
+	case !others || v.replicas[TableRules].Head(now).Age >= watchWait+v.staleAge():
+		return true
+	}
+	return v.strict(v.table.Load()) && v.rulesAge(clock.Boot()) >= v.sureFor(now)
+}
+
+// sureFor is how old the certainty about the rules may become before this VM asks the
+// platform itself. The VMs that come next after the watchers do so first, and hand on what
+// they know: where the platform turns both watchers away, two others take their place
+// rather than all.
+func (v *VM) sureFor(now time.Time) time.Duration {
+	rank := slices.Index(dispatch.Rank("watch", v.members.Live(now)), v.cfg.Load().Name)
+	turn := time.Duration(min(max(0, rank), askTurns)) * askTurn
+	return lifecycle.Share(v.cfg.Load().RevokeWithin, sureShare) + turn
+}
+
+// rulesWait is how long the platform may hold back its answer about the rules. The answer
+// says what was so when it was asked for, so one that is waited for is as old as that.
+func (v *VM) rulesWait(others bool) time.Duration {
+	switch {
+	case !v.strict(v.table.Load()):
+		return watchWait
+	case others:
+		return 0
+	}
+	return min(watchWait, lifecycle.Share(v.cfg.Load().RevokeWithin, watchShare))
+}
+
 // targetsLoop keeps the copy of the table of upstreams up to date.
 func (v *VM) targetsLoop(ctx context.Context) {
 	dep, wait := &dependency{log: v.log}, &backoff{}
@@ -203,7 +244,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	started := time.Now()
+	started, asked := time.Now(), clock.Boot()
 	var d replica.Delta
 	err := ErrHistory
 	if t.Loaded() {
@@ -221,7 +262,9 @@
 	if wait == 0 {
 		d.To.Age = now.Sub(started)
 	}
-	if t.Apply(now, d) {
+	changed := t.Apply(now, d)
+	t.Renew(d.To.Version, asked)
+	if changed {
 		v.signalChange()
 	}
 	return nil
@@ -263,31 +306,40 @@
 	if !v.replicas[TableRules].Loaded() {
 		return false
 	}
-	rows, _ := v.replicas[TableRules].Rows()
+	// The moment is asked for first: the rows are as new as that or newer.
+	asOf, _ := v.replicas[TableRules].Sure()
+	rows, changes := v.replicas[TableRules].Rows()
 	rules, err := v.platform.Rules(rows)
 	if err != nil {
 		v.log.WithField("Err", err).Error("RulesNotDecoded")
 		return false
 	}
-	v.applyConfig(rules.Config)
+	if v.applyConfig(rules.Config) {
+		v.ruled.Store(&ruledCopy{changes: changes, asOf: asOf})
+	}
 	if !v.replicas[TableTargets].Loaded() {
 		return false
 	}
 	return v.applyTargets(now, rules.Evacuations)
 }
 
-func (v *VM) applyConfig(cfg *route.Config) {
+// applyConfig takes a configuration into use, and reports whether it, or a later one, is.
+func (v *VM) applyConfig(cfg *route.Config) bool {
 	old := v.table.Load()
-	if cfg == nil || old != nil && cfg.Version <= old.Config.Version {
-		return
+	if cfg == nil {
+		return false
+	}
+	if old != nil && cfg.Version <= old.Config.Version {
+		return true
 	}
 	table, err := route.NewTable(cfg)
 	if err != nil {
 		v.log.WithFields(logrus.Fields{"Version": cfg.Version, "Err": err}).Error("ConfigRefused")
-		return
+		return false
 	}
 	v.table.Store(table)
 	v.log.WithFields(logrus.Fields{"Version": cfg.Version, "Routes": len(cfg.Routes), "Services": len(cfg.Services)}).Info("ConfigInForce")
+	return true
 }
 
 func (v *VM) applyTargets(now time.Time, ev target.Evacuations) (soon bool) {
--- a/io/entry/directory.go
+++ b/io/entry/directory.go
@@ -69,6 +69,9 @@
 	if len(near) == 0 {
 		near = far
 	}
+	if len(near) == 0 {
+		near = v.unsure(now, region)
+	}
 	for _, vm := range callers.Named(near) {
 		addrs = append(addrs, vm.Address.Caller)
 	}
@@ -76,6 +79,24 @@
 	return addrs[:min(len(addrs), maxAddrs)]
 }
 
+// unsure returns the VMs of a region that run and cannot judge keys, where no VM can: the
+// platform is away, and what needs no key is served on. A VM that hears nobody else names
+// none: it is cut off, and its caller better asks another where to go.
+func (v *VM) unsure(now time.Time, region string) []*member.VM {
+	var list []*member.VM
+	mates := v.members.Mates(now)
+	for _, m := range mates {
+		if m.State == member.Live && !m.VM.Leaving && v.cfg.Load().Regions[m.VM.Zone] == region {
+			list = append(list, m.VM)
+		}
+	}
+	alone := len(mates) > 0 && len(v.members.Live(now)) < 2
+	if v.serving() && !alone && (region == v.cfg.Load().Region || len(list) == 0) {
+		list = append(list, v.self(now))
+	}
+	return list
+}
+
 // takers returns the VMs that take callers' requests, those of a region and the
 // others.
 func (v *VM) takers(now time.Time, region string) (near, far []*member.VM) {
--- a/io/entry/doc.go
+++ b/io/entry/doc.go
@@ -91,6 +91,8 @@
 	NotRun string
 	// Load has the requests running, those waiting and the slots.
 	Load string
+	// Team tells an upstream whose request it is.
+	Team string
 	// Key returns the object that a request concerns, or "".
 	Key func(*http.Request) string
 	// Caller returns what names the caller of a request, wherever it comes from; nil:
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -14,6 +14,7 @@
 	"auburnlatch/core/balance"
 	"auburnlatch/core/callers"
 	"auburnlatch/core/member"
+	"auburnlatch/core/ratelimit"
 	"auburnlatch/core/replica"
 	"auburnlatch/core/route"
 	"auburnlatch/core/target"
@@ -59,10 +60,16 @@
 	refusedRows map[string]uint64
 	balancer    *balance.Balancer
 	retries     balance.RetryBudget
+	limits      ratelimit.Limiter
+	collector   ratelimit.Collector
+	peerAddrs   atomic.Pointer[map[string]bool]
+	totals      chan struct{} // Closed when totals of teams' demand have been heard.
+	totalsOnce  sync.Once
 	upstreams   *upstream.Pool
 	picks       route.Picks
 	guard       *quarantine.Guard
 	table       atomic.Pointer[route.Table]
+	ruled       atomic.Pointer[ruledCopy]
 	targets     atomic.Pointer[map[string]bool]
 
 	leaving    atomic.Bool
@@ -90,6 +97,7 @@
 		peers:     peer.NewClient(),
 		upstreams: upstream.NewPool(), refusedRows: make(map[string]uint64),
 		loaded:  make(chan struct{}),
+		totals:  make(chan struct{}),
 		changed: make(chan struct{}, 1),
 		toPush:  make(chan struct{}, 1),
 		placed:  make(chan struct{}, 1),
@@ -114,6 +122,7 @@
 func (v *VM) Configure(cfg *settings.Entry) {
 	v.cfg.Store(cfg)
 	v.retries.SetBounds(cfg.RetryRatio, cfg.RetryWindow, cfg.RetryExtra)
+	v.limits.SetBounds(cfg.Limits)
 }
 
 // Run serves until ctx ends, then leaves gracefully. further are the handlers
@@ -147,7 +156,7 @@
 	}
 	sync := peer.NewReplicaServer(v.members, v.replicas, v.signalChange)
 	go serving.Run(func(l net.Listener) error { return sync.Serve(live, l) }, control)
-	datagrams, err := peer.ListenDatagrams(cfg.PeerAddr, v.balancer, v.guard.Ledger())
+	datagrams, err := peer.ListenDatagrams(cfg.PeerAddr, v.balancer, v.guard.Ledger(), peer.WithLimits(limitTable{v}))
 	if err != nil {
 		return err
 	}
@@ -166,8 +175,11 @@
 }
 
 // Ready implements Front. A VM without rules or without upstreams' addresses
-// is not ready, nor is one that leaves.
-func (v *VM) Ready() bool {
+// is not ready, nor is one that leaves or is about to be unable to judge keys.
+func (v *VM) Ready() bool { return v.serving() && !v.lapsing() }
+
+// serving reports whether this VM takes requests, if only those that need no key.
+func (v *VM) serving() bool {
 	return v.table.Load() != nil && v.targets.Load() != nil && !v.leaving.Load()
 }
 
@@ -175,7 +187,7 @@
 func (v *VM) startLoops(ctx context.Context, datagrams *peer.Datagrams) {
 	for _, loop := range []func(context.Context){
 		v.heartbeatLoop, v.rulesLoop, v.targetsLoop, v.applyLoop, v.addressLoop, v.requests.loop,
-		(&pusher{vm: v}).loop, (&placementTeller{vm: v, peer: datagrams}).loop, datagrams.Run,
+		(&pusher{vm: v}).loop, (&placementTeller{vm: v, peer: datagrams}).loop, (&limitTeller{vm: v, peer: datagrams}).loop, datagrams.Run,
 	} {
 		v.background.Start(ctx, loop)
 	}
--- a/io/entry/leave.go
+++ b/io/entry/leave.go
@@ -41,7 +41,7 @@
 	started := time.Now()
 	v.leaving.Store(true)
 	v.log.WithField("InFlight", v.inFlight.Load()).Info("VMLeaving")
-	margin := min(leaveMargin, share(grace, marginShare))
+	margin := min(leaveMargin, lifecycle.Share(grace, marginShare))
 	ctx, cancel := context.WithTimeout(context.Background(), grace-margin)
 	defer cancel()
 	v.publish(started)
@@ -49,12 +49,12 @@
 	withdrawn := make(chan struct{})
 	w := &withdrawal{vm: v, done: withdrawn}
 	go w.run(ctx)
-	lifecycle.Pause(ctx, min(maxLeaveServing, share(grace, leaveServing)))
+	lifecycle.Pause(ctx, min(maxLeaveServing, lifecycle.Share(grace, leaveServing)))
 	// The callers' server is not shut down by the library, which closes idle
 	// connections while a request may be arriving on them.
 	front.Close()
 	v.idle.closeAll()
-	working := max(share(grace, leaveWorking), grace-margin-leaveAnswering)
+	working := max(lifecycle.Share(grace, leaveWorking), grace-margin-leaveAnswering)
 	last := time.AfterFunc(time.Until(started.Add(working)), v.giveUp)
 	defer last.Stop()
 	for v.idle.count() > 0 && lifecycle.Pause(ctx, leaveTick) {
@@ -66,9 +66,6 @@
 	<-withdrawn
 }
 
-// share returns a part of a time.
-func share(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
-
 // withdrawal takes the VM's registered address back.
 type withdrawal struct {
 	vm   *VM
--- /dev/null
+++ b/io/entry/limits.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"auburnlatch/core/dispatch"
+	"auburnlatch/core/ratelimit"
+	"auburnlatch/io/lifecycle"
+	"auburnlatch/io/peer"
+)
+
+const (
+	// demandEvery is how often a VM tells what teams ask of it.
+	demandEvery = 500 * time.Millisecond
+	// demandAtStart is the same while it has just started: until it has heard totals it
+	// has an equal part of each limit only.
+	demandAtStart = 100 * time.Millisecond
+	// collectors is how many VMs are told the demand. The second answers once the first
+	// has not for secondAfter.
+	collectors  = 2
+	secondAfter = 1200 * time.Millisecond
+	// collectAfter is how long a VM that has started is told before it answers: three
+	// tellings of VMs that have just started too. Those that have not are not heard by
+	// then, and have their equal parts kept back.
+	collectAfter = 300 * time.Millisecond
+	// leastFleet is how many VMs a VM counts on that has just started and has not heard of
+	// all.
+	leastFleet = 12
+)
+
+// limitTeller tells what teams ask of this VM and hears what they ask of all.
+type limitTeller struct {
+	vm   *VM
+	peer *peer.Datagrams
+}
+
+// loop tells until ctx ends.
+func (t *limitTeller) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		t.look(now)
+		wait := demandEvery
+		if now.Sub(t.vm.started) < joinHold {
+			wait = demandAtStart
+		}
+		if !lifecycle.Pause(ctx, wait) {
+			return
+		}
+	}
+}
+
+// look tells the collectors, where a team has a limit.
+func (t *limitTeller) look(now time.Time) {
+	v := t.vm
+	table := v.table.Load()
+	if table == nil || table.Teams == nil {
+		return
+	}
+	v.limits.SetVMs(v.fleetSize(now))
+	v.notePeers(now)
+	demand := v.limits.Demand(now)
+	ranked := dispatch.Rank("limits", v.members.Live(now))
+	for i, name := range ranked[:min(collectors, len(ranked))] {
+		ask := i == 0 || v.limits.Age(now) > secondAfter
+		if name == v.cfg.Load().Name {
+			t.tellSelf(now, demand, ask)
+		} else if m, ok := v.members.Mate(now, name); ok {
+			t.peer.TellDemand(m.VM.Address.Peer, demand, ask)
+		}
+	}
+}
+
+// tellSelf is telling a collector where that is this VM.
+func (t *limitTeller) tellSelf(now time.Time, demand []ratelimit.Demand, ask bool) {
+	total, ok := limitTable{t.vm}.Told(now, t.vm.cfg.Load().PeerAddr, demand, true)
+	if ok && ask {
+		limitTable{t.vm}.Heard(now, total)
+	}
+}
+
+// fleetSize is how many VMs may be running.
+func (v *VM) fleetSize(now time.Time) int {
+	n := len(v.knownNames(now))
+	if now.Sub(v.started) < joinHold {
+		n = max(n, leastFleet)
+	}
+	return n
+}
+
+// notePeers notes the addresses of the VMs whose datagrams are heard.
+func (v *VM) notePeers(now time.Time) {
+	known := make(map[string]bool)
+	for _, m := range v.members.Mates(now) {
+		known[m.VM.Address.Peer] = true
+	}
+	v.peerAddrs.Store(&known)
+}
+
+// limitTable is what datagrams about limits are taken by.
+type limitTable struct{ *VM }
+
+// Knows implements peer.LimitTable.
+func (l limitTable) Knows(addr string) bool {
+	known := l.peerAddrs.Load()
+	return known != nil && (*known)[addr]
+}
+
+// Told implements peer.LimitTable. A VM that has just started, or has not heard of any
+// other yet, cannot tell totals.
+func (l limitTable) Told(now time.Time, addr string, list []ratelimit.Demand, first bool) (ratelimit.Total, bool) {
+	table := l.table.Load()
+	if table == nil {
+		return ratelimit.Total{}, false
+	}
+	l.collector.Told(now, addr, list, first)
+	age := now.Sub(l.started)
+	if age < collectAfter || age < joinHold && len(l.members.Live(now)) < 2 {
+		return ratelimit.Total{}, false
+	}
+	l.collector.Look(now, table.Teams.Teams(), l.limits.Hot)
+	return l.collector.Total(now, list, l.fleetSize(now)), true
+}
+
+// Heard implements peer.LimitTable.
+func (l limitTable) Heard(now time.Time, t ratelimit.Total) {
+	l.limits.Heard(now, t)
+	l.totalsOnce.Do(func() { close(l.totals) })
+}
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -9,6 +9,7 @@
 
 	"auburnlatch/core/balance"
 	"auburnlatch/core/verdict"
+	"auburnlatch/io/clock"
 	"auburnlatch/io/lifecycle"
 )
 
@@ -91,6 +92,13 @@
 	if e.Reason == verdict.ReasonQuarantined {
 		f["Print"] = req.identity.Print()
 	}
+	if e.Reason == verdict.ReasonOverLimit {
+		u := v.limits.Usage(now, req.team)
+		f["Limit"], f["AskedHere"], f["AskedOfAll"], f["Part"] = req.team.RatePerSecond, int(u.Own), int(u.Total), u.Share
+	}
+	if e.Reason == verdict.ReasonNotSure {
+		f["RulesSureMs"] = v.rulesAge(clock.Boot()).Milliseconds()
+	}
 	if e.Reason == verdict.ReasonNoCapacity {
 		c := v.balancer.Census(now, req.service)
 		f["UsableTargets"], f["ColdTargets"], f["SuspectTargets"], f["FullTargets"] = c.Usable, c.Cold, c.Suspect, c.Full
@@ -128,6 +136,12 @@
 	if t := v.table.Load(); t != nil {
 		f["ConfigVersion"] = t.Config.Version
 	}
+	if req.keyPrint != "" {
+		f["Key"], f["RulesSureMs"] = req.keyPrint, req.rulesAge.Milliseconds()
+	}
+	if req.team != nil {
+		f["Team"] = req.team.Name
+	}
 	if req.route != nil {
 		f["Route"], f["Service"], f["Object"] = req.route.Name, req.service, req.key
 		f["ObjectiveMs"] = req.route.Objective.Milliseconds()
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -10,8 +10,10 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"auburnlatch/core/lease"
 	"auburnlatch/core/poison"
 	"auburnlatch/core/verdict"
+	"auburnlatch/io/clock"
 )
 
 // counters are a VM's figures. The zero value is ready.
@@ -72,11 +74,15 @@
 	PlatformCalls, PlatformErrors int64
 	ConfigVersion                 uint64
 	RulesAgeMs, TargetsAgeMs      int64
-	LiveVMs                       int
-	Placements                    int // Objects that have their upstream.
-	Poison                        poison.Counts
-	ControlBytesIn                int64
-	ControlBytesOut               int64
+	// RulesSureMs is how long ago the rules in force certainly were the newest.
+	RulesSureMs int64
+	// LimitsHeardMs is how long ago totals of what teams ask for were heard.
+	LimitsHeardMs   int64
+	LiveVMs         int
+	Placements      int // Objects that have their upstream.
+	Poison          poison.Counts
+	ControlBytesIn  int64
+	ControlBytesOut int64
 }
 
 // Figures returns the VM's figures.
@@ -90,6 +96,8 @@
 		TargetsAgeMs: v.replicas[TableTargets].Head(now).Age.Milliseconds(),
 		LiveVMs:      len(v.members.Live(now)), Placements: v.balancer.Placed(), Poison: v.guard.Ledger().Counts(), GivenUpByReason: make(map[verdict.Reason]int64),
 	}
+	f.RulesSureMs = v.rulesAge(clock.Boot()).Milliseconds()
+	f.LimitsHeardMs = min(v.limits.Age(now), lease.Never).Milliseconds()
 	f.ControlBytesIn, f.ControlBytesOut = v.peers.Traffic()
 	if t := v.table.Load(); t != nil {
 		f.ConfigVersion = t.Config.Version
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -11,7 +11,9 @@
 
 	"auburnlatch/core/poison"
 	"auburnlatch/core/route"
+	"auburnlatch/core/team"
 	"auburnlatch/core/verdict"
+	"auburnlatch/io/clock"
 	"auburnlatch/io/forward"
 )
 
@@ -52,6 +54,12 @@
 	length   int64
 	// identity is what the request is recognized by when it comes again.
 	identity *poison.Request
+	// team is whose key the request came with; nil: it needs none.
+	team *team.Team
+	// keyPrint tells the key from others.
+	keyPrint string
+	// rulesAge is how long ago the rules certainly were the newest when the key was judged.
+	rulesAge time.Duration
 }
 
 // idempotent reports whether the request may run more than once.
@@ -73,7 +81,7 @@
 		defer res.stop()
 	}
 	v.traffic.Add(res.bytes())
-	if v.leaving.Load() && conn.mayClose() {
+	if (v.leaving.Load() || res.err != nil && res.err.Reason == verdict.ReasonNotSure) && conn.mayClose() {
 		w.Header().Set("Connection", "close")
 	}
 	if res.err != nil {
@@ -94,6 +102,9 @@
 		release := context.AfterFunc(v.work, res.stop)
 		res.answer, res.err = v.carry(ctx, req)
 		release()
+		if res.err != nil && res.err.Verdict == verdict.NotRun {
+			v.limits.Return(req.team)
+		}
 		if e = res.err; e != nil && e.Reason == verdict.ReasonCanceled && v.work.Err() != nil {
 			res.err = verdict.Wrap(e, e.Verdict, verdict.ReasonLeaving, comeBack)
 		}
@@ -106,37 +117,49 @@
 func (v *VM) admit(r *http.Request) (*request, *verdict.Error) {
 	req := &request{started: time.Now(), http: r, id: r.Header.Get(v.protocol.RequestID)}
 	v.awaitCopies(r.Context(), req.started)
+	age := v.rulesAge(clock.Boot())
 	table := v.table.Load()
 	if table == nil || v.targets.Load() == nil {
 		return req, verdict.New(verdict.NotRun, verdict.ReasonNotReady, notReadyWait)
 	}
 	rt := table.Find(r.Host, r.URL.EscapedPath())
 	if rt == nil {
-		return req, verdict.New(verdict.NotRun, verdict.ReasonNoService, 0)
+		return req, v.unknown(table, age, verdict.ReasonNoService)
+	}
+	req.route = rt
+	if e := v.identify(req, table, age); e != nil {
+		return req, e
 	}
 	limits := table.Config.Limits
 	if limits.MaxBodyBytes > 0 && r.ContentLength > limits.MaxBodyBytes {
 		return req, verdict.New(verdict.NotRun, verdict.ReasonTooLarge, 0)
 	}
-	req.route, req.key = rt, v.protocol.Key(r)
+	req.key = v.protocol.Key(r)
 	req.deadline = v.deadline(req)
 	if err := req.read(limits.MaxBodyBytes); err != nil {
 		return req, verdict.Wrap(err, verdict.NotRun, verdict.ReasonCanceled, 0)
 	}
+	if e := v.limit(req); e != nil {
+		return req, e
+	}
 	req.service = rt.Pick(req.key, &v.picks)
 	req.identity = v.identity(req)
 	return req, nil
 }
 
-// awaitCopies waits, right after the start, for the copies that requests are carried by
-// and for the bans, which a request that ends upstreams would else get past.
+// awaitCopies waits, right after the start, for the copies that requests are carried by,
+// for the bans, which a request that ends upstreams would else get past, and for the demand
+// of teams, without which this VM has a small part of their limits.
 func (v *VM) awaitCopies(ctx context.Context, now time.Time) {
 	left := holdAtStart - now.Sub(v.started)
-	if left <= 0 || v.table.Load() != nil && v.targets.Load() != nil && v.guard.Ledger().Known() {
+	if left <= 0 {
 		return
 	}
 	timeout := time.After(left)
-	for _, known := range []<-chan struct{}{v.loaded, v.guard.Ledger().Joined()} {
+	for _, known := range []<-chan struct{}{v.loaded, v.guard.Ledger().Joined(), v.totals} {
+		if table := v.table.Load(); known == v.totals && (table == nil || table.Teams == nil) {
+			continue
+		}
 		select {
 		case <-known:
 		case <-ctx.Done():
@@ -193,6 +216,10 @@
 	switch {
 	case e.Reason == verdict.ReasonNoService:
 		return http.StatusNotFound
+	case e.Reason == verdict.ReasonUnknownKey:
+		return http.StatusUnauthorized
+	case e.Reason == verdict.ReasonOverLimit:
+		return http.StatusTooManyRequests
 	case e.Reason == verdict.ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case e.Verdict == verdict.NotRun:
@@ -215,6 +242,9 @@
 	h := w.Header()
 	h.Set(forward.HeaderVerdict, e.Verdict.String())
 	h.Set(forward.HeaderReason, string(e.Reason))
+	if code == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
 	if e.Verdict == verdict.NotRun && e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/io/lifecycle/lifecycle.go
+++ b/io/lifecycle/lifecycle.go
@@ -48,6 +48,9 @@
 	}
 }
 
+// Share returns a part of a time.
+func Share(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
+
 // Serving runs the servers of a process.
 type Serving struct {
 	// Failed has the error of each server that ended by itself.
--- a/io/peer/datagram.go
+++ b/io/peer/datagram.go
@@ -11,6 +11,7 @@
 
 	"auburnlatch/core/balance"
 	"auburnlatch/core/poison"
+	"auburnlatch/core/ratelimit"
 	"auburnlatch/io/wire"
 	"auburnlatch/schema"
 )
@@ -23,6 +24,10 @@
 	maxDatagram = 4 << 10
 	// maxAnswered bounds the placements that one question is answered with.
 	maxAnswered = 4 << 10
+	// demandsPerDatagram is the same of teams' demands, at seven bytes each, and maxDemands
+	// bounds those that a VM tells at once. Beyond it teams have equal parts.
+	demandsPerDatagram = 180
+	maxDemands         = 10 * demandsPerDatagram
 )
 
 // PlacementTable is what a VM knows of where objects belong.
@@ -49,6 +54,18 @@
 	Join()
 }
 
+// LimitTable is what a VM knows of the demand of teams with limits.
+type LimitTable interface {
+	// Knows reports whether the sender at an address, IP:port, is a VM. Others are not
+	// heard: they could take all VMs' parts away, or hand out more than there is.
+	Knows(addr string) bool
+	// Told takes in what is asked of the VM at an address, and returns the totals; false:
+	// this VM cannot tell.
+	Told(now time.Time, addr string, list []ratelimit.Demand, first bool) (ratelimit.Total, bool)
+	// Heard takes in totals.
+	Heard(now time.Time, t ratelimit.Total)
+}
+
 // Datagrams tells other VMs at once what they had better know: where objects belong, and
 // which requests end upstreams. Nothing waits for it. A placement that is lost costs an
 // object one more first touch; a ban that is lost is told again to those who differ.
@@ -56,11 +73,18 @@
 	conn       *net.UDPConn
 	placements PlacementTable
 	poison     PoisonTable
+	limits     LimitTable
 }
 
+// DatagramsOption varies Datagrams.
+type DatagramsOption func(*Datagrams)
+
+// WithLimits has the demand of teams with limits told and taken.
+func WithLimits(t LimitTable) DatagramsOption { return func(d *Datagrams) { d.limits = t } }
+
 // ListenDatagrams listens at an address, IP:port. Without placements (nil) none are told
 // nor taken.
-func ListenDatagrams(addr string, placements PlacementTable, poisoned PoisonTable) (*Datagrams, error) {
+func ListenDatagrams(addr string, placements PlacementTable, poisoned PoisonTable, opts ...DatagramsOption) (*Datagrams, error) {
 	at, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "datagrams")
@@ -69,7 +93,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "datagrams")
 	}
-	return &Datagrams{conn: conn, placements: placements, poison: poisoned}, nil
+	d := &Datagrams{conn: conn, placements: placements, poison: poisoned}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d, nil
 }
 
 // Run takes in what other VMs tell until ctx ends.
@@ -91,7 +119,37 @@
 		if m.GetPoison() != nil {
 			d.takePoison(from, m.GetPoison())
 		}
+		if d.limits != nil && (m.GetDemand() != nil || m.GetTotal() != nil) {
+			d.takeDemand(from, &m)
+		}
+	}
+}
+
+func (d *Datagrams) takeDemand(from netip.AddrPort, m *schema.Datagram) {
+	if !d.limits.Knows(from.String()) {
+		return
 	}
+	if told := m.GetDemand(); told != nil {
+		total, ok := d.limits.Told(time.Now(), from.String(), wire.Demands(told), !told.GetMore())
+		if ok && told.GetAsk() {
+			d.send(from, &schema.Datagram{Total: wire.FromTotal(total)})
+		}
+	}
+	if m.GetTotal() != nil {
+		d.limits.Heard(time.Now(), wire.Total(m.GetTotal()))
+	}
+}
+
+// TellDemand tells a VM what is asked of this one. With ask it answers with the totals.
+func (d *Datagrams) TellDemand(addr string, list []ratelimit.Demand, ask bool) {
+	list = list[:min(maxDemands, len(list))]
+	d.each([]string{addr}, func(to netip.AddrPort) {
+		for more := false; !more || len(list) > 0; more = true {
+			n := min(demandsPerDatagram, len(list))
+			d.send(to, &schema.Datagram{Demand: wire.FromDemands(list[:n], ask, more)})
+			list = list[n:]
+		}
+	})
 }
 
 func (d *Datagrams) takePlacements(from netip.AddrPort, m *schema.Datagram) {
--- a/io/peer/replica.go
+++ b/io/peer/replica.go
@@ -9,8 +9,10 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"auburnlatch/core/lease"
 	"auburnlatch/core/member"
 	"auburnlatch/core/replica"
+	"auburnlatch/io/clock"
 	"auburnlatch/io/wire"
 	"auburnlatch/schema"
 )
@@ -29,11 +31,32 @@
 func (r Replicas) heads(now time.Time) map[string]replica.Head {
 	heads := make(map[string]replica.Head, len(r))
 	for name, t := range r {
-		heads[name] = t.Head(now)
+		h := t.Head(now)
+		h.SureAge = sureAge(t)
+		heads[name] = h
 	}
 	return heads
 }
 
+// sureAge is how long ago the copy certainly was the newest.
+func sureAge(t *replica.Table) time.Duration {
+	asOf, _ := t.Sure()
+	if asOf == 0 {
+		return lease.Never
+	}
+	return time.Duration(clock.Boot() - asOf)
+}
+
+// renew takes in how far the copies were of a VM that was asked at a moment. Only an answer
+// does that: what a VM hands over unasked may have been on its way for any time.
+func (r Replicas) renew(asked lease.Moment, theirs map[string]replica.Head) {
+	for name, h := range theirs {
+		if t := r[name]; t != nil {
+			t.Renew(h.Version, lease.AsOf(asked, h.SureAge))
+		}
+	}
+}
+
 // deltas returns what copies at theirs lack. A copy that is up to date is still
 // told how lately the platform confirmed it.
 func (r Replicas) deltas(now time.Time, theirs map[string]replica.Head) []replica.Delta {
@@ -68,7 +91,7 @@
 func (c *Client) Sync(ctx context.Context, addr string, members *member.Table, replicas Replicas) (changed bool, err error) {
 	err = c.callConn(ctx, addr, func(ctx context.Context, conn drpc.Conn) error {
 		client := schema.NewDRPCReplicaClient(conn)
-		now := time.Now()
+		now, asked := time.Now(), clock.Boot()
 		ask := &schema.SyncRequest{Heads: wire.FromHeads(replicas.heads(now)), TablesOnly: members == nil}
 		if members != nil {
 			ask.Stamps = wire.FromStamps(members.Digest(now, everything))
@@ -87,6 +110,7 @@
 		}
 		now = time.Now()
 		changed = replicas.apply(now, tables)
+		replicas.renew(asked, wire.Heads(reply.GetHeads()))
 		back := &schema.SyncReply{
 			Delta:  &schema.Delta{},
 			Tables: wire.FromReplicaDeltas(replicas.deltas(now, wire.Heads(reply.GetHeads()))),
--- a/io/settings/entry.go
+++ b/io/settings/entry.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"auburnlatch/core/member"
+	"auburnlatch/core/ratelimit"
 	"auburnlatch/schema"
 )
 
@@ -42,6 +43,11 @@
 	LeaveWithin time.Duration
 	// LookupTTL is the longest time a look-up may be cached.
 	LookupTTL time.Duration
+	// RevokeWithin is the time after which a key that was taken away admits nothing, also
+	// where the platform cannot be reached; 0: there keys are gone by as they are known.
+	RevokeWithin time.Duration
+	// Limits say how teams' requests are counted against their limits.
+	Limits ratelimit.Bounds
 	// Capacity is what the VM has.
 	Capacity member.Capacity
 	// FirstStart says that all VMs start for the first time, before there are callers.
@@ -54,6 +60,7 @@
 	defaultRetryWindow = 10 * time.Second
 	defaultLeaveWithin = 2 * time.Second
 	defaultUpstreamHB  = 1500 * time.Millisecond
+	defaultLimitWindow = 5 * time.Second
 )
 
 // LoadEntry reads and checks the settings file of an entry process.
@@ -98,6 +105,10 @@
 		LeaveWithin:       c.duration("Bounds/LeaveWithin", b.GetLeaveWithin(), defaultLeaveWithin),
 		LookupTTL:         c.duration("Bounds/LookupTtl", b.GetLookupTtl(), defaultLookupTTL),
 		FirstStart:        m.GetFirstStart(),
+		RevokeWithin:      c.duration("Bounds/RevokeWithin", b.GetRevokeWithin(), 0),
+		Limits: ratelimit.Bounds{
+			Window: c.duration("Bounds/LimitWindow", b.GetLimitWindow(), defaultLimitWindow), Excess: b.GetLimitExcess(), Slack: b.GetLimitSlack(),
+		},
 		Capacity: member.Capacity{
 			LinkMbps: m.GetCapacity().GetLinkMbps(), Cores: m.GetCapacity().GetCpuShare() * m.GetCapacity().GetCores(),
 		},
@@ -120,6 +131,8 @@
 	c.want(s.Capacity.LinkMbps >= 0, "Capacity/LinkMbps", "must not be below 0; 0 says that it is not known")
 	c.want(m.GetCapacity().GetCpuShare() >= 0, "Capacity/CpuShare", "must not be below 0; 0 says that it is not known")
 	c.want(m.GetCapacity().GetCores() >= 0, "Capacity/Cores", "must not be below 0; 0 says that it is not known")
+	c.want(s.Limits.Excess >= 0 && s.Limits.Excess <= 1, "Bounds/LimitExcess", "must be from 0 to 1")
+	c.want(s.Limits.Slack >= 0, "Bounds/LimitSlack", "must not be below 0")
 	c.want(s.RetryExtra >= 0, "Bounds/RetryExtra", "must not be below 0")
 	return s
 }
--- /dev/null
+++ b/io/wire/demand.go
@@ -0,0 +1,47 @@
+package wire
+
+import (
+	"math"
+
+	"auburnlatch/core/ratelimit"
+	"auburnlatch/schema"
+)
+
+// rateUnit is how many requests a second one unit of a rate is that travels.
+const rateUnit = 1e-3
+
+// Demands maps what is asked of a VM. Of a message whose columns differ in length what
+// belongs together is taken.
+func Demands(m *schema.TeamDemand) []ratelimit.Demand {
+	rates := m.GetRates()
+	list := make([]ratelimit.Demand, 0, len(rates))
+	for i, id := range m.GetTeams() {
+		if i >= len(rates) {
+			break
+		}
+		list = append(list, ratelimit.Demand{Team: ratelimit.ID(id), PerSecond: float64(rates[i]) * rateUnit})
+	}
+	return list
+}
+
+// FromDemands maps what is asked of a VM.
+func FromDemands(list []ratelimit.Demand, ask, more bool) *schema.TeamDemand {
+	m := &schema.TeamDemand{Ask: ask, More: more}
+	for _, d := range list {
+		m.Teams = append(m.Teams, uint32(d.Team))
+		m.Rates = append(m.Rates, uint32(math.Round(min(math.MaxUint32, max(0, d.PerSecond/rateUnit)))))
+	}
+	return m
+}
+
+// Total maps what is asked of all VMs.
+func Total(m *schema.TeamDemand) ratelimit.Total {
+	return ratelimit.Total{Demands: Demands(m), Heard: int(m.GetHeard()), Silent: int(m.GetSilent())}
+}
+
+// FromTotal maps what is asked of all VMs.
+func FromTotal(t ratelimit.Total) *schema.TeamDemand {
+	m := FromDemands(t.Demands, false, false)
+	m.Heard, m.Silent = uint32(max(0, t.Heard)), uint32(max(0, t.Silent))
+	return m
+}
--- a/io/wire/replica.go
+++ b/io/wire/replica.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"auburnlatch/core/lease"
 	"auburnlatch/core/replica"
 	"auburnlatch/schema"
 )
@@ -21,7 +22,18 @@
 }
 
 func head(m *schema.ReplicaHead) replica.Head {
-	return replica.Head{Table: m.GetTable(), Version: m.GetVersion(), Age: time.Duration(m.GetAgeMillis()) * time.Millisecond}
+	return replica.Head{
+		Table: m.GetTable(), Version: m.GetVersion(), Age: time.Duration(m.GetAgeMillis()) * time.Millisecond, SureAge: sureAge(m.GetSureAgeMillis()),
+	}
+}
+
+// sureAge maps an age in milliseconds; without one, or with one that is out of range,
+// nothing is sure.
+func sureAge(millis int64) time.Duration {
+	if millis <= 0 || millis >= lease.Never.Milliseconds() {
+		return lease.Never
+	}
+	return time.Duration(millis) * time.Millisecond
 }
 
 // FromHeads maps how far copies are.
@@ -34,7 +46,11 @@
 }
 
 func fromHead(h replica.Head) *schema.ReplicaHead {
-	return &schema.ReplicaHead{Table: h.Table, Version: h.Version, AgeMillis: h.Age.Milliseconds()}
+	m := &schema.ReplicaHead{Table: h.Table, Version: h.Version, AgeMillis: h.Age.Milliseconds()}
+	if h.SureAge > 0 && h.SureAge < lease.Never {
+		m.SureAgeMillis = lease.Millis(h.SureAge)
+	}
+	return m
 }
 
 // ReplicaDeltas maps what copies lack. An error says that a row is spoilt.
