--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -16,7 +16,7 @@
 	holdFor = 2500 * time.Millisecond
 	// floor is the part of the limits that is dealt out equally, to VMs of which nothing
 	// was asked yet.
-	floor = 0.1
+	floor = 0.03
 	// demandSpan is the time over which demand is averaged.
 	demandSpan = 1500 * time.Millisecond
 	// leastWait is the shortest time after which a caller is told to come back.
--- a/io/entry/copies.go
+++ b/io/entry/copies.go
@@ -113,9 +113,11 @@
 // rulesDue reports whether this VM has to ask the platform for the rules itself.
 func (v *VM) rulesDue(now time.Time, others bool) bool {
 	switch {
+	case v.replicas[TableRules].Head(now).Age >= watchWait+v.staleAge():
+		return true
 	case v.settling(now):
 		return false
-	case !others || v.replicas[TableRules].Head(now).Age >= watchWait+v.staleAge():
+	case !others:
 		return true
 	}
 	return v.strict(v.table.Load()) && v.rulesAge(clock.Boot()) >= v.sureFor(now)
