Limits: windows, token buckets and a brake in place of one bucket and free passage

Cause: the first form let all pass while the known demand was low. In the property test a team that jumps from 0.3 to 5 times its limit exceeded a window by up to half of it. Now a window by share, a bucket near the limit, and a brake on what all have sent.

--- a/core/ratelimit/doc.go
+++ b/core/ratelimit/doc.go
@@ -3,31 +3,44 @@
 //
 // # The parts
 //
-// Each VM has a part of each team's limit, in proportion to what the team asks of it: the
-// parts of VMs that know the same demand add up to the limit, whatever it is. Every VM
-// tells one of them, the collector, what is asked of it, and hears the totals. Equal parts
-// would refuse most of a small team's requests, whose callers stay at few VMs.
+// Each VM has a part of each team's limit, in proportion to what the team asks of it. Every
+// VM tells one of them, the collector, what is asked of it, and hears the totals: its share
+// is what it told, of the total. So the shares of VMs that heard the same add up to one.
+// Equal parts would refuse most of a small team's requests, whose callers stay at few VMs.
 //
-// A part has a rate and a depth, as a token bucket. Rates add up to a little more than the
-// team's limit and depths to the rest of what a window allows, less what is kept for
-// failures. While the demand that is known lies well below the limit, nothing is refused:
-// a bucket of a hundredth of a limit would refuse what comes close together by chance.
+// A request has to pass three bounds:
+//
+//   - a window: what the VM sent in the last Window is at most its share of what a window
+//     allows;
+//   - a token bucket, while the known demand comes near the limit: its rates add up to the
+//     limit, and its depths to the rest of what a window allows, less what is kept for
+//     failures. When callers move from VM to VM, windows alone would let both the old
+//     VM and the new one send their whole share within one Window;
+//   - a brake: all VMs also tell what they sent, and none sends more while that comes near
+//     what a window allows. It makes good what was sent before a jump of the demand was known.
+//
+// While the known demand is low, each VM may send a few requests beyond its window, as the
+// parts of a small team's limit are smaller than what comes close together by chance, and
+// some of the limit is dealt out equally to the VMs that callers use, so that callers who
+// move there are not refused before their demand is known.
 //
 // # What pays for not knowing
 //
-//   - Totals are up to a second old. Demand that grows meanwhile is taken out of the
-//     buckets, whose depths are within the window's sum.
-//   - A VM that hears no totals keeps the share it had, and no more, for holdFor. The
-//     collector counts it for longer than that. Then it has an equal part of one among all
-//     VMs, and the collector keeps that back for each VM it does not hear.
-//   - A collector that has just started answers nobody before the others had time to tell
-//     it. Until a VM has heard totals it has an equal part.
-//   - Two VMs that take themselves for the collector, where neither hears the other, each
-//     keep back the equal parts of all VMs the other one hears.
+//   - Totals are up to a second old. Demand that grows meanwhile stays within the windows,
+//     but for the few requests beyond them, which the brake takes in.
+//   - A VM that hears no totals keeps the share it had, and no more, for holdFor; the
+//     collector counts it for longer than that. Then it has an equal part of one among the
+//     VMs that callers use, and the collector keeps that back for each that it does not hear.
+//   - A VM that has just started has such an equal part until it hears totals; its collector
+//     answers nobody before the others had time to tell it. As nobody may know what was
+//     sent before, it goes by less of the window for as long as one lasts.
+//   - Where two VMs take themselves for the collector as neither hears the other, each keeps
+//     back the equal parts of all VMs that it does not hear.
 //
 // # Usage
 //
 //	l.SetBounds(ratelimit.Bounds{Window: 5 * time.Second, Excess: 0.1, Slack: 20})
+//	l.SetVMs(12)                                    // How many VMs callers use.
 //	if wait, ok := l.Take(now, t); !ok { ... 429, come back after wait ... }
 //	l.Return(now, t)                                // It was not sent on after all.
 //	collector.Told(now, "vm-a", l.Demand(now), true)  // Where the collector is.
@@ -51,18 +64,22 @@
 	Slack  float64
 }
 
-// Demand is how many requests a second a team asks for.
+// Demand is what a team asks for.
 type Demand struct {
-	Team      ID
+	Team ID
+	// PerSecond is how many requests a second are asked for, Sent how many were sent on in
+	// the last window.
 	PerSecond float64
+	Sent      int
 }
 
 // Total is what is asked of all VMs.
 type Total struct {
 	Demands []Demand
-	// Heard is how many VMs' demand the sums are of, and Silent of how many more
-	// nothing is known.
-	Heard, Silent int
+	// Heard is how many VMs' demand the sums are of.
+	Heard int
+	// Silent is the part of all limits that is kept back for VMs that are not heard.
+	Silent float64
 }
 
 // ID names a team between VMs: a hash of its name. Two of 77 teams share one with a
@@ -76,12 +93,28 @@
 	// rateExcess is the part of the excess that the rates of the buckets take; what is
 	// left adds to their depth.
 	rateExcess = 0.5
-	// depthUsed is the part of the depth that VMs have; the rest pays for demand that is
-	// not known yet.
-	depthUsed = 0.8
-	// freeBelow is the part of what a window allows below which a team's known demand is
-	// not limited.
+	// depthUsed is the part of the depth that VMs have, and windowUsed that of what a
+	// window allows; the rest pays for shares that change while messages are under way.
+	depthUsed  = 0.7
+	windowUsed = 0.8
+	// youngUsed is the part of that which a VM has that started within a window.
+	youngUsed = 0.8
+	// brakeAt is the part of what a window allows at which no VM sends more: what they send
+	// before they hear of it is a second of the limit.
+	brakeAt = 0.75
+	// freeSends is how many requests a VM may send in a window whatever its share, while
+	// demand is low, and freeSpread how many standard deviations beyond its part of a
+	// window: what comes by chance is spread by the square root of it.
+	freeSends  = 8
+	freeSpread = 2.0
+	// freeBelow is the part of what a window allows below which a team's known demand
+	// passes without a token.
 	freeBelow = 0.7
+	// boundEqual is the part of a limit that is dealt out equally to the VMs that callers
+	// use, and freeEqual the least while demand is low: callers who move come to VMs that
+	// their team asked nothing of.
+	boundEqual = 0.05
+	freeEqual  = 0.3
 )
 
 // whole returns the rate and the depth of all VMs' buckets together.
@@ -95,8 +128,7 @@
 	return (t.RatePerSecond*b.Window.Seconds()+t.Burst)*(1+b.Excess) + b.Slack
 }
 
-// free is the demand in requests a second up to which nothing is refused. silent is the
-// part of the limit that VMs may use of which nothing is known.
-func (b Bounds) free(t *team.Team, silent float64) float64 {
-	return (freeBelow - silent) * b.allowed(t) / b.Window.Seconds()
+// load is a demand as a part of what a window allows.
+func (b Bounds) load(t *team.Team, perSecond float64) float64 {
+	return perSecond * b.Window.Seconds() / b.allowed(t)
 }
--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -14,9 +14,6 @@
 	freshFor = 1500 * time.Millisecond
 	// holdFor is how long a VM that hears no totals keeps its share.
 	holdFor = 2500 * time.Millisecond
-	// floor is the part of the limits that is dealt out equally, to VMs of which nothing
-	// was asked yet.
-	floor = 0.03
 	// demandSpan is the time over which demand is averaged.
 	demandSpan = 1500 * time.Millisecond
 	// leastWait is the shortest time after which a caller is told to come back.
@@ -32,41 +29,38 @@
 	bounds  Bounds
 	buckets map[string]*bucket
 	byID    map[ID]*bucket
-	vms     int       // All VMs that may be running, this one included.
+	vms     int       // The VMs that callers use.
 	heardAt time.Time // When totals were heard; zero: never.
 	silent  float64   // The part of all limits that VMs may use that are not heard.
 	heard   int       // Of how many VMs the totals were.
+	// base is the time of the first request: windows' slices count from it.
+	base time.Time
+	// first says that nothing was sent before this VM started.
+	first bool
 }
 
 // bucket is a VM's part of one team's limit.
 type bucket struct {
-	id     ID
-	tokens float64
-	at     time.Time
-	full   bool // It has been filled since it was made.
-	asked  meter
-	told   float64 // The own demand in the totals that were asked for last.
-	others float64 // The demand at other VMs.
-	// othersAt is when that was heard.
-	othersAt time.Time
-	share    float64 // Of the limit, as of the last fresh totals; 0: never known.
+	id      ID
+	tokens  float64
+	at      time.Time // When tokens were counted; zero: the bucket was never used.
+	window  window
+	asked   meter
+	telling Demand // What was told last.
+	// told is the own part of total, what is asked of all VMs as it was heard at heardAt.
+	told, total Demand
+	heardAt     time.Time
+	share       share // As of the last totals that were fresh.
 	// promised is when the last of those refused was told to come back.
 	promised time.Time
 }
 
-// meter is a rate that decays over demandSpan.
-type meter struct {
-	count float64
-	at    time.Time
-}
-
-func (m *meter) add(now time.Time, n float64) {
-	m.count = m.rate(now)*demandSpan.Seconds() + n
-	m.at = now
-}
-
-func (m *meter) rate(now time.Time) float64 {
-	return m.count * math.Exp(-max(0, now.Sub(m.at).Seconds())/demandSpan.Seconds()) / demandSpan.Seconds()
+// share is a VM's part of a team's limit.
+type share struct {
+	part float64
+	// free parts are bound by their windows only.
+	free  bool
+	known bool
 }
 
 // SetBounds sets what all limits have in common.
@@ -76,7 +70,14 @@
 	l.bounds = b
 }
 
-// SetVMs sets how many VMs may be running, this one included.
+// NothingBefore says that no VM has sent anything before this one started.
+func (l *Limiter) NothingBefore() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.first = true
+}
+
+// SetVMs sets how many VMs callers use, this one included.
 func (l *Limiter) SetVMs(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -92,29 +93,66 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucket(t.Name)
-	b.asked.add(now, 1)
-	rate, depth := l.part(now, b, t)
+	b.asked.add(now)
+	s := l.share(now, b, t)
+	rate, depth := l.bounds.whole(t)
+	rate, depth = rate*s.part, depth*s.part
 	b.fill(now, rate, depth)
-	if b.tokens >= 1 || l.isFree(now, b, t) {
+	if (s.free || b.tokens >= 1) && l.fits(now, b, t, s) {
 		b.tokens = max(0, b.tokens-1)
+		b.window.add(l.slice(now), 1)
 		return 0, true
 	}
 	return b.comeBack(now, rate, l.bounds.Window), false
 }
 
+// fits reports whether one more request stays within the window's bounds: that of this VM
+// and, as far as is known, that of all.
+func (l *Limiter) fits(now time.Time, b *bucket, t *team.Team, s share) bool {
+	allowed := l.bounds.allowed(t)
+	own := int(b.window.sum(l.slice(now)))
+	most := max(1, windowUsed*s.part*allowed)
+	switch young := !l.first && now.Sub(l.base) < l.bounds.Window; {
+	case young && s.free:
+		most = max(youngUsed*most, freeSends)
+	case young:
+		most *= youngUsed
+	case s.free:
+		most = max(most+freeSpread*math.Sqrt(most), freeSends)
+	}
+	if float64(own+1) > most {
+		return false
+	}
+	if now.Sub(b.heardAt) > freshFor {
+		return true
+	}
+	others := max(0, b.total.Sent-b.told.Sent)
+	return float64(own+others+1) <= max(1, (brakeAt-l.silent)*allowed)
+}
+
 // Charge counts a request that was sent on once more.
-func (l *Limiter) Charge(t *team.Team) { l.give(t, -1) }
+func (l *Limiter) Charge(now time.Time, t *team.Team) { l.give(now, t, -1) }
 
 // Return gives a request back that was taken out and has not run.
-func (l *Limiter) Return(t *team.Team) { l.give(t, 1) }
+func (l *Limiter) Return(now time.Time, t *team.Team) { l.give(now, t, 1) }
 
-func (l *Limiter) give(t *team.Team, tokens float64) {
+func (l *Limiter) give(now time.Time, t *team.Team, n int) {
 	if !t.Limited() {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.bucket(t.Name).tokens += tokens
+	b := l.bucket(t.Name)
+	b.tokens += float64(n)
+	b.window.add(l.slice(now), -n)
+}
+
+// slice numbers the part of a window that a moment lies in.
+func (l *Limiter) slice(now time.Time) int64 {
+	if l.base.IsZero() {
+		l.base = now
+	}
+	return int64(now.Sub(l.base) / max(1, l.bounds.Window/windowSlices))
 }
 
 func (l *Limiter) bucket(name string) *bucket {
@@ -142,70 +180,54 @@
 	return b
 }
 
-// part returns this VM's rate and depth.
-func (l *Limiter) part(now time.Time, b *bucket, t *team.Team) (rate, depth float64) {
-	share := l.share(now, b)
-	rate, depth = l.bounds.whole(t)
-	return share * rate, share * depth
-}
-
-// share returns this VM's share of a team's limit.
-func (l *Limiter) share(now time.Time, b *bucket) float64 {
+// share returns this VM's part of a team's limit.
+func (l *Limiter) share(now time.Time, b *bucket, t *team.Team) share {
 	equal := 1 / float64(max(1, l.vms))
 	switch age := now.Sub(l.heardAt); {
 	case l.heardAt.IsZero() || age > holdFor:
-		return equal
+		return share{part: equal}
+	case age > freshFor && b.share.known:
+		return b.share
 	case age > freshFor:
-		if b.share > 0 {
-			return b.share
-		}
-		return floor * equal
+		return share{part: boundEqual * equal}
 	}
-	own, others := b.asked.rate(now), l.others(now, b)
-	b.share = (1 - l.silent) * floor * equal
-	if total := own + others; total > 0 {
-		b.share += (1 - l.silent) * (1 - floor) * own / total
+	told, total := b.told.PerSecond, b.total.PerSecond
+	if now.Sub(b.heardAt) > freshFor {
+		told, total = 0, 0 // Totals that leave a team out say that little is asked.
 	}
-	return b.share
-}
-
-// others returns the demand at other VMs. Totals that leave a team out say that nothing
-// of note is asked.
-func (l *Limiter) others(now time.Time, b *bucket) float64 {
-	if now.Sub(b.othersAt) > freshFor {
-		return 0
+	load := l.bounds.load(t, total)
+	s := share{free: load <= freeBelow-l.silent, known: true}
+	even := boundEqual
+	if s.free {
+		even = max(freeEqual, 1-2*load)
 	}
-	return b.others
-}
-
-// isFree reports whether the demand that is known lies so far below the limit that
-// nothing is refused.
-func (l *Limiter) isFree(now time.Time, b *bucket, t *team.Team) bool {
-	if l.heardAt.IsZero() || now.Sub(l.heardAt) > freshFor {
-		return false
+	if total <= 0 {
+		told, total, even = 0, 1, 1
 	}
-	return b.asked.rate(now)+l.others(now, b) <= l.bounds.free(t, l.silent)
+	s.part = (1 - l.silent) * (even*equal + (1-even)*told/total)
+	b.share = s
+	return s
 }
 
 // Hot reports whether VMs of which a team asks nothing yet should know of a demand.
 func (l *Limiter) Hot(t *team.Team, perSecond float64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return t.Limited() && perSecond > l.bounds.free(t, l.silent)
+	return t.Limited() && l.bounds.load(t, perSecond) > freeEqual
 }
 
 // fill refills the bucket up to now. It begins full: a team that asked for nothing has
 // used nothing.
 func (b *bucket) fill(now time.Time, rate, depth float64) {
-	if !b.full {
-		b.tokens, b.at, b.full = depth, now, true
+	if b.at.IsZero() {
+		b.tokens, b.at = depth, now
 		return
 	}
 	if passed := now.Sub(b.at); passed > 0 {
 		b.tokens += rate * passed.Seconds()
 		b.at = now
 	}
-	b.tokens = min(b.tokens, depth)
+	b.tokens = min(b.tokens, max(1, depth))
 }
 
 // comeBack returns when the bucket carries one more request, after all that were refused
@@ -214,9 +236,8 @@
 	if rate <= 0 {
 		return most
 	}
-	each := min(most.Seconds(), 1/rate)
 	first := now.Add(seconds((1 - b.tokens) / rate))
-	b.promised = latest(first, b.promised.Add(seconds(each)))
+	b.promised = latest(first, b.promised.Add(min(most, seconds(1/rate))))
 	if b.promised.Sub(now) > most {
 		b.promised = now.Add(most)
 	}
@@ -240,10 +261,12 @@
 	defer l.mu.Unlock()
 	var list []Demand
 	for _, b := range l.byID {
-		b.told = b.asked.rate(now)
-		if b.told >= leastDemand {
-			list = append(list, Demand{b.id, b.told})
+		b.telling = Demand{b.id, b.asked.rate(now), int(b.window.sum(l.slice(now)))}
+		if b.telling.PerSecond < leastDemand && b.telling.Sent == 0 {
+			b.telling = Demand{}
+			continue
 		}
+		list = append(list, b.telling)
 	}
 	return list
 }
@@ -256,11 +279,11 @@
 	if t.Heard < l.heard && now.Sub(l.heardAt) < freshFor {
 		return
 	}
-	l.heardAt, l.heard = now, t.Heard
-	l.silent = float64(t.Silent) / float64(max(1, t.Heard+t.Silent))
+	l.heardAt, l.heard, l.silent = now, t.Heard, min(1, max(0, t.Silent))
 	for _, d := range t.Demands {
 		b := l.named(d.Team)
-		b.others, b.othersAt = max(0, d.PerSecond-b.told), now
+		b.told, b.total, b.heardAt = b.telling, d, now
+		b.total.PerSecond = max(d.PerSecond, b.telling.PerSecond)
 	}
 }
 
@@ -275,8 +298,8 @@
 type Usage struct {
 	// Own is what is asked of this VM, Total of all, in requests a second.
 	Own, Total float64
-	// Share is this VM's part of the limit.
-	Share float64
+	// Part is this VM's part of the limit.
+	Part float64
 }
 
 // Usage returns what is known of a team's limit.
@@ -287,6 +310,5 @@
 	if b == nil {
 		return Usage{}
 	}
-	own := b.asked.rate(now)
-	return Usage{Own: own, Total: own + l.others(now, b), Share: l.share(now, b)}
+	return Usage{Own: b.asked.rate(now), Total: b.total.PerSecond, Part: l.share(now, b, t).part}
 }
--- /dev/null
+++ b/core/team/team_test.go
@@ -0,0 +1,130 @@
+package team_test
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"auburnlatch/core/team"
+)
+
+func TestBearer(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		fields []string
+		key    string
+		err    error
+	}{
+		{"a key", []string{"Bearer abc"}, "abc", nil},
+		{"the scheme in another case", []string{"bEARER abc"}, "abc", nil},
+		{"several spaces", []string{"Bearer   abc"}, "abc", nil},
+		{"spaces around", []string{"  Bearer abc "}, "abc", nil},
+		{"all that a token may have", []string{"Bearer aZ09-._~+/=="}, "aZ09-._~+/==", nil},
+		{"no field", nil, "", team.ErrNoKey},
+		{"an empty field", []string{""}, "", team.ErrNotKey},
+		{"the scheme only", []string{"Bearer"}, "", team.ErrNotKey},
+		{"the scheme and a space", []string{"Bearer "}, "", team.ErrNotKey},
+		{"another scheme", []string{"Basic abc"}, "", team.ErrNotKey},
+		{"a tab in place of the space", []string{"Bearer\tabc"}, "", team.ErrNotKey},
+		{"two tokens", []string{"Bearer abc def"}, "", team.ErrNotKey},
+		{"two in a list", []string{"Bearer abc, Bearer def"}, "", team.ErrNotKey},
+		{"a parameter", []string{`Bearer realm="x"`}, "", team.ErrNotKey},
+		{"equal signs only", []string{"Bearer =="}, "", team.ErrNotKey},
+		{"an equal sign within", []string{"Bearer a=b"}, "", team.ErrNotKey},
+		{"not ASCII", []string{"Bearer ключ"}, "", team.ErrNotKey},
+		{"two fields", []string{"Bearer abc", "Bearer def"}, "", team.ErrNotKey},
+		{"the same field twice", []string{"Bearer abc", "Bearer abc"}, "", team.ErrNotKey},
+		{"too long", []string{"Bearer " + strings.Repeat("a", 513)}, "", team.ErrNotKey},
+	} {
+		key, err := team.Bearer(tc.fields)
+		if key != tc.key || !errors.Is(err, tc.err) {
+			t.Errorf("%s: %q, %v; want %q, %v", tc.name, key, err, tc.key, tc.err)
+		}
+	}
+}
+
+func FuzzBearer(f *testing.F) {
+	for _, s := range []string{"Bearer abc", "bearer  a==", "Basic x", "", " ", "Bearer\tx"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, field string) {
+		key, err := team.Bearer([]string{field})
+		if (key == "") != (err != nil) {
+			t.Errorf("%q: key %q, error %v", field, key, err)
+		}
+		if err == nil && (!strings.HasSuffix(strings.TrimRight(field, " \t"), key) || strings.ContainsAny(key, " \t,\"\r\n")) {
+			t.Errorf("%q: key %q", field, key)
+		}
+		if err != nil && key == "" && len(field) > 3 && strings.Contains(err.Error(), field) {
+			t.Errorf("the error tells the key: %v", err)
+		}
+	})
+}
+
+func TestNewDirectoryRefuses(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		teams []*team.Team
+		want  string
+	}{
+		{"no name", []*team.Team{{}}, "without a name"},
+		{"twice", []*team.Team{{Name: "a"}, {Name: "a"}}, `"a" stands twice`},
+		{"a rate below 0", []*team.Team{{Name: "a", RatePerSecond: -1}}, `"a": a limit`},
+		{"no number", []*team.Team{{Name: "a", Burst: math.NaN()}}, `"a": a limit`},
+		{"no end", []*team.Team{{Name: "a", RatePerSecond: math.Inf(1)}}, `"a": a limit`},
+		{"one key for two", []*team.Team{{Name: "a", Keys: []string{"secret"}}, {Name: "b", Keys: []string{"secret"}}}, `"a" and "b" hold the same key`},
+	} {
+		_, err := team.NewDirectory(tc.teams)
+		if err == nil || !strings.Contains(err.Error(), tc.want) || strings.Contains(err.Error(), "secret") {
+			t.Errorf("%s: %v, want %s", tc.name, err, tc.want)
+		}
+	}
+}
+
+func TestTeamOfARequestWithoutAKey(t *testing.T) {
+	var none *team.Team
+	if !none.Home("r") || none.Limited() || none.Rank(3) != 3 {
+		t.Error("a request without a key is bound by a team")
+	}
+	var dir *team.Directory
+	if dir.ByKey("k") != nil || dir.Teams() != nil {
+		t.Error("no directory has a team")
+	}
+	rank := 0
+	tm := &team.Team{Homes: []string{"a"}, Priority: &rank}
+	if tm.Home("b") || !tm.Home("a") || tm.Rank(3) != 0 {
+		t.Error("homes or rank of a team do not count")
+	}
+}
+
+func TestFingerprintTellsNoKey(t *testing.T) {
+	if f := team.Fingerprint("key"); len(f) != 8 || f == team.Fingerprint("kez") || strings.Contains(f, "key") {
+		t.Errorf("fingerprint %q", f)
+	}
+}
+
+// BenchmarkByKey is a decision on a key among 10,000 teams with 100,000 keys.
+func BenchmarkByKey(b *testing.B) {
+	var teams []*team.Team
+	for i := range 10_000 {
+		tm := &team.Team{Name: fmt.Sprint("team", i)}
+		for j := range 10 {
+			tm.Keys = append(tm.Keys, fmt.Sprintf("key%07d%02d", i, j))
+		}
+		teams = append(teams, tm)
+	}
+	dir, err := team.NewDirectory(teams)
+	if err != nil {
+		b.Fatal(err)
+	}
+	fields := []string{"Bearer key000777703"}
+	b.ReportAllocs()
+	for b.Loop() {
+		key, err := team.Bearer(fields)
+		if err != nil || dir.ByKey(key) == nil {
+			b.Fatal("not found")
+		}
+	}
+}
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -80,7 +80,7 @@
 			break
 		}
 		if e == nil || e.Verdict != verdict.NotRun {
-			v.limits.Charge(req.team) // It runs once more.
+			v.limits.Charge(time.Now(), req.team) // It runs once more.
 		}
 	}
 	if last != nil {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -63,8 +63,6 @@
 	limits      ratelimit.Limiter
 	collector   ratelimit.Collector
 	peerAddrs   atomic.Pointer[map[string]bool]
-	totals      chan struct{} // Closed when totals of teams' demand have been heard.
-	totalsOnce  sync.Once
 	upstreams   *upstream.Pool
 	picks       route.Picks
 	guard       *quarantine.Guard
@@ -97,7 +95,6 @@
 		peers:     peer.NewClient(),
 		upstreams: upstream.NewPool(), refusedRows: make(map[string]uint64),
 		loaded:  make(chan struct{}),
-		totals:  make(chan struct{}),
 		changed: make(chan struct{}, 1),
 		toPush:  make(chan struct{}, 1),
 		placed:  make(chan struct{}, 1),
@@ -109,6 +106,7 @@
 	var opts []quarantine.Option
 	if cfg.FirstStart {
 		opts = append(opts, quarantine.WithFirstStart())
+		v.limits.NothingBefore()
 	}
 	v.guard = quarantine.New(cfg.Name, fleet{v}, countedKeeper{v}, v.upstreams, log, opts...)
 	v.requests.log = log
--- a/io/entry/limits.go
+++ b/io/entry/limits.go
@@ -24,9 +24,9 @@
 	// tellings of VMs that have just started too. Those that have not are not heard by
 	// then, and have their equal parts kept back.
 	collectAfter = 300 * time.Millisecond
-	// leastFleet is how many VMs a VM counts on that has just started and has not heard of
-	// all.
-	leastFleet = 12
+	// leastUsed is how many VMs a VM takes callers to use that has just started and has not
+	// heard of all.
+	leastUsed = 12
 )
 
 // limitTeller tells what teams ask of this VM and hears what they ask of all.
@@ -57,7 +57,7 @@
 	if table == nil || table.Teams == nil {
 		return
 	}
-	v.limits.SetVMs(v.fleetSize(now))
+	v.limits.SetVMs(v.usedVMs(now))
 	v.notePeers(now)
 	demand := v.limits.Demand(now)
 	ranked := dispatch.Rank("limits", v.members.Live(now))
@@ -79,15 +79,29 @@
 	}
 }
 
-// fleetSize is how many VMs may be running.
-func (v *VM) fleetSize(now time.Time) int {
-	n := len(v.knownNames(now))
+// usedVMs is how many VMs callers use.
+func (v *VM) usedVMs(now time.Time) int {
+	n := len(v.sendingVMs(now))
 	if now.Sub(v.started) < joinHold {
-		n = max(n, leastFleet)
+		n = max(n, leastUsed)
 	}
 	return n
 }
 
+// usedAddrs are the addresses of those VMs, by which datagrams tell who they are from.
+func (v *VM) usedAddrs(now time.Time) []string {
+	cfg := v.cfg.Load()
+	var addrs []string
+	for _, name := range v.sendingVMs(now) {
+		if name == cfg.Name {
+			addrs = append(addrs, cfg.PeerAddr)
+		} else if m, ok := v.members.Mate(now, name); ok {
+			addrs = append(addrs, m.VM.Address.Peer)
+		}
+	}
+	return addrs
+}
+
 // notePeers notes the addresses of the VMs whose datagrams are heard.
 func (v *VM) notePeers(now time.Time) {
 	known := make(map[string]bool)
@@ -119,11 +133,10 @@
 		return ratelimit.Total{}, false
 	}
 	l.collector.Look(now, table.Teams.Teams(), l.limits.Hot)
-	return l.collector.Total(now, list, l.fleetSize(now)), true
+	return l.collector.Total(now, list, l.usedAddrs(now)), true
 }
 
 // Heard implements peer.LimitTable.
 func (l limitTable) Heard(now time.Time, t ratelimit.Total) {
 	l.limits.Heard(now, t)
-	l.totalsOnce.Do(func() { close(l.totals) })
 }
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -94,7 +94,7 @@
 	}
 	if e.Reason == verdict.ReasonOverLimit {
 		u := v.limits.Usage(now, req.team)
-		f["Limit"], f["AskedHere"], f["AskedOfAll"], f["Part"] = req.team.RatePerSecond, int(u.Own), int(u.Total), u.Share
+		f["Limit"], f["AskedHere"], f["AskedOfAll"], f["Part"] = req.team.RatePerSecond, int(u.Own), int(u.Total), u.Part
 	}
 	if e.Reason == verdict.ReasonNotSure {
 		f["RulesSureMs"] = v.rulesAge(clock.Boot()).Milliseconds()
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -102,14 +102,14 @@
 		release := context.AfterFunc(v.work, res.stop)
 		res.answer, res.err = v.carry(ctx, req)
 		release()
-		if res.err != nil && res.err.Verdict == verdict.NotRun {
-			v.limits.Return(req.team)
-		}
 		if e = res.err; e != nil && e.Reason == verdict.ReasonCanceled && v.work.Err() != nil {
 			res.err = verdict.Wrap(e, e.Verdict, verdict.ReasonLeaving, comeBack)
 		}
 	}
 	res.readyAt = time.Now()
+	if e == nil && res.err != nil && res.err.Verdict == verdict.NotRun {
+		v.limits.Return(res.readyAt, req.team)
+	}
 	return res
 }
 
@@ -147,19 +147,15 @@
 	return req, nil
 }
 
-// awaitCopies waits, right after the start, for the copies that requests are carried by,
-// for the bans, which a request that ends upstreams would else get past, and for the demand
-// of teams, without which this VM has a small part of their limits.
+// awaitCopies waits, right after the start, for the copies that requests are carried by
+// and for the bans, which a request that ends upstreams would else get past.
 func (v *VM) awaitCopies(ctx context.Context, now time.Time) {
 	left := holdAtStart - now.Sub(v.started)
-	if left <= 0 {
+	if left <= 0 || v.table.Load() != nil && v.targets.Load() != nil && v.guard.Ledger().Known() {
 		return
 	}
 	timeout := time.After(left)
-	for _, known := range []<-chan struct{}{v.loaded, v.guard.Ledger().Joined(), v.totals} {
-		if table := v.table.Load(); known == v.totals && (table == nil || table.Teams == nil) {
-			continue
-		}
+	for _, known := range []<-chan struct{}{v.loaded, v.guard.Ledger().Joined()} {
 		select {
 		case <-known:
 		case <-ctx.Done():
--- a/io/peer/datagram.go
+++ b/io/peer/datagram.go
@@ -24,9 +24,9 @@
 	maxDatagram = 4 << 10
 	// maxAnswered bounds the placements that one question is answered with.
 	maxAnswered = 4 << 10
-	// demandsPerDatagram is the same of teams' demands, at seven bytes each, and maxDemands
+	// demandsPerDatagram is the same of teams' demands, at nine bytes each, and maxDemands
 	// bounds those that a VM tells at once. Beyond it teams have equal parts.
-	demandsPerDatagram = 180
+	demandsPerDatagram = 140
 	maxDemands         = 10 * demandsPerDatagram
 )
 
--- a/io/wire/demand.go
+++ b/io/wire/demand.go
@@ -13,13 +13,13 @@
 // Demands maps what is asked of a VM. Of a message whose columns differ in length what
 // belongs together is taken.
 func Demands(m *schema.TeamDemand) []ratelimit.Demand {
-	rates := m.GetRates()
+	rates, sent := m.GetRates(), m.GetSent()
 	list := make([]ratelimit.Demand, 0, len(rates))
 	for i, id := range m.GetTeams() {
-		if i >= len(rates) {
+		if i >= len(rates) || i >= len(sent) {
 			break
 		}
-		list = append(list, ratelimit.Demand{Team: ratelimit.ID(id), PerSecond: float64(rates[i]) * rateUnit})
+		list = append(list, ratelimit.Demand{Team: ratelimit.ID(id), PerSecond: float64(rates[i]) * rateUnit, Sent: int(sent[i])})
 	}
 	return list
 }
@@ -30,18 +30,19 @@
 	for _, d := range list {
 		m.Teams = append(m.Teams, uint32(d.Team))
 		m.Rates = append(m.Rates, uint32(math.Round(min(math.MaxUint32, max(0, d.PerSecond/rateUnit)))))
+		m.Sent = append(m.Sent, uint32(max(0, d.Sent)))
 	}
 	return m
 }
 
 // Total maps what is asked of all VMs.
 func Total(m *schema.TeamDemand) ratelimit.Total {
-	return ratelimit.Total{Demands: Demands(m), Heard: int(m.GetHeard()), Silent: int(m.GetSilent())}
+	return ratelimit.Total{Demands: Demands(m), Heard: int(m.GetHeard()), Silent: float64(m.GetSilent())}
 }
 
 // FromTotal maps what is asked of all VMs.
 func FromTotal(t ratelimit.Total) *schema.TeamDemand {
 	m := FromDemands(t.Demands, false, false)
-	m.Heard, m.Silent = uint32(max(0, t.Heard)), uint32(max(0, t.Silent))
+	m.Heard, m.Silent = uint32(max(0, t.Heard)), float32(t.Silent)
 	return m
 }
