--- a/core/ratelimit/doc.go
+++ b/core/ratelimit/doc.go
@@ -12,8 +12,8 @@
 //
 //   - a window: what the VM sent in the last Window is at most its share of what a window
 //     allows;
-//   - a token bucket, while the known demand comes near the limit: its rates add up to the
-//     limit, and its depths to the rest of what a window allows, less what is kept for
+//   - a token bucket, while the known demand comes near the limit: its rates add up to
+//     little more than the limit, and its depths to the rest of what a window allows, less what is kept for
 //     failures. When callers move from VM to VM, windows alone would let both the old
 //     VM and the new one send their whole share within one Window;
 //   - a brake: all VMs also tell what they sent, and none sends more while that comes near
@@ -90,9 +90,10 @@
 func IDOf(name string) ID { return ID(xxhash.Sum64String(name)) }
 
 const (
-	// rateExcess is the part of the excess that the rates of the buckets take; what is
-	// left adds to their depth.
-	rateExcess = 0.5
+	// rateOver is how far the rates of the buckets add up beyond the limit: at VMs of which
+	// a team asks less than their share at the moment, some of it is lost. What all send
+	// is bound by the brake.
+	rateOver = 1.15
 	// depthUsed is the part of the depth that VMs have, and windowUsed that of what a
 	// window allows; the rest pays for shares that change while messages are under way.
 	depthUsed  = 0.7
@@ -101,7 +102,7 @@
 	youngUsed = 0.8
 	// brakeAt is the part of what a window allows at which no VM sends more: what they send
 	// before they hear of it is a second of the limit.
-	brakeAt = 0.75
+	brakeAt = 0.8
 	// freeSends is how many requests a VM may send in a window whatever its share, while
 	// demand is low, and freeSpread how many standard deviations beyond its part of a
 	// window: what comes by chance is spread by the square root of it.
@@ -119,7 +120,7 @@
 
 // whole returns the rate and the depth of all VMs' buckets together.
 func (b Bounds) whole(t *team.Team) (rate, depth float64) {
-	rate = t.RatePerSecond * (1 + rateExcess*b.Excess)
+	rate = rateOver * t.RatePerSecond
 	return rate, depthUsed * (b.allowed(t) - rate*b.Window.Seconds())
 }
 
--- a/io/settings/entry.go
+++ b/io/settings/entry.go
@@ -61,6 +61,7 @@
 	defaultLeaveWithin = 2 * time.Second
 	defaultUpstreamHB  = 1500 * time.Millisecond
 	defaultLimitWindow = 5 * time.Second
+	leastRevoke        = 2500 * time.Millisecond
 )
 
 // LoadEntry reads and checks the settings file of an entry process.
@@ -131,6 +132,7 @@
 	c.want(s.Capacity.LinkMbps >= 0, "Capacity/LinkMbps", "must not be below 0; 0 says that it is not known")
 	c.want(m.GetCapacity().GetCpuShare() >= 0, "Capacity/CpuShare", "must not be below 0; 0 says that it is not known")
 	c.want(m.GetCapacity().GetCores() >= 0, "Capacity/Cores", "must not be below 0; 0 says that it is not known")
+	c.want(s.RevokeWithin == 0 || s.RevokeWithin >= leastRevoke, "Bounds/RevokeWithin", "must be 2.5s at least: VMs hear of each other twice a second, and one that has just started a second later")
 	c.want(s.Limits.Excess >= 0 && s.Limits.Excess <= 1, "Bounds/LimitExcess", "must be from 0 to 1")
 	c.want(s.Limits.Slack >= 0, "Bounds/LimitSlack", "must not be below 0")
 	c.want(s.RetryExtra >= 0, "Bounds/RetryExtra", "must not be below 0")
