Bytes between VMs: deltas of many rows travel packed, changes are handed on within the region

Cause, by a new count of what is told (ControlSent): at 195 VMs the two watchers sent 25 MB each, rows of hundreds of upstreams that register at once, unpacked to each asker; and two of three copies that were pushed crossed regions.

--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -70,8 +70,8 @@
 	// after a gap.
 	Told bool
 	Rows []Row
-	// Changes is the number of changes that a whole delta's table has seen: two with the
-	// same number have the same rows.
+	// Changes is the number of changes that the delta's table had seen: two of a VM's copy
+	// with the same number have the same rows, but for removals that were forgotten.
 	Changes uint64
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -51,6 +51,7 @@
 	members  *member.Table
 	replicas peer.Replicas
 	peers    *peer.Client
+	sent     peer.Traffic // What this VM told others.
 	known    addresses
 
 	registry target.Registry  // Of applyLoop alone.
@@ -92,7 +93,6 @@
 		platform: p, protocol: protocol, log: log, started: now,
 		members:   member.NewTable(cfg.Name, cfg.Zone, uint64(now.UnixNano()), now, member.WithFlat(), member.WithFailAfter(failAfter)),
 		replicas:  peer.Replicas{},
-		peers:     peer.NewClient(),
 		upstreams: upstream.NewPool(), refusedRows: make(map[string]uint64),
 		loaded:  make(chan struct{}),
 		changed: make(chan struct{}, 1),
@@ -102,6 +102,7 @@
 	for _, name := range []string{TableRules, TableTargets} {
 		v.replicas[name] = replica.NewTable(name, func(key string, a, b []byte) bool { return p.Same(name, key, a, b) })
 	}
+	v.peers = peer.NewClient(peer.WithSentCounted(&v.sent))
 	v.balancer = balance.New(cfg.Name, cfg.Region, cfg.Zone, balance.WithNews(v.signalPlaced))
 	var opts []quarantine.Option
 	if cfg.FirstStart {
@@ -152,9 +153,9 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	sync := peer.NewReplicaServer(v.members, v.replicas, v.signalChange)
+	sync := peer.NewReplicaServer(v.members, v.replicas, v.signalChange, &v.sent)
 	go serving.Run(func(l net.Listener) error { return sync.Serve(live, l) }, control)
-	datagrams, err := peer.ListenDatagrams(cfg.PeerAddr, v.balancer, v.guard.Ledger(), peer.WithLimits(limitTable{v}))
+	datagrams, err := peer.ListenDatagrams(cfg.PeerAddr, v.balancer, v.guard.Ledger(), peer.WithLimits(limitTable{v}), peer.WithTraffic(&v.sent))
 	if err != nil {
 		return err
 	}
@@ -184,7 +185,7 @@
 // startLoops starts everything that runs by itself.
 func (v *VM) startLoops(ctx context.Context, datagrams *peer.Datagrams) {
 	for _, loop := range []func(context.Context){
-		v.heartbeatLoop, v.rulesLoop, v.targetsLoop, v.applyLoop, v.addressLoop, v.requests.loop,
+		v.heartbeatLoop, v.rulesLoop, v.targetsLoop, v.applyLoop, v.addressLoop, v.requests.loop, v.sentLoop,
 		(&pusher{vm: v}).loop, (&placementTeller{vm: v, peer: datagrams}).loop, (&limitTeller{vm: v, peer: datagrams}).loop, datagrams.Run,
 	} {
 		v.background.Start(ctx, loop)
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"expvar"
 	"net/http"
@@ -9,11 +10,14 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sirupsen/logrus"
 
 	"auburnlatch/core/lease"
 	"auburnlatch/core/poison"
 	"auburnlatch/core/verdict"
 	"auburnlatch/io/clock"
+	"auburnlatch/io/lifecycle"
+	"auburnlatch/io/peer"
 )
 
 // counters are a VM's figures. The zero value is ready.
@@ -77,10 +81,12 @@
 	// RulesSureMs is how long ago the rules in force certainly were the newest.
 	RulesSureMs int64
 	// LimitsHeardMs is how long ago totals of what teams ask for were heard.
-	LimitsHeardMs   int64
-	LiveVMs         int
-	Placements      int // Objects that have their upstream.
-	Poison          poison.Counts
+	LimitsHeardMs int64
+	LiveVMs       int
+	Placements    int // Objects that have their upstream.
+	Poison        poison.Counts
+	// ControlSent is what was told to other VMs, in bytes by what it is about.
+	ControlSent     peer.Sent
 	ControlBytesIn  int64
 	ControlBytesOut int64
 }
@@ -98,6 +104,7 @@
 	}
 	f.RulesSureMs = v.rulesAge(clock.Boot()).Milliseconds()
 	f.LimitsHeardMs = min(v.limits.Age(now), lease.Never).Milliseconds()
+	f.ControlSent = v.sent.Sent()
 	f.ControlBytesIn, f.ControlBytesOut = v.peers.Traffic()
 	if t := v.table.Load(); t != nil {
 		f.ConfigVersion = t.Config.Version
@@ -115,6 +122,19 @@
 	return f
 }
 
+// sentEvery is the interval between log lines about what was told to other VMs.
+const sentEvery = 10 * time.Second
+
+// sentLoop logs what was told to other VMs, in bytes since the start.
+func (v *VM) sentLoop(ctx context.Context) {
+	for lifecycle.Pause(ctx, sentEvery) {
+		s := v.sent.Sent()
+		v.log.WithFields(logrus.Fields{
+			"Members": s.Members, "Tables": s.Tables, "Placements": s.Placements, "Poison": s.Poison, "Demand": s.Demand,
+		}).Info("ControlSent")
+	}
+}
+
 // dumpedBan is a ban as it stands in the dump.
 type dumpedBan struct {
 	Print  string
--- a/io/entry/push.go
+++ b/io/entry/push.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,8 +16,11 @@
 const (
 	// pushFanout is how many VMs a change is handed to by each VM that takes it
 	// in. At three a change reaches 94 of 100 VMs, worked out; the others hear of it
-	// when they next ask.
+	// when they next ask. All but one are of its own region.
 	pushFanout = 3
+	// pushCrossings is how many VMs of a region hand a change on to another region. Handed
+	// to any VM, two of three copies would cross between regions, as many as there are VMs.
+	pushCrossings = 4
 	// pushEvery bounds how often a VM pushes, so that changes in quick succession
 	// travel together.
 	pushEvery = 150 * time.Millisecond
@@ -102,17 +106,31 @@
 
 // push starts handing deltas to some other VMs.
 func (p *pusher) push(ctx context.Context, now time.Time, deltas []replica.Delta) {
-	var addrs []string
+	for _, addr := range p.receivers(now) {
+		p.vm.background.Add(1)
+		go (&handing{vm: p.vm, addr: addr, deltas: deltas}).run(ctx)
+	}
+}
+
+// receivers are the addresses of the VMs that changes are handed to. A watcher, which
+// hears of a change first, always hands it on to another region.
+func (p *pusher) receivers(now time.Time) []string {
+	near := p.vm.neighbors(now)
+	var far []string
 	for _, m := range p.vm.members.Mates(now) {
-		if m.State == member.Live {
-			addrs = append(addrs, m.VM.Address.Peer)
+		if addr := m.VM.Address.Peer; m.State == member.Live && !slices.Contains(near, addr) {
+			far = append(far, addr)
 		}
 	}
-	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	for _, addr := range addrs[:min(pushFanout, len(addrs))] {
-		p.vm.background.Add(1)
-		go (&handing{vm: p.vm, addr: addr, deltas: deltas}).run(ctx)
+	for _, list := range [][]string{near, far} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	crosses := len(p.vm.watchers(now)) == 0 || rand.IntN(len(near)+1) < pushCrossings
+	if !crosses && len(near) >= pushFanout {
+		return near[:pushFanout]
 	}
+	near = near[:min(pushFanout-1, len(near))]
+	return append(near, far[:min(pushFanout-len(near), len(far))]...)
 }
 
 // handing hands changes to one VM.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -30,6 +30,8 @@
 	bytesIn  atomic.Int64
 	bytesOut atomic.Int64
 	dial     Dial
+	traffic  *Traffic
+	packer   wire.TablePacker
 
 	mu    sync.Mutex
 	conns map[string]*conn
@@ -52,9 +54,12 @@
 // WithDial has the client open its connections by dial.
 func WithDial(dial Dial) Option { return func(c *Client) { c.dial = dial } }
 
+// WithSentCounted has what is sent to copies counted.
+func WithSentCounted(t *Traffic) Option { return func(c *Client) { c.traffic = t } }
+
 // NewClient returns a client without connections.
 func NewClient(opts ...Option) *Client {
-	c := &Client{conns: map[string]*conn{}, dial: (&net.Dialer{}).DialContext}
+	c := &Client{conns: map[string]*conn{}, dial: (&net.Dialer{}).DialContext, traffic: &Traffic{}}
 	for _, opt := range opts {
 		opt(c)
 	}
--- a/io/peer/datagram.go
+++ b/io/peer/datagram.go
@@ -74,11 +74,15 @@
 	placements PlacementTable
 	poison     PoisonTable
 	limits     LimitTable
+	traffic    *Traffic
 }
 
 // DatagramsOption varies Datagrams.
 type DatagramsOption func(*Datagrams)
 
+// WithTraffic has what is sent counted.
+func WithTraffic(t *Traffic) DatagramsOption { return func(d *Datagrams) { d.traffic = t } }
+
 // WithLimits has the demand of teams with limits told and taken.
 func WithLimits(t LimitTable) DatagramsOption { return func(d *Datagrams) { d.limits = t } }
 
@@ -93,7 +97,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "datagrams")
 	}
-	d := &Datagrams{conn: conn, placements: placements, poison: poisoned}
+	d := &Datagrams{conn: conn, placements: placements, poison: poisoned, traffic: &Traffic{}}
 	for _, opt := range opts {
 		opt(d)
 	}
@@ -230,11 +234,24 @@
 	}
 }
 
+// count counts a datagram by what it is about.
+func (d *Datagrams) count(m *schema.Datagram, bytes int) {
+	n := &d.traffic.Placements
+	switch {
+	case m.GetPoison() != nil:
+		n = &d.traffic.Poison
+	case m.GetDemand() != nil || m.GetTotal() != nil:
+		n = &d.traffic.Demand
+	}
+	n.Add(int64(bytes))
+}
+
 func (d *Datagrams) send(to netip.AddrPort, m *schema.Datagram) {
 	data, err := proto.Marshal(m)
 	if err != nil {
 		return // Only a text that is not UTF-8 does that; the object then stays this VM's.
 	}
+	d.count(m, len(data))
 	// A datagram that cannot be sent is one that is lost.
 	_, _ = d.conn.WriteToUDPAddrPort(data, to)
 }
--- a/io/peer/replica.go
+++ b/io/peer/replica.go
@@ -96,6 +96,7 @@
 		if members != nil {
 			ask.Stamps = wire.FromStamps(members.Digest(now, everything))
 		}
+		c.countAsk(ask)
 		reply, err := client.Sync(ctx, ask)
 		if err != nil {
 			return err
@@ -113,7 +114,7 @@
 		replicas.renew(asked, wire.Heads(reply.GetHeads()))
 		back := &schema.SyncReply{
 			Delta:  &schema.Delta{},
-			Tables: wire.FromReplicaDeltas(replicas.deltas(now, wire.Heads(reply.GetHeads()))),
+			Tables: c.packer.FromReplicaDeltas(replicas.deltas(now, wire.Heads(reply.GetHeads()))),
 		}
 		if members != nil {
 			members.Take(now, delta)
@@ -122,6 +123,7 @@
 		if len(back.Delta.Entries) == 0 && len(back.Tables) == 0 {
 			return nil
 		}
+		c.traffic.count(back)
 		_, err = client.Hand(ctx, back)
 		return err
 	})
@@ -132,7 +134,9 @@
 // join on to its copies.
 func (c *Client) HandTables(ctx context.Context, addr string, deltas []replica.Delta) error {
 	return c.callConn(ctx, addr, func(ctx context.Context, conn drpc.Conn) error {
-		_, err := schema.NewDRPCReplicaClient(conn).Hand(ctx, &schema.SyncReply{Tables: wire.FromReplicaDeltas(deltas)})
+		m := &schema.SyncReply{Tables: c.packer.FromReplicaDeltas(deltas)}
+		c.traffic.count(m)
+		_, err := schema.NewDRPCReplicaClient(conn).Hand(ctx, m)
 		return err
 	})
 }
@@ -143,12 +147,13 @@
 	replicas Replicas
 	changed  func()
 	packer   wire.TablePacker
+	traffic  *Traffic
 }
 
 // NewReplicaServer returns a server of what the VM knows. changed is called
 // after a copy has changed.
-func NewReplicaServer(members *member.Table, replicas Replicas, changed func()) *ReplicaServer {
-	return &ReplicaServer{members: members, replicas: replicas, changed: changed}
+func NewReplicaServer(members *member.Table, replicas Replicas, changed func(), traffic *Traffic) *ReplicaServer {
+	return &ReplicaServer{members: members, replicas: replicas, changed: changed, traffic: traffic}
 }
 
 // Serve answers on the listener until ctx ends.
@@ -174,6 +179,7 @@
 	if !m.GetTablesOnly() {
 		reply.Delta = wire.FromDelta(s.members.Answer(now, everything, stamps))
 	}
+	s.traffic.count(reply)
 	return reply, nil
 }
 
--- a/io/wire/replica.go
+++ b/io/wire/replica.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -97,31 +98,51 @@
 	return out
 }
 
-// packRows is how many rows a whole table has that travels packed: below it the rows
-// fit a few packets.
-const packRows = 32
+// packRows is how many rows a delta has that travels packed: below it the rows fit a few
+// packets.
+const packRows = 16
 
-// TablePacker maps whole tables so that they travel packed, and keeps what it has
-// packed: where all VMs start at once, scores of them ask a seed for the same table. 900
-// upstreams are 225 KB, of which 60 copies take a link of 20 Mbit/s five seconds, longer
-// than those who ask wait; packed they are a tenth. The zero value is ready. It is safe
-// for concurrent use.
+// maxPacked is how many deltas of one state of a table are kept packed.
+const maxPacked = 16
+
+// TablePacker maps deltas of many rows so that they travel packed, and keeps what it has
+// packed: where all VMs start at once, or hundreds of upstreams register, scores of them ask
+// one VM for the same rows. 900 upstreams are 225 KB, of which 60 copies take a link of
+// 20 Mbit/s five seconds, longer than those who ask wait; packed they are a tenth. The zero
+// value is ready, for the deltas of one VM's copies. It is safe for concurrent use.
 type TablePacker struct {
 	mu     sync.Mutex
 	tables map[string]packedTable
 }
 
-// packedTable is a table's rows as of a number of changes.
+// packedTable has deltas of a table as of a number of changes.
 type packedTable struct {
 	changes uint64
-	rows    []byte
+	rows    map[packedKey][]byte
+}
+
+// packedKey tells the deltas of one state of a table apart: one that is not whole has all
+// rows from a version on. Removals that are forgotten meanwhile are no change, and leave
+// fewer rows.
+type packedKey struct {
+	whole  bool
+	oldest uint64
+	rows   int
 }
 
-// FromReplicaDeltas is the function of that name, with whole tables packed.
+func keyOfDelta(d replica.Delta) packedKey {
+	key := packedKey{whole: d.Whole, oldest: math.MaxUint64, rows: len(d.Rows)}
+	for _, r := range d.Rows {
+		key.oldest = min(key.oldest, r.Version)
+	}
+	return key
+}
+
+// FromReplicaDeltas is the function of that name, with deltas of many rows packed.
 func (p *TablePacker) FromReplicaDeltas(list []replica.Delta) []*schema.ReplicaDelta {
 	out := FromReplicaDeltas(list)
 	for i, d := range list {
-		if !d.Whole || len(d.Rows) < packRows {
+		if len(d.Rows) < packRows {
 			continue
 		}
 		if packed := p.pack(d, out[i].Rows); packed != nil {
@@ -134,8 +155,10 @@
 func (p *TablePacker) pack(d replica.Delta, rows []*schema.ReplicaRow) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if t, ok := p.tables[d.To.Table]; ok && t.changes == d.Changes {
-		return t.rows
+	key := keyOfDelta(d)
+	t, ok := p.tables[d.To.Table]
+	if known := t.rows[key]; ok && t.changes == d.Changes && known != nil {
+		return known
 	}
 	data, err := proto.Marshal(&schema.ReplicaDelta{Rows: rows})
 	if err != nil {
@@ -148,7 +171,11 @@
 	if p.tables == nil {
 		p.tables = make(map[string]packedTable)
 	}
-	p.tables[d.To.Table] = packedTable{changes: d.Changes, rows: packed}
+	if !ok || t.changes != d.Changes || len(t.rows) >= maxPacked {
+		t = packedTable{changes: d.Changes, rows: make(map[packedKey][]byte)}
+		p.tables[d.To.Table] = t
+	}
+	t.rows[key] = packed
 	return packed
 }
 
--- a/io/wire/replica_test.go
+++ b/io/wire/replica_test.go
@@ -83,6 +83,39 @@
 	}
 }
 
+// Hundreds of upstreams register, and VMs ask for what they lack from different versions on.
+// A removal among it is forgotten meanwhile. Each gets all rows from its version on: one that
+// was sent what is kept packed for another would miss a row, and never know.
+func TestChangesTravelPacked(t *testing.T) {
+	table := registrations(200)
+	table.Apply(start, replica.Delta{From: 200, To: replica.Head{Table: "targets", Version: 201}, Rows: []replica.Row{{Key: "i-0000000000", Version: 201, Removed: true}}})
+	var packer wire.TablePacker
+	for _, from := range []uint64{100, 150, 100, 50} {
+		for _, now := range []time.Time{start, start.Add(time.Hour)} { // By then the removal is forgotten.
+			d := table.Since(now, from)
+			out := packer.FromReplicaDeltas([]replica.Delta{d})
+			if out[0].PackedRows == nil {
+				t.Fatalf("%d rows travel unpacked", len(d.Rows))
+			}
+			got, err := wire.ReplicaDeltas(out)
+			if err != nil {
+				t.Fatal(err)
+			}
+			versions := func(rows []replica.Row) (list []uint64) {
+				for _, r := range rows {
+					list = append(list, r.Version)
+				}
+				slices.Sort(list)
+				return list
+			}
+			if !slices.Equal(versions(got[0].Rows), versions(d.Rows)) {
+				t.Errorf("from %d: %v arrive, want %v", from, versions(got[0].Rows), versions(d.Rows))
+			}
+			table.Apply(now, replica.Delta{From: 0, To: replica.Head{Table: "targets", Version: 201}})
+		}
+	}
+}
+
 // A table that was cut or spoilt on its way is refused whole, or a VM would take the
 // upstreams that are missing for gone.
 func TestSpoiltTableIsRefused(t *testing.T) {
