VMs take turns to try a suspected request by itself

Cause: two VMs that get it at the same moment each began a trial before either had heard of the other's; after a burst it was sent 4 times later than a second after the third end.

--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -72,7 +72,8 @@
 	news      News
 	events    []Event
 	dropped   Dropped
-	tell      func()        // Called when there is news.
+	tell      func() // Called when there is news.
+	turn      Turn
 	known     bool          // The bans that the platform keeps are known.
 	joined    chan struct{} // Closed when known.
 }
@@ -91,11 +92,19 @@
 // WithNews has f called, under a lock, whenever TakeNews has something to return.
 func WithNews(f func()) Option { return func(l *Ledger) { l.tell = f } }
 
+// Turn returns when a VM's turn is to try a request by itself, from 0 to 1, other than that
+// of other VMs.
+type Turn func(now time.Time, p Print) float64
+
+// WithTurn has VMs that suspect a request try it one after the other.
+func WithTurn(f Turn) Option { return func(l *Ledger) { l.turn = f } }
+
 // NewLedger returns an empty Ledger.
 func NewLedger(opts ...Option) *Ledger {
 	l := &Ledger{
 		upstreams: make(map[string]*upstreamRuns), suspects: make(map[Print]*suspect), trials: make(map[*Trial]bool),
 		bans: make(map[Print]*record), heads: make(map[uint64]int), explained: make(map[string]time.Time), tell: func() {},
+		turn:   func(time.Time, Print) float64 { return 0 },
 		joined: make(chan struct{}),
 	}
 	for _, opt := range opts {
--- a/core/poison/ledger_test.go
+++ b/core/poison/ledger_test.go
@@ -440,3 +440,26 @@
 		t.Error("a request that was sent once more after each end is not banned")
 	}
 }
+
+// Two VMs know that a request ended two upstreams in a row, and it comes to both at the same
+// moment. Each began a trial before it had heard of the other's, so that one upstream more
+// ended than had to. The VMs take turns; whose turn comes later is told when.
+func TestTwoVMsDoNotTryAtTheSameMoment(t *testing.T) {
+	vms := make([]*poison.Ledger, 2)
+	for i := range vms {
+		vms[i] = poison.NewLedger(poison.WithTurn(func(time.Time, poison.Print) float64 { return float64(i) / 2 }))
+		endUnder(vms[i], 1000, "i-1", "killer")
+		endUnder(vms[i], 2000, "i-2", "killer")
+	}
+	trial, refused := vms[0].Admit(at(2100), printOf("killer"))
+	if trial == nil || !trial.Alone || refused != nil {
+		t.Fatalf("the first: %+v, %v; want a trial by itself", trial, refused)
+	}
+	other, refused := vms[1].Admit(at(2100), printOf("killer"))
+	if other != nil || refused == nil || refused.RetryAfter <= 0 || refused.RetryAfter > 2*time.Second {
+		t.Errorf("the second at the same moment: %+v, %v; want a refusal with when to come back", other, refused)
+	}
+	if other, _ := vms[1].Admit(at(3500), printOf("killer")); other == nil {
+		t.Error("the second has no turn though it heard of no trial")
+	}
+}
--- a/core/poison/suspect.go
+++ b/core/poison/suspect.go
@@ -32,6 +32,11 @@
 	// so that what other VMs saw has arrived: a question at the upstream's address and a
 	// datagram, each once across regions, 0.17 s. The request is refused meanwhile.
 	settleFor = 400 * time.Millisecond
+	// turnsFor is the time over which the VMs' turns for a trial are spread, from when the
+	// last one came to an end. Requests that come to two VMs at the same moment would else
+	// be tried at both, before either has heard of the other's: a message between regions
+	// takes 0.06 s, and twelve VMs' turns are twice that apart.
+	turnsFor = 1600 * time.Millisecond
 	// trialWait is when a request should come back that is being tried already: about
 	// what an answer takes.
 	trialWait = 250 * time.Millisecond
@@ -117,6 +122,8 @@
 		return nil, nil
 	case held.alone() && l.tried(now, p, s):
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonQuarantined, trialWait)
+	case held.alone() && now.Before(l.turnOf(now, p, s)):
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonQuarantined, l.turnOf(now, p, s).Sub(now))
 	case held.inRow >= banAfter && now.Sub(s.last) < settleFor:
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonQuarantined, settleFor-now.Sub(s.last))
 	case held.inRow >= banAfter:
@@ -130,6 +137,15 @@
 	return t, nil
 }
 
+// turnOf returns when this VM may try a suspect by itself.
+func (l *Ledger) turnOf(now time.Time, p Print, s *suspect) time.Time {
+	from := s.last
+	if over := s.triedAt.Add(tryFor); !s.triedAt.IsZero() && over.After(from) {
+		from = over
+	}
+	return from.Add(time.Duration(l.turn(now, p) * float64(turnsFor)))
+}
+
 // tried reports whether a request is being tried, here or by another VM.
 func (l *Ledger) tried(now time.Time, p Print, s *suspect) bool {
 	if s.triedLately(now) {
--- a/io/quarantine/doc.go
+++ b/io/quarantine/doc.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -88,7 +89,7 @@
 // New returns a Guard for the VM of a name. It knows of no bans.
 func New(self string, f Fleet, k Keeper, p Prober, log *logrus.Entry, opts ...Option) *Guard {
 	g := &Guard{self: self, fleet: f, keeper: k, prober: p, log: log, news: make(chan struct{}, 1), started: time.Now(), onEnd: func(Upstream) {}}
-	g.ledger = poison.NewLedger(poison.WithNews(g.signal))
+	g.ledger = poison.NewLedger(poison.WithNews(g.signal), poison.WithTurn(g.turn))
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -114,6 +115,12 @@
 	return len(ranked) == 0 || ranked[0] == g.self
 }
 
+// turn returns when this VM's turn is among the live ones to try a request.
+func (g *Guard) turn(now time.Time, p poison.Print) float64 {
+	ranked := dispatch.Rank(p.String(), g.fleet.Live(now))
+	return float64(max(0, slices.Index(ranked, g.self))) / float64(max(1, len(ranked)))
+}
+
 // signal has news of the ledger told.
 func (g *Guard) signal() {
 	select {
