--- a/core/ratelimit/fleet_test.go
+++ b/core/ratelimit/fleet_test.go
@@ -352,6 +352,30 @@
 	}
 }
 
+// All VMs lose power and start again, and callers come back to two thirds of those that they
+// used. Nobody has told anything yet. A small team had less than one token at each VM, so its
+// first request at each was refused, and what is kept back for VMs that are not heard was
+// taken off the equal parts as well. Less than a tenth is refused over the seconds after.
+func TestTeamsAreServedAfterAllVMsStartAnew(t *testing.T) {
+	restart := func(f *fleet) {
+		for _, v := range f.vms {
+			v.dead = true
+		}
+		f.run(time.Second)
+		for _, v := range f.vms {
+			f.start(v)
+		}
+		f.run(3 * time.Second)
+	}
+	for _, tm := range teams {
+		for seed := range uint64(5) {
+			if got := refusedShare(seed, tm, 12, func(*fleet) {}, restart); got > 0.1 {
+				t.Errorf("%s, seed %d: %.3f refused", tm.Name, seed, got)
+			}
+		}
+	}
+}
+
 func BenchmarkTake(b *testing.B) {
 	var l ratelimit.Limiter
 	l.SetBounds(bounds)
--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -127,7 +127,7 @@
 		return true
 	}
 	others := max(0, b.total.Sent-b.told.Sent)
-	return float64(own+others+1) <= max(1, (brakeAt-l.silent)*allowed)
+	return float64(own+others+1) <= max(1, brakeAt*(1-l.silent)*allowed)
 }
 
 // Charge counts a request that was sent on once more.
@@ -196,7 +196,7 @@
 		told, total = 0, 0 // Totals that leave a team out say that little is asked.
 	}
 	load := l.bounds.load(t, total)
-	s := share{free: load <= freeBelow-l.silent, known: true}
+	s := share{free: load <= freeBelow*(1-l.silent), known: true}
 	even := boundEqual
 	if s.free {
 		even = max(freeEqual, 1-2*load)
@@ -204,7 +204,9 @@
 	if total <= 0 {
 		told, total, even = 0, 1, 1
 	}
-	s.part = (1 - l.silent) * (even*equal + (1-even)*told/total)
+	// The equal part is that of one among all VMs that callers use; what follows demand is
+	// dealt out among those that are heard.
+	s.part = even*equal + (1-l.silent)*(1-even)*told/total
 	b.share = s
 	return s
 }
@@ -220,7 +222,7 @@
 // used nothing.
 func (b *bucket) fill(now time.Time, rate, depth float64) {
 	if b.at.IsZero() {
-		b.tokens, b.at = depth, now
+		b.tokens, b.at = max(1, depth), now
 		return
 	}
 	if passed := now.Sub(b.at); passed > 0 {
