--- a/core/member/member.go
+++ b/core/member/member.go
@@ -125,8 +125,6 @@
 	Capacity Capacity
 	// Traffic is what callers ask of it.
 	Traffic Traffic
-	// Far says that the platform's answers are long in coming to it.
-	Far bool
 }
 
 // Capacity is what a VM has. The zero value is one that is not known.
--- a/io/entry/copies.go
+++ b/io/entry/copies.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"auburnlatch/core/dispatch"
 	"auburnlatch/core/replica"
 	"auburnlatch/core/route"
 	"auburnlatch/core/target"
@@ -16,11 +17,12 @@
 )
 
 const (
-	// The watchers read the tables from the platform; the others ask one of them
+	// watchers read the tables from the platform; the others ask a watcher
 	// whenever their copies are askAge old, and read for themselves only when
 	// these are staleShare of the bound on leaving upstreams old. So whoever the
 	// platform turns away, freezes or dies is replaced without a word, and the
 	// platform is asked as often whether there are 10 VMs or 300.
+	watchers   = 2
 	watchAge   = 500 * time.Millisecond
 	askAge     = 600 * time.Millisecond
 	staleShare = 0.45
@@ -126,7 +128,7 @@
 // they know: where the platform turns both watchers away, two others take their place
 // rather than all.
 func (v *VM) sureFor(now time.Time) time.Duration {
-	rank := slices.Index(v.watchOrder(now), v.cfg.Load().Name)
+	rank := slices.Index(dispatch.Rank("watch", v.members.Live(now)), v.cfg.Load().Name)
 	turn := time.Duration(min(max(0, rank), askTurns)) * askTurn
 	return lifecycle.Share(v.cfg.Load().RevokeWithin, sureShare) + turn
 }
@@ -210,6 +212,24 @@
 // settling reports whether this VM cannot have heard of the others yet.
 func (v *VM) settling(now time.Time) bool { return now.Sub(v.started) < settleFor }
 
+// watchers returns the addresses of the VMs that read the platform for all, none
+// where this VM is one of them.
+func (v *VM) watchers(now time.Time) []string {
+	self := v.cfg.Load().Name
+	ranked := dispatch.Rank("watch", v.members.Live(now))
+	ranked = ranked[:min(watchers, len(ranked))]
+	if slices.Contains(ranked, self) {
+		return nil
+	}
+	var addrs []string
+	for _, name := range ranked {
+		if m, ok := v.members.Mate(now, name); ok {
+			addrs = append(addrs, m.VM.Address.Peer)
+		}
+	}
+	return addrs
+}
+
 // staleAge is how old the copy of the upstreams may become before this VM reads
 // it itself.
 func (v *VM) staleAge() time.Duration {
@@ -243,7 +263,6 @@
 	now := time.Now()
 	if wait == 0 {
 		d.To.Age = now.Sub(started)
-		v.trips.note(d.To.Age)
 	}
 	changed := t.Apply(now, d)
 	t.Renew(d.To.Version, asked)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -53,7 +53,6 @@
 	peers    *peer.Client
 	sent     peer.Traffic // What this VM told others.
 	known    addresses
-	trips    trips // To the platform.
 
 	registry target.Registry  // Of applyLoop alone.
 	applied  []*target.Target // Of applyLoop alone: those in force.
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -63,7 +63,7 @@
 	cfg := v.cfg.Load()
 	return &member.VM{
 		Name: cfg.Name, Zone: cfg.Zone, Leaving: v.leaving.Load(), Dispatches: v.Ready(),
-		Capacity: cfg.Capacity, Traffic: v.traffic.Traffic(now), Far: v.far(),
+		Capacity: cfg.Capacity, Traffic: v.traffic.Traffic(now),
 		Address: member.Address{Name: cfg.Name, Zone: cfg.Zone, Caller: cfg.FrontAddr, Peer: cfg.PeerAddr, Leaving: v.leaving.Load()},
 	}
 }
