--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -63,7 +63,7 @@
 	retries     balance.RetryBudget
 	limits      ratelimit.Limiter
 	collector   ratelimit.Collector
-	peerAddrs   atomic.Pointer[map[string]bool]
+	others      atomic.Pointer[others]
 	upstreams   *upstream.Pool
 	picks       route.Picks
 	guard       *quarantine.Guard
--- a/io/entry/limits.go
+++ b/io/entry/limits.go
@@ -57,8 +57,9 @@
 	if table == nil || table.Teams == nil {
 		return
 	}
-	v.limits.SetVMs(v.usedVMs(now))
-	v.notePeers(now)
+	used := v.usedAddrs(now)
+	v.limits.SetVMs(v.usedVMs(now, len(used)))
+	v.others.Store(&others{peers: v.peerAddrs(now), used: used})
 	demand := v.limits.Demand(now)
 	ranked := dispatch.Rank("limits", v.members.Live(now))
 	for i, name := range ranked[:min(collectors, len(ranked))] {
@@ -79,16 +80,25 @@
 	}
 }
 
-// usedVMs is how many VMs callers use.
-func (v *VM) usedVMs(now time.Time) int {
-	n := len(v.sendingVMs(now))
+// others is what this VM knows of the VMs that share the limits. It is worked out on each
+// telling of its own: done for each that a collector gets, it took a whole core with 300 VMs.
+type others struct {
+	// peers are the addresses of the VMs whose datagrams are heard.
+	peers map[string]bool
+	// used are those of the VMs that callers use.
+	used []string
+}
+
+// usedVMs is how many VMs callers use, where n are known.
+func (v *VM) usedVMs(now time.Time, n int) int {
 	if now.Sub(v.started) < joinHold {
 		n = max(n, leastUsed)
 	}
 	return n
 }
 
-// usedAddrs are the addresses of those VMs, by which datagrams tell who they are from.
+// usedAddrs are the addresses of the VMs that callers use, by which datagrams tell who they
+// are from.
 func (v *VM) usedAddrs(now time.Time) []string {
 	cfg := v.cfg.Load()
 	var addrs []string
@@ -102,13 +112,13 @@
 	return addrs
 }
 
-// notePeers notes the addresses of the VMs whose datagrams are heard.
-func (v *VM) notePeers(now time.Time) {
+// peerAddrs are the addresses of all other VMs.
+func (v *VM) peerAddrs(now time.Time) map[string]bool {
 	known := make(map[string]bool)
 	for _, m := range v.members.Mates(now) {
 		known[m.VM.Address.Peer] = true
 	}
-	v.peerAddrs.Store(&known)
+	return known
 }
 
 // limitTable is what datagrams about limits are taken by.
@@ -116,15 +126,15 @@
 
 // Knows implements peer.LimitTable.
 func (l limitTable) Knows(addr string) bool {
-	known := l.peerAddrs.Load()
-	return known != nil && (*known)[addr]
+	o := l.others.Load()
+	return o != nil && o.peers[addr]
 }
 
 // Told implements peer.LimitTable. A VM that has just started, or has not heard of any
 // other yet, cannot tell totals.
 func (l limitTable) Told(now time.Time, addr string, list []ratelimit.Demand, first bool) (ratelimit.Total, bool) {
-	table := l.table.Load()
-	if table == nil {
+	table, o := l.table.Load(), l.others.Load()
+	if table == nil || o == nil {
 		return ratelimit.Total{}, false
 	}
 	l.collector.Told(now, addr, list, first)
@@ -133,7 +143,7 @@
 		return ratelimit.Total{}, false
 	}
 	l.collector.Look(now, table.Teams.Teams(), l.limits.Hot)
-	return l.collector.Total(now, list, l.usedAddrs(now)), true
+	return l.collector.Total(now, list, o.used), true
 }
 
 // Heard implements peer.LimitTable.
--- /dev/null
+++ b/io/entry/limits_bench_test.go
@@ -0,0 +1,39 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"auburnlatch/core/member"
+	"auburnlatch/core/ratelimit"
+	"auburnlatch/core/route"
+	"auburnlatch/core/team"
+	"auburnlatch/io/settings"
+)
+
+// BenchmarkTold is one telling of 77 teams' demand, of 300 VMs, with its answer. A collector
+// gets two a second of each VM.
+func BenchmarkTold(b *testing.B) {
+	v, now := vmAmong(33, func(vm *member.VM) { vm.Traffic = member.Traffic{Requests: 20, Bytes: 1e5} })
+	cfg := &route.Config{}
+	var list []ratelimit.Demand
+	for i := range 77 {
+		t := &team.Team{Name: fmt.Sprint("team", i), RatePerSecond: 100, Burst: 100}
+		cfg.Teams = append(cfg.Teams, t)
+		list = append(list, ratelimit.Demand{Team: ratelimit.IDOf(t.Name), PerSecond: 5, Sent: 25})
+	}
+	table, err := route.NewTable(cfg)
+	if err != nil {
+		b.Fatal(err)
+	}
+	v.table.Store(table)
+	v.Configure(&settings.Entry{Name: "self", Zone: "z0", Region: "r0", Regions: v.cfg.Load().Regions, Limits: ratelimit.Bounds{Window: 5 * time.Second}})
+	v.others.Store(&others{peers: v.peerAddrs(now), used: v.usedAddrs(now)})
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		limitTable{v}.Told(now, fmt.Sprint("addr", i%300), list, true)
+		i++
+	}
+}
