--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -26,7 +26,6 @@
 
 import (
 	"math"
-	"sync/atomic"
 	"time"
 )
 
@@ -46,31 +45,26 @@
 	return max(0, asked-Moment(max(0, age)))
 }
 
+// Age returns how long ago a moment is, Never for the zero Moment.
+func (m Moment) Age(now Moment) time.Duration {
+	if m <= 0 {
+		return Never
+	}
+	return time.Duration(max(0, now-m))
+}
+
 // Lease is the latest moment as of which something is known. The zero value knows nothing.
-// It is safe for concurrent use.
-type Lease struct{ asOf atomic.Int64 }
+// It is not safe for concurrent use.
+type Lease struct{ asOf Moment }
 
 // Renew takes a moment in; one before the latest changes nothing.
-func (l *Lease) Renew(asOf Moment) {
-	for {
-		old := l.asOf.Load()
-		if int64(asOf) <= old || l.asOf.CompareAndSwap(old, int64(asOf)) {
-			return
-		}
-	}
-}
+func (l *Lease) Renew(asOf Moment) { l.asOf = max(l.asOf, asOf) }
 
 // AsOf returns the latest moment, 0 where there was none.
-func (l *Lease) AsOf() Moment { return Moment(l.asOf.Load()) }
+func (l *Lease) AsOf() Moment { return l.asOf }
 
 // Age returns how long ago the latest moment is, Never where there was none.
-func (l *Lease) Age(now Moment) time.Duration {
-	asOf := l.AsOf()
-	if asOf <= 0 {
-		return Never
-	}
-	return time.Duration(max(0, now-asOf))
-}
+func (l *Lease) Age(now Moment) time.Duration { return l.asOf.Age(now) }
 
 // Millis returns an age in whole milliseconds as it travels: rounded up, as an age that is
 // told too low would lengthen the lease of whoever hears it.
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -72,8 +72,8 @@
 	news      News
 	events    []Event
 	dropped   Dropped
-	tell      func() // Called when there is news.
-	turn      Turn
+	tell      func()        // Called when there is news.
+	turn      Turn          // When this VM may try a suspect by itself.
 	known     bool          // The bans that the platform keeps are known.
 	joined    chan struct{} // Closed when known.
 }
--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -35,7 +35,7 @@
 	heard   int       // Of how many VMs the totals were.
 	// base is the time of the first request: windows' slices count from it.
 	base time.Time
-	// first says that nothing was sent before this VM started.
+	// first says that no VM had sent anything before this one started.
 	first bool
 }
 
@@ -111,16 +111,7 @@
 func (l *Limiter) fits(now time.Time, b *bucket, t *team.Team, s share) bool {
 	allowed := l.bounds.allowed(t)
 	own := int(b.window.sum(l.slice(now)))
-	most := max(1, windowUsed*s.part*allowed)
-	switch young := !l.first && now.Sub(l.base) < l.bounds.Window; {
-	case young && s.free:
-		most = max(youngUsed*most, freeSends)
-	case young:
-		most *= youngUsed
-	case s.free:
-		most = max(most+freeSpread*math.Sqrt(most), freeSends)
-	}
-	if float64(own+1) > most {
+	if float64(own+1) > l.room(now, s, allowed) {
 		return false
 	}
 	if now.Sub(b.heardAt) > freshFor {
@@ -130,6 +121,22 @@
 	return float64(own+others+1) <= max(1, brakeAt*(1-l.silent)*allowed)
 }
 
+// room is how many requests this VM may send in a window of which all together may have
+// allowed.
+func (l *Limiter) room(now time.Time, s share, allowed float64) float64 {
+	most := max(1, windowUsed*s.part*allowed)
+	young := !l.first && now.Sub(l.base) < l.bounds.Window
+	switch {
+	case young && s.free:
+		return max(youngUsed*most, freeSends)
+	case young:
+		return youngUsed * most
+	case s.free:
+		return max(most+freeSpread*math.Sqrt(most), freeSends)
+	}
+	return most
+}
+
 // Charge counts a request that was sent on once more.
 func (l *Limiter) Charge(now time.Time, t *team.Team) { l.give(now, t, -1) }
 
--- a/io/entry/copies.go
+++ b/io/entry/copies.go
@@ -128,7 +128,7 @@
 // they know: where the platform turns both watchers away, two others take their place
 // rather than all.
 func (v *VM) sureFor(now time.Time) time.Duration {
-	rank := slices.Index(dispatch.Rank("watch", v.members.Live(now)), v.cfg.Load().Name)
+	rank := slices.Index(v.watchOrder(now), v.cfg.Load().Name)
 	turn := time.Duration(min(max(0, rank), askTurns)) * askTurn
 	return lifecycle.Share(v.cfg.Load().RevokeWithin, sureShare) + turn
 }
@@ -212,11 +212,14 @@
 // settling reports whether this VM cannot have heard of the others yet.
 func (v *VM) settling(now time.Time) bool { return now.Sub(v.started) < settleFor }
 
+// watchOrder returns the names of the live VMs, those first that read the platform for all.
+func (v *VM) watchOrder(now time.Time) []string { return dispatch.Rank("watch", v.members.Live(now)) }
+
 // watchers returns the addresses of the VMs that read the platform for all, none
 // where this VM is one of them.
 func (v *VM) watchers(now time.Time) []string {
 	self := v.cfg.Load().Name
-	ranked := dispatch.Rank("watch", v.members.Live(now))
+	ranked := v.watchOrder(now)
 	ranked = ranked[:min(watchers, len(ranked))]
 	if slices.Contains(ranked, self) {
 		return nil
--- a/io/entry/directory.go
+++ b/io/entry/directory.go
@@ -83,14 +83,8 @@
 // platform is away, and what needs no key is served on. A VM that hears nobody else names
 // none: it is cut off, and its caller better asks another where to go.
 func (v *VM) unsure(now time.Time, region string) []*member.VM {
-	var list []*member.VM
-	mates := v.members.Mates(now)
-	for _, m := range mates {
-		if m.State == member.Live && !m.VM.Leaving && v.cfg.Load().Regions[m.VM.Zone] == region {
-			list = append(list, m.VM)
-		}
-	}
-	alone := len(mates) > 0 && len(v.members.Live(now)) < 2
+	list := slices.DeleteFunc(v.liveIn(now, region), func(vm *member.VM) bool { return vm.Leaving })
+	alone := len(v.members.Mates(now)) > 0 && len(v.members.Live(now)) < 2
 	if v.serving() && !alone && (region == v.cfg.Load().Region || len(list) == 0) {
 		list = append(list, v.self(now))
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -51,7 +51,7 @@
 	members  *member.Table
 	replicas peer.Replicas
 	peers    *peer.Client
-	sent     peer.Traffic // What this VM told others.
+	sent     peer.SentCounter // What this VM told others.
 	known    addresses
 
 	registry target.Registry  // Of applyLoop alone.
@@ -102,7 +102,7 @@
 	for _, name := range []string{TableRules, TableTargets} {
 		v.replicas[name] = replica.NewTable(name, func(key string, a, b []byte) bool { return p.Same(name, key, a, b) })
 	}
-	v.peers = peer.NewClient(peer.WithSentCounted(&v.sent))
+	v.peers = peer.NewClient(peer.WithExchangesCounted(&v.sent))
 	v.balancer = balance.New(cfg.Name, cfg.Region, cfg.Zone, balance.WithNews(v.signalPlaced))
 	var opts []quarantine.Option
 	if cfg.FirstStart {
@@ -155,7 +155,7 @@
 	}
 	sync := peer.NewReplicaServer(v.members, v.replicas, v.signalChange, &v.sent)
 	go serving.Run(func(l net.Listener) error { return sync.Serve(live, l) }, control)
-	datagrams, err := peer.ListenDatagrams(cfg.PeerAddr, v.balancer, v.guard.Ledger(), peer.WithLimits(limitTable{v}), peer.WithTraffic(&v.sent))
+	datagrams, err := peer.ListenDatagrams(cfg.PeerAddr, v.balancer, v.guard.Ledger(), peer.WithLimits(limitTable{v}), peer.WithDatagramsCounted(&v.sent))
 	if err != nil {
 		return err
 	}
--- a/io/entry/limits.go
+++ b/io/entry/limits.go
@@ -58,7 +58,11 @@
 		return
 	}
 	used := v.usedAddrs(now)
-	v.limits.SetVMs(v.usedVMs(now, len(used)))
+	n := len(used)
+	if now.Sub(v.started) < joinHold {
+		n = max(n, leastUsed)
+	}
+	v.limits.SetVMs(n)
 	v.others.Store(&others{peers: v.peerAddrs(now), used: used})
 	demand := v.limits.Demand(now)
 	ranked := dispatch.Rank("limits", v.members.Live(now))
@@ -89,14 +93,6 @@
 	used []string
 }
 
-// usedVMs is how many VMs callers use, where n are known.
-func (v *VM) usedVMs(now time.Time, n int) int {
-	if now.Sub(v.started) < joinHold {
-		n = max(n, leastUsed)
-	}
-	return n
-}
-
 // usedAddrs are the addresses of the VMs that callers use, by which datagrams tell who they
 // are from.
 func (v *VM) usedAddrs(now time.Time) []string {
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -9,7 +9,6 @@
 
 	"auburnlatch/core/balance"
 	"auburnlatch/core/verdict"
-	"auburnlatch/io/clock"
 	"auburnlatch/io/lifecycle"
 )
 
@@ -97,7 +96,7 @@
 		f["Limit"], f["AskedHere"], f["AskedOfAll"], f["Part"] = req.team.RatePerSecond, int(u.Own), int(u.Total), u.Part
 	}
 	if e.Reason == verdict.ReasonNotSure {
-		f["RulesSureMs"] = v.rulesAge(clock.Boot()).Milliseconds()
+		f["RulesSureMs"] = req.rulesAge.Milliseconds()
 	}
 	if e.Reason == verdict.ReasonNoCapacity {
 		c := v.balancer.Census(now, req.service)
--- a/io/entry/placement.go
+++ b/io/entry/placement.go
@@ -140,12 +140,15 @@
 	return addrs
 }
 
-// regionMates returns the other live VMs of the region.
-func (v *VM) regionMates(now time.Time) []*member.VM {
-	cfg := v.cfg.Load()
+// regionMates returns the other live VMs of this VM's region.
+func (v *VM) regionMates(now time.Time) []*member.VM { return v.liveIn(now, v.cfg.Load().Region) }
+
+// liveIn returns the other live VMs of a region.
+func (v *VM) liveIn(now time.Time, region string) []*member.VM {
+	regions := v.cfg.Load().Regions
 	var list []*member.VM
 	for _, m := range v.members.Mates(now) {
-		if m.State == member.Live && cfg.Regions[m.VM.Zone] == cfg.Region {
+		if m.State == member.Live && regions[m.VM.Zone] == region {
 			list = append(list, m.VM)
 		}
 	}
--- a/io/entry/push.go
+++ b/io/entry/push.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -115,11 +114,15 @@
 // receivers are the addresses of the VMs that changes are handed to. A watcher, which
 // hears of a change first, always hands it on to another region.
 func (p *pusher) receivers(now time.Time) []string {
-	near := p.vm.neighbors(now)
-	var far []string
+	var near, far []string
+	cfg := p.vm.cfg.Load()
 	for _, m := range p.vm.members.Mates(now) {
-		if addr := m.VM.Address.Peer; m.State == member.Live && !slices.Contains(near, addr) {
-			far = append(far, addr)
+		switch {
+		case m.State != member.Live:
+		case cfg.Regions[m.VM.Zone] == cfg.Region:
+			near = append(near, m.VM.Address.Peer)
+		default:
+			far = append(far, m.VM.Address.Peer)
 		}
 	}
 	for _, list := range [][]string{near, far} {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -58,7 +58,7 @@
 	team *team.Team
 	// keyPrint tells the key from others.
 	keyPrint string
-	// rulesAge is how long ago the rules certainly were the newest when the key was judged.
+	// rulesAge is how long ago the rules certainly were the newest when the request was read.
 	rulesAge time.Duration
 }
 
@@ -117,17 +117,17 @@
 func (v *VM) admit(r *http.Request) (*request, *verdict.Error) {
 	req := &request{started: time.Now(), http: r, id: r.Header.Get(v.protocol.RequestID)}
 	v.awaitCopies(r.Context(), req.started)
-	age := v.rulesAge(clock.Boot())
+	req.rulesAge = v.rulesAge(clock.Boot())
 	table := v.table.Load()
 	if table == nil || v.targets.Load() == nil {
 		return req, verdict.New(verdict.NotRun, verdict.ReasonNotReady, notReadyWait)
 	}
 	rt := table.Find(r.Host, r.URL.EscapedPath())
 	if rt == nil {
-		return req, v.unknown(table, age, verdict.ReasonNoService)
+		return req, v.unknown(req, table, verdict.ReasonNoService)
 	}
 	req.route = rt
-	if e := v.identify(req, table, age); e != nil {
+	if e := v.identify(req, table); e != nil {
 		return req, e
 	}
 	limits := table.Config.Limits
--- a/io/entry/teams.go
+++ b/io/entry/teams.go
@@ -43,10 +43,7 @@
 	if changes != ruled.changes {
 		asOf = ruled.asOf // The copy has changed since, and is not in force yet.
 	}
-	if asOf == 0 {
-		return lease.Never
-	}
-	return time.Duration(max(0, now-asOf))
+	return asOf.Age(now)
 }
 
 // strict reports whether keys are only admitted while the rules are certainly new.
@@ -63,19 +60,18 @@
 	return v.rulesAge(clock.Boot()) > lifecycle.Share(v.cfg.Load().RevokeWithin, leaveLookups)
 }
 
-// identify finds the team of a request by its key. age is that of the rules, as it was
-// before the table was looked up and after the request had been read.
+// identify finds the team of a request by its key. The table has been looked up after the
+// request's rulesAge was, and that after the request had been read.
 //
 // A key that was taken away must not admit a request sent later than RevokeWithin after
 // that was acknowledged, also at a VM that is cut off, was suspended, or hears of the rules
 // from others: see package lease for why looking at the age once, here, is enough. The
 // request is then bound to what it was when its caller sent it, however long it waits.
-func (v *VM) identify(req *request, table *route.Table, age time.Duration) *verdict.Error {
-	req.rulesAge = age
+func (v *VM) identify(req *request, table *route.Table) *verdict.Error {
 	if table.Teams == nil || req.route.Open {
 		return nil
 	}
-	if v.strict(table) && age > v.cfg.Load().RevokeWithin {
+	if v.strict(table) && req.rulesAge > v.cfg.Load().RevokeWithin {
 		return verdict.New(verdict.NotRun, verdict.ReasonNotSure, unsureWait)
 	}
 	key, err := team.Bearer(req.http.Header.Values("Authorization"))
@@ -85,14 +81,14 @@
 	req.keyPrint = team.Fingerprint(key)
 	req.team = table.Teams.ByKey(key)
 	if req.team == nil {
-		return v.unknown(table, age, verdict.ReasonUnknownKey)
+		return v.unknown(req, table, verdict.ReasonUnknownKey)
 	}
 	return nil
 }
 
 // unknown returns the error of a request whose key or route is not in the rules.
-func (v *VM) unknown(table *route.Table, age time.Duration, reason verdict.Reason) *verdict.Error {
-	if v.strict(table) && age > doubtAfter {
+func (v *VM) unknown(req *request, table *route.Table, reason verdict.Reason) *verdict.Error {
+	if v.strict(table) && req.rulesAge > doubtAfter {
 		return verdict.New(verdict.NotRun, verdict.ReasonNotSure, unsureWait)
 	}
 	return verdict.New(verdict.NotRun, reason, 0)
--- a/io/entry/teams_test.go
+++ b/io/entry/teams_test.go
@@ -51,6 +51,17 @@
 	cfg.Limits = ratelimit.Bounds{Window: time.Second}
 }
 
+// startWithTeams starts a VM before an upstream, by rules with teams of which depot holds keys.
+func startWithTeams(t *testing.T, keys ...string) (*fakePlatform, *gotHeaders, *runningVM) {
+	t.Helper()
+	p, got := newPlatform(), &gotHeaders{}
+	register(p, "u", startUpstream(t, got.handle).addr())
+	withTeams(p, 1, keys...)
+	v := startVM(t, "vm", p, strict)
+	ready(t, v)
+	return p, got, v
+}
+
 // get sends a request with header fields, and returns its status and header.
 func (v *runningVM) get(t *testing.T, path, id string, fields ...string) (int, http.Header) {
 	t.Helper()
@@ -76,12 +87,7 @@
 // A caller's key decides which team an upstream is told, whatever the caller says of that,
 // and goes no further.
 func TestTeamOfARequest(t *testing.T) {
-	p, got := newPlatform(), &gotHeaders{}
-	u := startUpstream(t, got.handle)
-	register(p, "u", u.addr())
-	withTeams(p, 1, "key-one", "key-two")
-	v := startVM(t, "vm", p, strict)
-	ready(t, v)
+	_, got, v := startWithTeams(t, "key-one", "key-two")
 	for i, tc := range []struct {
 		name   string
 		path   string
@@ -138,12 +144,7 @@
 // RevokeWithin after that runs. What needs no key is served on, and when the VM is sure again
 // it serves the key that is left.
 func TestKeyTakenAwayAtAVMThatIsCutOff(t *testing.T) {
-	p, got := newPlatform(), &gotHeaders{}
-	u := startUpstream(t, got.handle)
-	register(p, "u", u.addr())
-	withTeams(p, 1, "kept", "taken")
-	v := startVM(t, "vm", p, strict)
-	ready(t, v)
+	p, got, v := startWithTeams(t, "kept", "taken")
 	if status, _ := v.get(t, "/get/", "before", "Authorization: Bearer taken"); status != 200 {
 		t.Fatalf("before: %d", status)
 	}
@@ -184,12 +185,7 @@
 // The platform turns a VM away that hears another one, which the platform serves: it is sure
 // of its rules by what that one answers, and takes over what changes.
 func TestKeysAtAVMThatThePlatformTurnsAway(t *testing.T) {
-	shared, got := newPlatform(), &gotHeaders{}
-	u := startUpstream(t, got.handle)
-	register(shared, "u", u.addr())
-	withTeams(shared, 1, "kept", "taken")
-	heard := startVM(t, "vm-a", shared, strict)
-	ready(t, heard)
+	shared, _, heard := startWithTeams(t, "kept", "taken")
 	away := newPlatform()
 	away.setAway(true)
 	v := startVM(t, "vm-b", away, func(cfg *settings.Entry) { strict(cfg); cfg.Seeds = []string{heard.cfg.PeerAddr} })
@@ -210,12 +206,7 @@
 // A team asks for more than its limit: what is over is refused with a time to come back,
 // and has not run.
 func TestTeamOverItsLimit(t *testing.T) {
-	p, got := newPlatform(), &gotHeaders{}
-	u := startUpstream(t, got.handle)
-	register(p, "u", u.addr())
-	withTeams(p, 1, "k")
-	v := startVM(t, "vm", p, strict)
-	ready(t, v)
+	_, got, v := startWithTeams(t, "k")
 	over := 0
 	for n := range 60 {
 		id := fmt.Sprint("few", n)
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -30,7 +30,7 @@
 	bytesIn  atomic.Int64
 	bytesOut atomic.Int64
 	dial     Dial
-	traffic  *Traffic
+	sent     *SentCounter
 	packer   wire.TablePacker
 
 	mu    sync.Mutex
@@ -54,12 +54,12 @@
 // WithDial has the client open its connections by dial.
 func WithDial(dial Dial) Option { return func(c *Client) { c.dial = dial } }
 
-// WithSentCounted has what is sent to copies counted.
-func WithSentCounted(t *Traffic) Option { return func(c *Client) { c.traffic = t } }
+// WithExchangesCounted has what is sent to copies counted.
+func WithExchangesCounted(t *SentCounter) Option { return func(c *Client) { c.sent = t } }
 
 // NewClient returns a client without connections.
 func NewClient(opts ...Option) *Client {
-	c := &Client{conns: map[string]*conn{}, dial: (&net.Dialer{}).DialContext, traffic: &Traffic{}}
+	c := &Client{conns: map[string]*conn{}, dial: (&net.Dialer{}).DialContext, sent: &SentCounter{}}
 	for _, opt := range opts {
 		opt(c)
 	}
--- a/io/peer/datagram.go
+++ b/io/peer/datagram.go
@@ -74,14 +74,14 @@
 	placements PlacementTable
 	poison     PoisonTable
 	limits     LimitTable
-	traffic    *Traffic
+	sent       *SentCounter
 }
 
 // DatagramsOption varies Datagrams.
 type DatagramsOption func(*Datagrams)
 
-// WithTraffic has what is sent counted.
-func WithTraffic(t *Traffic) DatagramsOption { return func(d *Datagrams) { d.traffic = t } }
+// WithDatagramsCounted has what is sent counted.
+func WithDatagramsCounted(t *SentCounter) DatagramsOption { return func(d *Datagrams) { d.sent = t } }
 
 // WithLimits has the demand of teams with limits told and taken.
 func WithLimits(t LimitTable) DatagramsOption { return func(d *Datagrams) { d.limits = t } }
@@ -97,7 +97,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "datagrams")
 	}
-	d := &Datagrams{conn: conn, placements: placements, poison: poisoned, traffic: &Traffic{}}
+	d := &Datagrams{conn: conn, placements: placements, poison: poisoned, sent: &SentCounter{}}
 	for _, opt := range opts {
 		opt(d)
 	}
@@ -236,12 +236,12 @@
 
 // count counts a datagram by what it is about.
 func (d *Datagrams) count(m *schema.Datagram, bytes int) {
-	n := &d.traffic.Placements
+	n := &d.sent.Placements
 	switch {
 	case m.GetPoison() != nil:
-		n = &d.traffic.Poison
+		n = &d.sent.Poison
 	case m.GetDemand() != nil || m.GetTotal() != nil:
-		n = &d.traffic.Demand
+		n = &d.sent.Demand
 	}
 	n.Add(int64(bytes))
 }
--- a/io/peer/replica.go
+++ b/io/peer/replica.go
@@ -41,10 +41,7 @@
 // sureAge is how long ago the copy certainly was the newest.
 func sureAge(t *replica.Table) time.Duration {
 	asOf, _ := t.Sure()
-	if asOf == 0 {
-		return lease.Never
-	}
-	return time.Duration(clock.Boot() - asOf)
+	return asOf.Age(clock.Boot())
 }
 
 // renew takes in how far the copies were of a VM that was asked at a moment. Only an answer
@@ -123,7 +120,7 @@
 		if len(back.Delta.Entries) == 0 && len(back.Tables) == 0 {
 			return nil
 		}
-		c.traffic.count(back)
+		c.sent.count(back)
 		_, err = client.Hand(ctx, back)
 		return err
 	})
@@ -135,7 +132,7 @@
 func (c *Client) HandTables(ctx context.Context, addr string, deltas []replica.Delta) error {
 	return c.callConn(ctx, addr, func(ctx context.Context, conn drpc.Conn) error {
 		m := &schema.SyncReply{Tables: c.packer.FromReplicaDeltas(deltas)}
-		c.traffic.count(m)
+		c.sent.count(m)
 		_, err := schema.NewDRPCReplicaClient(conn).Hand(ctx, m)
 		return err
 	})
@@ -147,13 +144,13 @@
 	replicas Replicas
 	changed  func()
 	packer   wire.TablePacker
-	traffic  *Traffic
+	sent     *SentCounter
 }
 
 // NewReplicaServer returns a server of what the VM knows. changed is called
 // after a copy has changed.
-func NewReplicaServer(members *member.Table, replicas Replicas, changed func(), traffic *Traffic) *ReplicaServer {
-	return &ReplicaServer{members: members, replicas: replicas, changed: changed, traffic: traffic}
+func NewReplicaServer(members *member.Table, replicas Replicas, changed func(), sent *SentCounter) *ReplicaServer {
+	return &ReplicaServer{members: members, replicas: replicas, changed: changed, sent: sent}
 }
 
 // Serve answers on the listener until ctx ends.
@@ -179,7 +176,7 @@
 	if !m.GetTablesOnly() {
 		reply.Delta = wire.FromDelta(s.members.Answer(now, everything, stamps))
 	}
-	s.traffic.count(reply)
+	s.sent.count(reply)
 	return reply, nil
 }
 
--- a/io/peer/replica_test.go
+++ b/io/peer/replica_test.go
@@ -36,7 +36,7 @@
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	t.Cleanup(stop)
-	go peer.NewReplicaServer(n.members, n.replicas, func() {}, &peer.Traffic{}).Serve(ctx, l)
+	go peer.NewReplicaServer(n.members, n.replicas, func() {}, &peer.SentCounter{}).Serve(ctx, l)
 	return l.Addr().String()
 }
 
