Test of requests on one connection: let a request go once it has reached the upstream

Cause: the gate closed the channel of a request that had not arrived. Requests of one connection reach the upstream side by side; the test waited for the second only and then let the first go. Proved: with 30 ms before the first is noted by the gate, the old tests panic at once (TestAnswersComeInOrder before it, the same line); with the gate waiting for the request the package's tests of lines and stops pass five times. The check is as strict: what must have been sent on must arrive still.

--- a/io/entry/ahead_test.go
+++ b/io/entry/ahead_test.go
@@ -51,7 +51,11 @@
 	return g.left[path]
 }
 
-func (g *gate) open(path string) {
+// open lets a request go once it is there: requests of one connection reach the
+// upstream in any order, so that one of them is there says nothing of the others.
+func (g *gate) open(t *testing.T, path string) {
+	t.Helper()
+	eventually(t, path+" reaches an upstream", func() bool { return g.has(path) })
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	close(g.waiting[path])
@@ -157,7 +161,7 @@
 				eventually(t, p+" reaches an upstream", func() bool { return g.has(p) })
 			}
 			for i := range paths {
-				g.open(paths[len(paths)-1-i]) // The last one is ready first.
+				g.open(t, paths[len(paths)-1-i]) // The last one is ready first.
 			}
 			seen := map[string]bool{}
 			for range paths {
@@ -186,15 +190,15 @@
 	l := dialLine(t, v)
 	l.send(t, get("/get/1"), get("/get/2"), "POST /post/3 HTTP/1.1\r\nHost: h\r\nRequest-Id: /post/3\r\nContent-Length: 4\r\n\r\nbody", get("/get/4"), get("/get/5"))
 	eventually(t, "the second reaches an upstream", func() bool { return g.has("/get/2") })
-	g.open("/get/2")
+	g.open(t, "/get/2")
 	if g.has("/post/3") || g.has("/get/4") {
 		t.Error("a booking, or what is behind it, was begun before its turn")
 	}
-	g.open("/get/1")
+	g.open(t, "/get/1")
 	for _, p := range []string{"/get/1", "/get/2", "/post/3", "/get/4", "/get/5"} {
 		if p != "/get/1" && p != "/get/2" {
 			eventually(t, p+" reaches an upstream", func() bool { return g.has(p) })
-			g.open(p)
+			g.open(t, p)
 		}
 		if status, body, _ := l.answer(t); status != http.StatusOK || body != p {
 			t.Fatalf("got %d %q, want the answer to %s", status, body, p)
@@ -232,11 +236,11 @@
 	v.stop()
 	eventually(t, "the VM leaves", func() bool { return !v.Ready() })
 	l.send(t, get("/get/3"))
-	g.open("/get/1")
+	g.open(t, "/get/1")
 	if _, body, closes := l.answer(t); body != "/get/1" || closes {
 		t.Errorf("first answer %q, close %v", body, closes)
 	}
-	g.open("/get/2")
+	g.open(t, "/get/2")
 	if _, body, closes := l.answer(t); body != "/get/2" || !closes {
 		t.Errorf("second answer %q, close %v, want the last one to close", body, closes)
 	}
@@ -258,8 +262,8 @@
 	l := dialLine(t, v)
 	l.send(t, get("/get/1"), get("/get/2", "Connection: close\r\n"), get("/get/3"))
 	eventually(t, "the second reaches an upstream", func() bool { return g.has("/get/2") })
-	g.open("/get/1")
-	g.open("/get/2")
+	g.open(t, "/get/1")
+	g.open(t, "/get/2")
 	for _, p := range []string{"/get/1", "/get/2"} {
 		if _, body, _ := l.answer(t); body != p {
 			t.Errorf("got %q, want the answer to %s", body, p)
@@ -301,12 +305,12 @@
 	for i := range sent {
 		p := fmt.Sprint("/get/", i)
 		eventually(t, p+" is begun", func() bool { return g.has(p) })
-		g.open(p)
+		g.open(t, p)
 		if _, body, _ := l.answer(t); body != p {
 			t.Fatalf("got %q, want the answer to %s", body, p)
 		}
 	}
-	g.open("/get/other")
+	g.open(t, "/get/other")
 }
 
 // A VM stops. On one connection an answer is ready behind a request that hangs; on
@@ -321,7 +325,7 @@
 	for _, p := range []string{"/get/hangs", "/get/ready", "/get/alone"} {
 		eventually(t, p+" reaches an upstream", func() bool { return g.has(p) })
 	}
-	g.open("/get/ready")
+	g.open(t, "/get/ready")
 	v.stop()
 	if status, _, closes := behind.answer(t); status != http.StatusBadGateway || closes {
 		t.Errorf("the request that hangs: %d, close %v, want 502 and the connection open", status, closes)
