--- a/core/dispatch/share.go
+++ b/core/dispatch/share.go
@@ -35,6 +35,44 @@
 	return ranked
 }
 
+// First returns the first n of Rank's order, at the cost of a hash for each VM: a VM asks
+// some twenty times a second who does what, and putting 300 in order takes ten times as
+// long.
+func First(subject string, vms []string, n int) []string {
+	type scored struct {
+		vm    string
+		score uint64
+	}
+	first := make([]scored, 0, n+1)
+	for _, vm := range vms {
+		s := scored{vm, hash(subject, vm)}
+		i := len(first)
+		for i > 0 && (s.score > first[i-1].score || s.score == first[i-1].score && s.vm < first[i-1].vm) {
+			i--
+		}
+		if i < n {
+			first = slices.Insert(first, i, s)
+			first = first[:min(n, len(first))]
+		}
+	}
+	names := make([]string, len(first))
+	for i, s := range first {
+		names[i] = s.vm
+	}
+	return names
+}
+
+// Before returns how many VMs come before one in Rank's order.
+func Before(subject string, vms []string, vm string) int {
+	own, n := hash(subject, vm), 0
+	for _, other := range vms {
+		if score := hash(subject, other); score > own || score == own && other < vm {
+			n++
+		}
+	}
+	return n
+}
+
 // Dispatchers returns the VMs among a zone's live ones that dispatch a
 // service whose upstreams in the zone have so many slots.
 func Dispatchers(service string, slots int, vms []string) []string {
--- a/io/entry/addresses.go
+++ b/io/entry/addresses.go
@@ -80,8 +80,7 @@
 	if now.Sub(v.started) < joinHold {
 		return false
 	}
-	ranked := dispatch.Rank("register", v.members.Live(now))
-	return slices.Contains(ranked[:min(registrars, len(ranked))], v.cfg.Load().Name)
+	return slices.Contains(dispatch.First("register", v.members.Live(now), registrars), v.cfg.Load().Name)
 }
 
 func (v *VM) announce(ctx context.Context, name, addr string) bool {
--- a/io/entry/copies.go
+++ b/io/entry/copies.go
@@ -128,8 +128,8 @@
 // they know: where the platform turns both watchers away, two others take their place
 // rather than all.
 func (v *VM) sureFor(now time.Time) time.Duration {
-	rank := slices.Index(v.watchOrder(now), v.cfg.Load().Name)
-	turn := time.Duration(min(max(0, rank), askTurns)) * askTurn
+	rank := dispatch.Before(watchDuty, v.members.Live(now), v.cfg.Load().Name)
+	turn := time.Duration(min(rank, askTurns)) * askTurn
 	return lifecycle.Share(v.cfg.Load().RevokeWithin, sureShare) + turn
 }
 
@@ -212,20 +212,19 @@
 // settling reports whether this VM cannot have heard of the others yet.
 func (v *VM) settling(now time.Time) bool { return now.Sub(v.started) < settleFor }
 
-// watchOrder returns the names of the live VMs, those first that read the platform for all.
-func (v *VM) watchOrder(now time.Time) []string { return dispatch.Rank("watch", v.members.Live(now)) }
+// watchDuty is what VMs are ranked for that read the platform for all.
+const watchDuty = "watch"
 
 // watchers returns the addresses of the VMs that read the platform for all, none
 // where this VM is one of them.
 func (v *VM) watchers(now time.Time) []string {
 	self := v.cfg.Load().Name
-	ranked := v.watchOrder(now)
-	ranked = ranked[:min(watchers, len(ranked))]
-	if slices.Contains(ranked, self) {
+	first := dispatch.First(watchDuty, v.members.Live(now), watchers)
+	if slices.Contains(first, self) {
 		return nil
 	}
 	var addrs []string
-	for _, name := range ranked {
+	for _, name := range first {
 		if m, ok := v.members.Mate(now, name); ok {
 			addrs = append(addrs, m.VM.Address.Peer)
 		}
@@ -313,8 +312,7 @@
 	}
 	// The moment is asked for first: the rows are as new as that or newer.
 	asOf, _ := v.replicas[TableRules].Sure()
-	rows, changes := v.replicas[TableRules].Rows()
-	rules, err := v.platform.Rules(rows)
+	rules, changes, err := v.readRules()
 	if err != nil {
 		v.log.WithField("Err", err).Error("RulesNotDecoded")
 		return false
@@ -348,19 +346,9 @@
 }
 
 func (v *VM) applyTargets(now time.Time, ev target.Evacuations) (soon bool) {
-	rows, _ := v.replicas[TableTargets].Rows()
-	list := make([]target.Registration, 0, len(rows))
-	for _, row := range rows {
-		reg, err := v.platform.Registration(row)
-		if err != nil {
-			v.misread(row, err)
-			continue
-		}
-		list = append(list, reg)
-	}
 	cfg := v.cfg.Load()
 	v.registry.Heartbeat, v.registry.Regions = cfg.UpstreamHeartbeat, cfg.Regions
-	targets, soon := v.registry.Update(now, list, ev)
+	targets, soon := v.registry.Update(now, v.readTargets(), ev)
 	there := make(map[string]bool, len(targets))
 	for _, t := range targets {
 		there[t.Incarnation()] = true
@@ -378,22 +366,6 @@
 	return soon
 }
 
-// misread logs, once for each version of it, that a row names no upstream.
-func (v *VM) misread(row replica.Row, err error) {
-	if v.refusedRows[row.Key] == row.Version {
-		return
-	}
-	if len(v.refusedRows) >= maxRefusedRows {
-		clear(v.refusedRows)
-	}
-	v.refusedRows[row.Key] = row.Version
-	v.log.WithFields(logrus.Fields{"Target": row.Key, "Version": row.Version, "Err": err}).Warn("RegistrationNotDecoded")
-}
-
-// maxRefusedRows bounds what is remembered of rows that could not be decoded: some
-// times as many as a large deployment has upstreams.
-const maxRefusedRows = 5000
-
 // staleCopies logs when a copy has not been confirmed for so long that the
 // bound on leaving upstreams may not be kept, and when it is confirmed again.
 type staleCopies struct {
--- a/io/entry/directory.go
+++ b/io/entry/directory.go
@@ -94,21 +94,28 @@
 // takers returns the VMs that take callers' requests, those of a region and the
 // others.
 func (v *VM) takers(now time.Time, region string) (near, far []*member.VM) {
-	regions := v.cfg.Load().Regions
-	add := func(vm *member.VM) {
-		if regions[vm.Zone] == region {
-			near = append(near, vm)
+	for other, vms := range v.takersByRegion(now, v.members.Mates(now)) {
+		if other == region {
+			near = vms
 		} else {
-			far = append(far, vm)
+			far = append(far, vms...)
 		}
 	}
+	return near, far
+}
+
+// takersByRegion returns the VMs that take callers' requests, this one and those among the
+// others, by their region.
+func (v *VM) takersByRegion(now time.Time, mates []member.Status) map[string][]*member.VM {
+	regions, takers := v.cfg.Load().Regions, make(map[string][]*member.VM)
+	add := func(vm *member.VM) { takers[regions[vm.Zone]] = append(takers[regions[vm.Zone]], vm) }
 	if v.Ready() {
 		add(v.self(now))
 	}
-	for _, m := range v.members.Mates(now) {
+	for _, m := range mates {
 		if m.State == member.Live && m.VM.Dispatches && !m.VM.Leaving {
 			add(m.VM)
 		}
 	}
-	return near, far
+	return takers
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -54,22 +54,20 @@
 	sent     peer.SentCounter // What this VM told others.
 	known    addresses
 
-	registry target.Registry  // Of applyLoop alone.
-	applied  []*target.Target // Of applyLoop alone: those in force.
-	// refusedRows is the version of each row that could not be decoded, of applyLoop
-	// alone.
-	refusedRows map[string]uint64
-	balancer    *balance.Balancer
-	retries     balance.RetryBudget
-	limits      ratelimit.Limiter
-	collector   ratelimit.Collector
-	others      atomic.Pointer[others]
-	upstreams   *upstream.Pool
-	picks       route.Picks
-	guard       *quarantine.Guard
-	table       atomic.Pointer[route.Table]
-	ruled       atomic.Pointer[ruledCopy]
-	targets     atomic.Pointer[map[string]bool]
+	registry  target.Registry  // Of applyLoop alone.
+	applied   []*target.Target // Of applyLoop alone: those in force.
+	decoded   decoded          // Of applyLoop alone.
+	balancer  *balance.Balancer
+	retries   balance.RetryBudget
+	limits    ratelimit.Limiter
+	collector ratelimit.Collector
+	others    atomic.Pointer[others]
+	upstreams *upstream.Pool
+	picks     route.Picks
+	guard     *quarantine.Guard
+	table     atomic.Pointer[route.Table]
+	ruled     atomic.Pointer[ruledCopy]
+	targets   atomic.Pointer[map[string]bool]
 
 	leaving    atomic.Bool
 	announced  atomic.Bool     // The platform may have this VM's address.
@@ -93,11 +91,11 @@
 		platform: p, protocol: protocol, log: log, started: now,
 		members:   member.NewTable(cfg.Name, cfg.Zone, uint64(now.UnixNano()), now, member.WithFlat(), member.WithFailAfter(failAfter)),
 		replicas:  peer.Replicas{},
-		upstreams: upstream.NewPool(), refusedRows: make(map[string]uint64),
-		loaded:  make(chan struct{}),
-		changed: make(chan struct{}, 1),
-		toPush:  make(chan struct{}, 1),
-		placed:  make(chan struct{}, 1),
+		upstreams: upstream.NewPool(),
+		loaded:    make(chan struct{}),
+		changed:   make(chan struct{}, 1),
+		toPush:    make(chan struct{}, 1),
+		placed:    make(chan struct{}, 1),
 	}
 	for _, name := range []string{TableRules, TableTargets} {
 		v.replicas[name] = replica.NewTable(name, func(key string, a, b []byte) bool { return p.Same(name, key, a, b) })
--- a/io/entry/limits.go
+++ b/io/entry/limits.go
@@ -65,8 +65,7 @@
 	v.limits.SetVMs(n)
 	v.others.Store(&others{peers: v.peerAddrs(now), used: used})
 	demand := v.limits.Demand(now)
-	ranked := dispatch.Rank("limits", v.members.Live(now))
-	for i, name := range ranked[:min(collectors, len(ranked))] {
+	for i, name := range dispatch.First("limits", v.members.Live(now), collectors) {
 		ask := i == 0 || v.limits.Age(now) > secondAfter
 		if name == v.cfg.Load().Name {
 			t.tellSelf(now, demand, ask)
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -76,13 +76,13 @@
 func (v *VM) sendingVMs(now time.Time) []string {
 	cfg := v.cfg.Load()
 	sending := map[string]bool{cfg.Name: true}
-	for _, m := range v.members.Mates(now) {
+	mates := v.members.Mates(now)
+	for _, m := range mates {
 		if m.State != member.Gone && now.Sub(m.Heard) < forgetAfter && m.VM.Traffic.Requests > 0 {
 			sending[m.VM.Name] = true
 		}
 	}
-	for _, region := range slices.Compact(slices.Sorted(maps.Values(cfg.Regions))) {
-		near, _ := v.takers(now, region)
+	for _, near := range v.takersByRegion(now, mates) {
 		for _, vm := range callers.Named(near) {
 			sending[vm.Name] = true
 		}
--- a/io/entry/placement.go
+++ b/io/entry/placement.go
@@ -163,5 +163,5 @@
 	for _, vm := range v.regionMates(now) {
 		names = append(names, vm.Name)
 	}
-	return dispatch.Rank("placements", names)[0] == self
+	return dispatch.First("placements", names, 1)[0] == self
 }
--- a/io/quarantine/doc.go
+++ b/io/quarantine/doc.go
@@ -111,8 +111,8 @@
 // first reports whether this VM is the one of those named that calls the platform for
 // them. One that knows nobody does.
 func (g *Guard) first(names []string) bool {
-	ranked := dispatch.Rank("bans", names)
-	return len(ranked) == 0 || ranked[0] == g.self
+	first := dispatch.First("bans", names, 1)
+	return len(first) == 0 || first[0] == g.self
 }
 
 // turn returns when this VM's turn is among the live ones to try a request.
--- a/io/quarantine/teller.go
+++ b/io/quarantine/teller.go
@@ -67,15 +67,20 @@
 			"Runs": d.Runs, "Upstreams": d.Upstreams, "Suspects": d.Suspects, "Ends": d.Ends, "Bans": d.Bans, "News": d.News,
 		}).Warn("PoisonForgotten")
 	}
+	asks := !g.firstStart && now.Sub(g.started) < askFor && now.Sub(t.askedAt) >= askEvery
+	compares := now.Sub(t.comparedAt) >= compareEvery && g.ledger.Digest() != 0
+	if !asks && !compares {
+		return
+	}
 	mates := g.fleet.Mates(now)
 	if len(mates) == 0 {
 		return
 	}
-	if !g.firstStart && now.Sub(g.started) < askFor && now.Sub(t.askedAt) >= askEvery {
+	if asks {
 		t.askedAt = now
 		t.peer.AskPoison(mates[rand.IntN(len(mates))])
 	}
-	if now.Sub(t.comparedAt) >= compareEvery && g.ledger.Digest() != 0 {
+	if compares {
 		t.comparedAt = now
 		t.peer.ComparePoison(mates[rand.IntN(len(mates))])
 	}
