Bytes between regions: VMs beside the platform read for all, members are told near also when behind

Change: VMs find out at their start how far the platform is, by one connection, and tell it; those beside it read for all. A VM that is behind asks any VM for its copies, without members; who tells whom of members no longer depends on it. The test of partners asks more than before: near also when behind or just started; that copies are asked anywhere has its own.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -125,6 +125,8 @@
 	Capacity Capacity
 	// Traffic is what callers ask of it.
 	Traffic Traffic
+	// PlatformTrip is the VM's round trip to the platform; 0: not known.
+	PlatformTrip time.Duration
 }
 
 // Capacity is what a VM has. The zero value is one that is not known.
--- /dev/null
+++ b/core/watch/example_test.go
@@ -0,0 +1,22 @@
+package watch_test
+
+import (
+	"fmt"
+	"time"
+
+	"auburnlatch/core/watch"
+)
+
+func ExampleFirst() {
+	vms := []watch.VM{
+		{Name: "north-1", Trip: time.Millisecond},
+		{Name: "north-2", Trip: 2 * time.Millisecond},
+		{Name: "south-1", Trip: 110 * time.Millisecond},
+	}
+	for _, name := range watch.First(vms, 2) {
+		fmt.Println(name)
+	}
+	// Unordered output:
+	// north-1
+	// north-2
+}
--- a/io/entry/copies.go
+++ b/io/entry/copies.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
-	"auburnlatch/core/dispatch"
 	"auburnlatch/core/replica"
 	"auburnlatch/core/route"
 	"auburnlatch/core/target"
@@ -123,16 +122,6 @@
 	return v.strict(v.table.Load()) && v.rulesAge(clock.Boot()) >= v.sureFor(now)
 }
 
-// sureFor is how old the certainty about the rules may become before this VM asks the
-// platform itself. The VMs that come next after the watchers do so first, and hand on what
-// they know: where the platform turns both watchers away, two others take their place
-// rather than all.
-func (v *VM) sureFor(now time.Time) time.Duration {
-	rank := dispatch.Before(watchDuty, v.members.Live(now), v.cfg.Load().Name)
-	turn := time.Duration(min(rank, askTurns)) * askTurn
-	return lifecycle.Share(v.cfg.Load().RevokeWithin, sureShare) + turn
-}
-
 // rulesWait is how long the platform may hold back its answer about the rules. The answer
 // says what was so when it was asked for, so one that is waited for is as old as that.
 func (v *VM) rulesWait(others bool) time.Duration {
@@ -212,26 +201,6 @@
 // settling reports whether this VM cannot have heard of the others yet.
 func (v *VM) settling(now time.Time) bool { return now.Sub(v.started) < settleFor }
 
-// watchDuty is what VMs are ranked for that read the platform for all.
-const watchDuty = "watch"
-
-// watchers returns the addresses of the VMs that read the platform for all, none
-// where this VM is one of them.
-func (v *VM) watchers(now time.Time) []string {
-	self := v.cfg.Load().Name
-	first := dispatch.First(watchDuty, v.members.Live(now), watchers)
-	if slices.Contains(first, self) {
-		return nil
-	}
-	var addrs []string
-	for _, name := range first {
-		if m, ok := v.members.Mate(now, name); ok {
-			addrs = append(addrs, m.VM.Address.Peer)
-		}
-	}
-	return addrs
-}
-
 // staleAge is how old the copy of the upstreams may become before this VM reads
 // it itself.
 func (v *VM) staleAge() time.Duration {
--- a/io/entry/doc.go
+++ b/io/entry/doc.go
@@ -53,6 +53,9 @@
 	// something, or after the wait. It returns ErrHistory where that is no
 	// longer known.
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (replica.Delta, error)
+	// Trip returns how long a round trip to the platform takes. It is no call: the
+	// platform counts those.
+	Trip(ctx context.Context) (time.Duration, error)
 	// Same reports whether two values of a row mean the same.
 	Same(table, key string, a, b []byte) bool
 	// Rules decodes the table of rules. A nil Config says that there is none.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -53,6 +53,7 @@
 	peers    *peer.Client
 	sent     peer.SentCounter // What this VM told others.
 	known    addresses
+	trip     atomic.Int64 // See platformTrip.
 
 	registry  target.Registry  // Of applyLoop alone.
 	applied   []*target.Target // Of applyLoop alone: those in force.
@@ -183,7 +184,7 @@
 // startLoops starts everything that runs by itself.
 func (v *VM) startLoops(ctx context.Context, datagrams *peer.Datagrams) {
 	for _, loop := range []func(context.Context){
-		v.heartbeatLoop, v.rulesLoop, v.targetsLoop, v.applyLoop, v.addressLoop, v.requests.loop, v.sentLoop,
+		v.tripLoop, v.heartbeatLoop, v.rulesLoop, v.targetsLoop, v.applyLoop, v.addressLoop, v.requests.loop, v.sentLoop,
 		(&pusher{vm: v}).loop, (&placementTeller{vm: v, peer: datagrams}).loop, (&limitTeller{vm: v, peer: datagrams}).loop, datagrams.Run,
 	} {
 		v.background.Start(ctx, loop)
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -33,10 +33,38 @@
 	}
 }
 
-// partners are the addresses of other VMs: those heard lately, or where there
-// are none all that were ever told, which may be stale.
+// partners are the addresses of the VMs with which this one may exchange what it knows:
+// those heard lately, or where there are none all that were ever told, which may be stale.
 func (v *VM) partners(now time.Time) []string {
-	var live, silent []string
+	live, others := v.heard(now)
+	if len(live) == 0 {
+		return others
+	}
+	// Now and then one that was not heard: VMs that were cut off from each other
+	// would else stay apart when the cut has healed.
+	if len(others) > 0 && rand.IntN(strangerOdds) == 0 {
+		return []string{others[rand.IntN(len(others))]}
+	}
+	if near := v.nearPartners(now); len(near) > 0 {
+		return near
+	}
+	return live
+}
+
+// copyPartners are the addresses of the VMs that may know more of the platform's tables:
+// any. Those beside a VM that the platform has left behind may be as far behind.
+func (v *VM) copyPartners(now time.Time) []string {
+	live, others := v.heard(now)
+	if len(live) == 0 {
+		return others
+	}
+	return live
+}
+
+// heard returns the addresses of the VMs that were heard lately, and of those that were
+// not or are only known by an address.
+func (v *VM) heard(now time.Time) (live, others []string) {
+	var silent []string
 	for _, m := range v.members.Mates(now) {
 		switch m.State {
 		case member.Live, member.Leaving:
@@ -50,19 +78,7 @@
 	strangers = slices.DeleteFunc(strangers, func(addr string) bool {
 		return addr == own || slices.Contains(live, addr) || slices.Contains(silent, addr)
 	})
-	if len(live) == 0 {
-		return slices.Concat(silent, strangers)
-	}
-	// Now and then one that was not heard: VMs that were cut off from each other
-	// would else stay apart when the cut has healed.
-	others := slices.Concat(silent, strangers)
-	if len(others) > 0 && rand.IntN(strangerOdds) == 0 {
-		return []string{others[rand.IntN(len(others))]}
-	}
-	if near := v.nearPartners(now); len(near) > 0 {
-		return near
-	}
-	return live
+	return live, slices.Concat(silent, strangers)
 }
 
 // crossings is how many exchanges on each heartbeat cross from one availability zone,
@@ -73,11 +89,9 @@
 const crossings = 8
 
 // nearPartners returns the live VMs of this VM's own availability zone or region where
-// this heartbeat's exchange is to stay inside, none where it may go anywhere.
+// this heartbeat's exchange is to stay inside, none where it may go anywhere. The fewer of
+// them a VM that has just started knows, the likelier it is to ask others.
 func (v *VM) nearPartners(now time.Time) []string {
-	if v.behind(now) || now.Sub(v.started) < joinHold {
-		return nil // Its neighbors may know as little.
-	}
 	cfg := v.cfg.Load()
 	var zone, region []string
 	for _, vm := range v.regionMates(now) {
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -15,8 +15,8 @@
 	// heartbeat is the interval between exchanges with another VM. How many it
 	// takes for a word to go round grows with the logarithm of the VMs' number.
 	heartbeat = 500 * time.Millisecond
-	// behindPartners is how many VMs are asked on each heartbeat by one whose
-	// copies the platform has not confirmed lately.
+	// behindPartners is how many VMs are asked for their copies on each heartbeat by one
+	// whose own the platform has not confirmed lately.
 	behindPartners = 2
 	behindAge      = 1500 * time.Millisecond
 	// defaultIdle bounds idle connections of callers where the rules do not.
@@ -29,11 +29,10 @@
 	lifecycle.Every(ctx, heartbeat, func(now time.Time) {
 		v.members.Tick(now)
 		v.publish(now)
-		n := 1
+		v.exchangeWith(ctx, v.partners(now), 1)
 		if v.behind(now) {
-			n = behindPartners
+			v.startExchanges(ctx, v.copyPartners(now), behindPartners, nil)
 		}
-		v.exchangeWith(ctx, v.partners(now), n)
 		if now.Sub(v.started) >= joinHold {
 			v.balancer.SetVMs(v.sendingVMs(now))
 			v.retries.SetVMs(len(v.knownNames(now)))
@@ -63,7 +62,7 @@
 	cfg := v.cfg.Load()
 	return &member.VM{
 		Name: cfg.Name, Zone: cfg.Zone, Leaving: v.leaving.Load(), Dispatches: v.Ready(),
-		Capacity: cfg.Capacity, Traffic: v.traffic.Traffic(now),
+		Capacity: cfg.Capacity, Traffic: v.traffic.Traffic(now), PlatformTrip: v.platformTrip(),
 		Address: member.Address{Name: cfg.Name, Zone: cfg.Zone, Caller: cfg.FrontAddr, Peer: cfg.PeerAddr, Leaving: v.leaving.Load()},
 	}
 }
--- a/io/entry/partners_test.go
+++ b/io/entry/partners_test.go
@@ -1,33 +1,42 @@
 package entry
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
+
+	"auburnlatch/core/member"
 )
 
 // Each of 195 VMs told any other of all VMs on each heartbeat. Two of three exchanges
 // went to other regions, and cost more bytes there than all that callers sent. What
-// crosses must not grow with the VMs; where there are few, all may hear of all at once;
-// and a VM that the platform has left behind must not ask only those beside it, who
-// may be as far behind.
+// crosses must not grow with the VMs, also where the platform has left a VM behind or it
+// has just started: all of 300 were, whenever the platform was slow, and sent their
+// digests of 7 KB anywhere. Where there are few, all may hear of all at once.
 func TestExchangesStayNear(t *testing.T) {
 	const tries = 2000
 	for _, tc := range []struct {
 		name             string
 		perZone          int
-		behind           bool
+		behind, started  bool
 		far, other       float64 // Most that go to other regions, and to other zones of this one.
 		leastFar, leastO float64
 	}{
-		{"large", 22, false, 0.12, 0.3, 0.05, 0.16},
-		{"small", 1, false, 0.72, 0.28, 0.6, 0.15},
-		{"large and behind", 22, true, 0.72, 0.28, 0.6, 0.15},
+		{"large", 22, false, false, 0.12, 0.3, 0.05, 0.16},
+		{"small", 1, false, false, 0.72, 0.28, 0.6, 0.15},
+		{"large and behind", 22, true, false, 0.12, 0.3, 0.05, 0.16},
+		{"large and just started", 22, false, true, 0.12, 0.3, 0.05, 0.16},
+		{"small and just started", 1, false, true, 0.72, 0.28, 0.6, 0.15},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			v, now := vmAmong(tc.perZone, nil)
 			if tc.behind {
 				now = now.Add(behindAge + time.Millisecond)
 			}
+			if tc.started {
+				v.started = now
+			}
 			far, other := 0.0, 0.0
 			for range tries {
 				list := v.partners(now)
@@ -49,3 +58,48 @@
 		})
 	}
 }
+
+// A VM that the platform has left behind must not ask only those beside it for their
+// copies, who may be as far behind.
+func TestCopiesAreAskedOfAnyVM(t *testing.T) {
+	v, now := vmAmong(22, nil)
+	far, list := 0, v.copyPartners(now.Add(behindAge+time.Millisecond))
+	for _, zone := range list {
+		if v.cfg.Load().Regions[zone] != "r0" {
+			far++
+		}
+	}
+	if part := float64(far) / float64(len(list)); part < 0.6 || part > 0.72 {
+		t.Errorf("a share of %.2f are in other regions, want as many as there are VMs: two of three", part)
+	}
+}
+
+// Heartbeats of 3,000 upstreams crossed between regions, as the VMs that read them for all
+// were in another one than the platform. Where the VMs there are lost, others take over.
+func TestVMsBesideThePlatformReadForAll(t *testing.T) {
+	v, now := vmAmong(22, func(vm *member.VM) {
+		vm.PlatformTrip = 110 * time.Millisecond
+		if vm.Zone == "z1" || vm.Zone == "z4" {
+			vm.PlatformTrip = 2 * time.Millisecond
+		}
+	})
+	v.trip.Store(int64(100 * time.Millisecond))
+	if list := v.watchers(now); len(list) != watchers || !slices.ContainsFunc(list, func(zone string) bool { return zone == "z1" || zone == "z4" }) ||
+		slices.ContainsFunc(list, func(zone string) bool { return zone != "z1" && zone != "z4" }) {
+		t.Errorf("VMs of %v read, want those of z1 and z4", list)
+	}
+	later := now.Add(failAfter + time.Second)
+	var still []member.Entry
+	for i := range 9 * 22 {
+		if name, zone := fmt.Sprint("vm", i), fmt.Sprint("z", i%9); zone != "z1" && zone != "z4" {
+			stamp := member.Stamp{Key: member.KeyOf("vm/" + name), Incarnation: 1, Seq: 2, Beat: 9}
+			still = append(still, member.Entry{Stamp: stamp, VM: &member.VM{Name: name, Zone: zone, Address: member.Address{Peer: zone}, PlatformTrip: 110 * time.Millisecond}})
+		}
+	}
+	v.members.Merge(later, still)
+	for _, zone := range v.watchers(later) {
+		if zone == "z1" || zone == "z4" {
+			t.Errorf("a VM of %s reads, which was not heard for %v", zone, failAfter)
+		}
+	}
+}
--- /dev/null
+++ b/io/entry/watchers.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"auburnlatch/core/member"
+	"auburnlatch/core/watch"
+	"auburnlatch/io/lifecycle"
+)
+
+// watchers returns the addresses of the VMs that read the platform for all, none
+// where this VM is one of them.
+func (v *VM) watchers(now time.Time) []string {
+	first := watch.First(v.readers(now), watchers)
+	if slices.Contains(first, v.cfg.Load().Name) {
+		return nil
+	}
+	var addrs []string
+	for _, name := range first {
+		if m, ok := v.members.Mate(now, name); ok {
+			addrs = append(addrs, m.VM.Address.Peer)
+		}
+	}
+	return addrs
+}
+
+// readers are the live VMs, this one included unless it leaves, by how far they are from
+// the platform.
+func (v *VM) readers(now time.Time) []watch.VM {
+	mates := v.members.Mates(now)
+	list := make([]watch.VM, 0, len(mates)+1)
+	for _, m := range mates {
+		if m.State == member.Live {
+			list = append(list, watch.VM{Name: m.VM.Name, Trip: m.VM.PlatformTrip})
+		}
+	}
+	if !v.leaving.Load() {
+		list = append(list, watch.VM{Name: v.cfg.Load().Name, Trip: v.platformTrip()})
+	}
+	return list
+}
+
+// sureFor is how old the certainty about the rules may become before this VM asks the
+// platform itself. The VMs that come next after the watchers do so first, and hand on what
+// they know: where the platform turns both watchers away, two others take their place
+// rather than all.
+func (v *VM) sureFor(now time.Time) time.Duration {
+	rank := watch.Before(v.readers(now), v.cfg.Load().Name)
+	turn := time.Duration(min(rank, askTurns)) * askTurn
+	return lifecycle.Share(v.cfg.Load().RevokeWithin, sureShare) + turn
+}
+
+// tripEvery is the pause after a try to find out how far the platform is that failed.
+const tripEvery = 5 * time.Second
+
+// platformTrip is the round trip to the platform, 0 while it is not known.
+func (v *VM) platformTrip() time.Duration { return time.Duration(v.trip.Load()) }
+
+// tripLoop finds out how far the platform is, once: what is told to the others decides who
+// reads for all, and must not go up and down with the load.
+func (v *VM) tripLoop(ctx context.Context) {
+	for {
+		if took, ok := v.askTrip(ctx); ok {
+			v.trip.Store(int64(took))
+			return
+		}
+		if !lifecycle.Pause(ctx, tripEvery) {
+			return
+		}
+	}
+}
+
+func (v *VM) askTrip(ctx context.Context) (time.Duration, bool) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	took, err := v.platform.Trip(ctx)
+	if err != nil {
+		v.log.WithField("Err", err).Debug("PlatformTripUnknown")
+		return 0, false
+	}
+	return max(took, time.Microsecond), true
+}
