--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -7,7 +7,8 @@
 // each request the runs that ended with their upstream, tells the others, and goes by
 // three rules:
 //
-//   - A run that brings an answer clears the request of all that was held against it.
+//   - A run that brings an answer clears the request of all that was held against it, and
+//     of ends before it that are learned later.
 //   - A request that is suspected is sent on as a trial, at an upstream where no other
 //     suspect is, and after two ends in a row one run of it at a time. An innocent one is
 //     answered by the first.
@@ -69,6 +70,8 @@
 	// explained are incarnations whose end a banned request caused, and when that was
 	// learned.
 	explained map[string]time.Time
+	// cleared is when a request that had been suspected was last answered.
+	cleared map[Print]time.Time
 	news      News
 	events    []Event
 	dropped   Dropped
@@ -103,7 +106,7 @@
 func NewLedger(opts ...Option) *Ledger {
 	l := &Ledger{
 		upstreams: make(map[string]*upstreamRuns), suspects: make(map[Print]*suspect), trials: make(map[*Trial]bool),
-		bans: make(map[Print]*record), heads: make(map[uint64]int), explained: make(map[string]time.Time), tell: func() {},
+		bans: make(map[Print]*record), heads: make(map[uint64]int), explained: make(map[string]time.Time), cleared: make(map[Print]time.Time), tell: func() {},
 		turn:   func(time.Time, Print) float64 { return 0 },
 		joined: make(chan struct{}),
 	}
@@ -136,6 +139,11 @@
 			delete(l.explained, target)
 		}
 	}
+	for p, at := range l.cleared {
+		if now.Sub(at) > endMemory {
+			delete(l.cleared, p)
+		}
+	}
 	for target, u := range l.upstreams {
 		if now.Sub(u.at) > endMemory && !u.asked {
 			delete(l.upstreams, target)
--- a/core/poison/ledger_test.go
+++ b/core/poison/ledger_test.go
@@ -463,3 +463,32 @@
 		t.Error("the second has no turn though it heard of no trial")
 	}
 }
+
+// Ends show seconds late where something takes connections for upstreams that have ended.
+// A look-up that all ask for is tried and answered; then the VM learns that upstreams had
+// ended under it before. It was suspected again, each time, and tried again, and as it was
+// under way at all upstreams that ended nobody could be banned for them. Ends after its
+// answer count.
+func TestAnAnswerClearsOfEndsLearnedLater(t *testing.T) {
+	l := poison.NewLedger()
+	endUnder(l, 100, "i-1", "popular", "killer")
+	endUnder(l, 400, "i-2", "popular", "killer")
+	l.Served(at(1000), printOf("popular"))
+	for i, ended := range []int{600, 800, 900} {
+		target := fmt.Sprint("late-", i)
+		for _, name := range []string{"popular", "killer"} {
+			l.Told(at(1500), poison.News{Runs: []poison.Run{{Print: printOf(name), Target: target, Began: at(ended - 50), Ended: at(ended), Alone: name == "killer"}}})
+		}
+	}
+	if !admitted(l, 1600, "popular") || l.Counts().Suspects != 1 {
+		t.Errorf("%d are suspected, want the killer alone", l.Counts().Suspects)
+	}
+	l.Tick(at(2500))
+	if !banned(l, 2500, "killer") {
+		t.Error("the killer is not banned")
+	}
+	l.Told(at(2600), poison.News{Runs: []poison.Run{{Print: printOf("popular"), Target: "i-9", Began: at(1900), Ended: at(2000)}}})
+	if l.Counts().Suspects != 1 {
+		t.Error("an end after its answer is not held against the look-up")
+	}
+}
--- a/core/poison/suspect.go
+++ b/core/poison/suspect.go
@@ -239,6 +239,9 @@
 		return false
 	}
 	l.clear(p)
+	if len(l.cleared) < maxSuspects {
+		l.cleared[p] = now
+	}
 	return true
 }
 
@@ -311,8 +314,14 @@
 	}
 }
 
-// hold holds an end against a request.
+// hold holds an end against a request, unless it was answered since. An end may show
+// seconds later, where something takes connections for upstreams that have ended: a look-up
+// that many ask for was answered in each of its trials, suspected again of ends from before
+// them, and as it shares all ends with the request that causes them, neither was banned.
 func (l *Ledger) hold(now time.Time, r Run) {
+	if at, ok := l.cleared[r.Print]; ok && !r.Ended.After(at) {
+		return
+	}
 	if l.active(now, r.Print) != nil {
 		l.explain(now, r.Target)
 		return
