--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -72,13 +72,13 @@
 	explained map[string]time.Time
 	// cleared is when a request that had been suspected was last answered.
 	cleared map[Print]time.Time
-	news      News
-	events    []Event
-	dropped   Dropped
-	tell      func()        // Called when there is news.
-	turn      Turn          // When this VM may try a suspect by itself.
-	known     bool          // The bans that the platform keeps are known.
-	joined    chan struct{} // Closed when known.
+	news    News
+	events  []Event
+	dropped Dropped
+	tell    func()        // Called when there is news.
+	turn    Turn          // When this VM may try a suspect by itself.
+	known   bool          // The bans that the platform keeps are known.
+	joined  chan struct{} // Closed when known.
 }
 
 // Dropped counts what a Ledger had to forget for want of room.
