--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -54,6 +54,8 @@
 	sent     peer.SentCounter // What this VM told others.
 	known    addresses
 	trip     atomic.Int64 // See platformTrip.
+	// tripKnown is closed when trip is.
+	tripKnown chan struct{}
 
 	registry  target.Registry  // Of applyLoop alone.
 	applied   []*target.Target // Of applyLoop alone: those in force.
@@ -92,11 +94,11 @@
 		platform: p, protocol: protocol, log: log, started: now,
 		members:   member.NewTable(cfg.Name, cfg.Zone, uint64(now.UnixNano()), now, member.WithFlat(), member.WithFailAfter(failAfter)),
 		replicas:  peer.Replicas{},
-		upstreams: upstream.NewPool(),
-		loaded:    make(chan struct{}),
-		changed:   make(chan struct{}, 1),
-		toPush:    make(chan struct{}, 1),
-		placed:    make(chan struct{}, 1),
+		upstreams: upstream.NewPool(), tripKnown: make(chan struct{}),
+		loaded:  make(chan struct{}),
+		changed: make(chan struct{}, 1),
+		toPush:  make(chan struct{}, 1),
+		placed:  make(chan struct{}, 1),
 	}
 	for _, name := range []string{TableRules, TableTargets} {
 		v.replicas[name] = replica.NewTable(name, func(key string, a, b []byte) bool { return p.Same(name, key, a, b) })
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -25,6 +25,7 @@
 
 // heartbeatLoop tells others of this VM and hears of them.
 func (v *VM) heartbeatLoop(ctx context.Context) {
+	v.awaitTrip(ctx)
 	copies := &staleCopies{log: v.log, stale: make(map[string]bool)}
 	lifecycle.Every(ctx, heartbeat, func(now time.Time) {
 		v.members.Tick(now)
--- a/io/entry/watchers.go
+++ b/io/entry/watchers.go
@@ -52,6 +52,22 @@
 	return lifecycle.Share(v.cfg.Load().RevokeWithin, sureShare) + turn
 }
 
+// awaitTrip waits for a moment until it is known how far the platform is. Told with a later
+// heartbeat it takes seconds to reach all, and each VM beside the platform that has started
+// takes itself for the only one until then, and reads for all.
+func (v *VM) awaitTrip(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tripWithin)
+	defer cancel()
+	select {
+	case <-v.tripKnown:
+	case <-ctx.Done():
+	}
+}
+
+// tripWithin is how long a VM that starts keeps silent for it: two round trips between
+// regions.
+const tripWithin = 250 * time.Millisecond
+
 // tripEvery is the pause after a try to find out how far the platform is that failed.
 const tripEvery = 5 * time.Second
 
@@ -64,6 +80,7 @@
 	for {
 		if took, ok := v.askTrip(ctx); ok {
 			v.trip.Store(int64(took))
+			close(v.tripKnown)
 			return
 		}
 		if !lifecycle.Pause(ctx, tripEvery) {
