VMs beside the platform read for all only from 600 upstreams on

Readers beside each other are turned away and cut off together. Change: below 600 upstreams all VMs are equal, as before.

--- a/io/entry/watchers.go
+++ b/io/entry/watchers.go
@@ -26,8 +26,13 @@
 	return addrs
 }
 
-// readers are the live VMs, this one included unless it leaves, by how far they are from
-// the platform.
+// nearFrom is how many upstreams have VMs beside the platform read for all: it is then
+// 140 KB a second that would cross. With fewer all VMs are equal: readers in several regions
+// are not lost, or turned away, together, and calls are dearer than bytes.
+const nearFrom = 600
+
+// readers are the live VMs, this one included unless it leaves. How far they are from the
+// platform and how strong they are is told only where it matters.
 func (v *VM) readers(now time.Time) []watch.VM {
 	mates := v.members.Mates(now)
 	list := make([]watch.VM, 0, len(mates)+1)
@@ -40,6 +45,11 @@
 		cfg := v.cfg.Load()
 		list = append(list, watch.VM{Name: cfg.Name, Trip: v.platformTrip(), Cores: cfg.Capacity.Cores})
 	}
+	if there := v.targets.Load(); there == nil || len(*there) < nearFrom {
+		for i := range list {
+			list[i].Trip = 0
+		}
+	}
 	return list
 }
 
