Another incarnation's 421 is no answer of the upstream that has ended: the soak's red is mended

Cause: carry told the ledger of any answer before it looked whether it was 421, and an answer half a second later shows that an upstream outlived a run. Change: 421 counts as no answer. An answer to a request that began after a connection had ended shows that this was no sign of the upstream's end (seen beside it: a lost answer just before the end ruled the cause out as sent after the first sign). Tests failed first: TestAnswerOfAnotherIncarnationClearsNobody, a case of TestALostAnswerIsNoSignOfTheEnd.

--- a/core/poison/fleet_test.go
+++ b/core/poison/fleet_test.go
@@ -164,7 +164,7 @@
 	}
 	r.over = true
 	u.under = slices.DeleteFunc(u.under, func(other *simRun) bool { return other == r })
-	r.vm.ledger.Answered(s.now, u.id)
+	r.vm.ledger.Answered(s.now, r.began, u.id)
 	r.vm.ledger.Served(s.now, printOf(r.name))
 	r.trial.Done()
 	s.served++
--- a/core/poison/ledger_test.go
+++ b/core/poison/ledger_test.go
@@ -267,7 +267,7 @@
 			t.Fatal("whether the upstream ended is not asked")
 		}
 		l.NotEnded(at(200*i+20), target, true)
-		l.Answered(at(200*i+900), target)
+		l.Answered(at(200*i+900), at(200*i-50), target)
 		l.Ended(at(200*i+950), target)
 	}
 	if l.Knows(printOf("a").Head) {
@@ -302,7 +302,7 @@
 	l := poison.NewLedger()
 	l.Left(at(100), poison.Run{Print: printOf("a"), Target: "i-1", Began: at(0), Ended: at(100)})
 	l.Left(at(1300), poison.Run{Print: printOf("b"), Target: "i-1", Began: at(900), Ended: at(1300)})
-	l.Answered(at(1400), "i-1")
+	l.Answered(at(1400), at(50), "i-1")
 	if runs := l.Ended(at(1500), "i-1"); len(runs) != 1 || runs[0].Print != printOf("b") {
 		t.Errorf("%d runs were under way at the end, want the last alone", len(runs))
 	}
@@ -404,7 +404,8 @@
 // was lost is no sign of the end, or the request would seem to have come after it.
 func TestALostAnswerIsNoSignOfTheEnd(t *testing.T) {
 	for name, lives := range map[string]func(l *poison.Ledger, ms int, target string){
-		"it answers another":         func(l *poison.Ledger, ms int, target string) { l.Answered(at(ms+550), target) },
+		"it answers another late":    func(l *poison.Ledger, ms int, target string) { l.Answered(at(ms+550), at(ms-50), target) },
+		"it answers a later one":     func(l *poison.Ledger, ms int, target string) { l.Answered(at(ms+10), at(ms), target) },
 		"it keeps a connection open": func(l *poison.Ledger, ms int, target string) { l.NotEnded(at(ms), target, true) },
 	} {
 		l := poison.NewLedger()
--- a/core/poison/runs.go
+++ b/core/poison/runs.go
@@ -149,9 +149,11 @@
 	l.unsettled(now, r)
 }
 
-// Answered takes in that an upstream answered something: it has outlived what was given
-// up well before.
-func (l *Ledger) Answered(now time.Time, target string) {
+// Answered takes in that an upstream answered a request that began at a time: it has
+// outlived what was given up well before, and no connection that had ended by then is a
+// sign of its end. A connection that ended by itself just before an upstream did was taken
+// for the first sign, and the request that ended it, sent later, for none of its causes.
+func (l *Ledger) Answered(now, began time.Time, target string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	u := l.upstreams[target]
@@ -161,6 +163,11 @@
 	outlived := func(r Run) bool { return now.Sub(r.Ended) > livesOn }
 	u.left = slices.DeleteFunc(u.left, outlived)
 	u.broken = slices.DeleteFunc(u.broken, outlived)
+	for _, list := range [][]Run{u.left, u.broken} {
+		for i := range list {
+			list[i].Cut = list[i].Cut && !list[i].Ended.Before(began)
+		}
+	}
 }
 
 // Unanswered reports whether runs at an upstream were given up of which is not known
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -149,7 +149,11 @@
 		v.requests.tried(v, req, lease, 0, e)
 		return nil, e
 	}
-	v.guard.Answered(time.Now(), lease.Target.Incarnation())
+	if resp.StatusCode != http.StatusMisdirectedRequest {
+		// What another says that has the address now is no word of this upstream's: it
+		// would clear the requests under which that one ended.
+		v.guard.Answered(time.Now(), began, lease.Target.Incarnation())
+	}
 	a, err := take(resp)
 	outcome := balance.Outcome{Answered: true, Load: load(resp.Header.Get(v.protocol.Load)), Connect: call.Connect}
 	if err != nil {
--- a/io/entry/poison_test.go
+++ b/io/entry/poison_test.go
@@ -466,3 +466,30 @@
 		t.Errorf("its connection broke off %d times, so this test says nothing", n)
 	}
 }
+
+// A look-up ends an upstream, whose address takes connections on. Half a second later
+// another incarnation has the address and answers 421 to what is meant for the one before.
+// That was taken for an answer of the upstream that had ended: it had outlived the look-up,
+// so nothing was held against it, and it went on. Found by the soak, behind paths that
+// take connections for upstreams that have ended: no end was ever held against the cause.
+func TestAnswerOfAnotherIncarnationClearsNobody(t *testing.T) {
+	p := poisonPlatform()
+	var reused atomic.Bool
+	u := startUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		if reused.Load() {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		panic(http.ErrAbortHandler) // The connection ends without an answer.
+	})
+	register(p, "i-1", u.addr())
+	v := startVM(t, "a", p, nil)
+	ready(t, v)
+	v.ask(poisonPath, "poison")
+	<-time.After(700 * time.Millisecond)
+	reused.Store(true)
+	v.ask("/get/other", "other")
+	eventually(t, "the end is held against the request under which it came", func() bool {
+		return v.Figures(time.Now()).Poison.Suspects == 1
+	})
+}
--- a/io/quarantine/ends.go
+++ b/io/quarantine/ends.go
@@ -64,8 +64,11 @@
 	}
 }
 
-// Answered takes in that an upstream answered something, so that it lives.
-func (g *Guard) Answered(now time.Time, upstreamID string) { g.ledger.Answered(now, upstreamID) }
+// Answered takes in that an upstream answered a request that began at a time, so that it
+// lived then.
+func (g *Guard) Answered(now, began time.Time, upstreamID string) {
+	g.ledger.Answered(now, began, upstreamID)
+}
 
 // connectionEnded reports whether an error says that the other side ended the
 // connection, as all of a process's do when it ends. A host without power and a link
--- a/io/vm/quarantine.go
+++ b/io/vm/quarantine.go
@@ -54,7 +54,7 @@
 			g.Unanswered(g.work, now, req, sent, e)
 			return
 		}
-		g.Answered(now, sent.Upstream.ID)
+		g.Answered(now, began, sent.Upstream.ID)
 		g.Served(now, req)
 	}
 }
