--- a/core/dispatch/share.go
+++ b/core/dispatch/share.go
@@ -17,17 +17,11 @@
 // Rank returns the VMs ordered by rendezvous hashing for a subject: adding or
 // removing one VM moves no other past another.
 func Rank(subject string, vms []string) []string {
-	type scored struct {
-		vm    string
-		score uint64
-	}
 	list := make([]scored, len(vms))
 	for i, vm := range vms {
 		list[i] = scored{vm, hash(subject, vm)}
 	}
-	slices.SortFunc(list, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.vm, b.vm))
-	})
+	slices.SortFunc(list, scored.compare)
 	ranked := make([]string, len(list))
 	for i, s := range list {
 		ranked[i] = s.vm
@@ -39,15 +33,11 @@
 // some twenty times a second who does what, and putting 300 in order takes ten times as
 // long.
 func First(subject string, vms []string, n int) []string {
-	type scored struct {
-		vm    string
-		score uint64
-	}
 	first := make([]scored, 0, n+1)
 	for _, vm := range vms {
 		s := scored{vm, hash(subject, vm)}
 		i := len(first)
-		for i > 0 && (s.score > first[i-1].score || s.score == first[i-1].score && s.vm < first[i-1].vm) {
+		for i > 0 && s.compare(first[i-1]) < 0 {
 			i--
 		}
 		if i < n {
@@ -64,15 +54,30 @@
 
 // Before returns how many VMs come before one in Rank's order.
 func Before(subject string, vms []string, vm string) int {
-	own, n := hash(subject, vm), 0
+	own, n := scored{vm, hash(subject, vm)}, 0
 	for _, other := range vms {
-		if score := hash(subject, other); score > own || score == own && other < vm {
+		if (scored{other, hash(subject, other)}).compare(own) < 0 {
 			n++
 		}
 	}
 	return n
 }
 
+// scored is a VM with its score for a subject.
+type scored struct {
+	vm    string
+	score uint64
+}
+
+// compare orders VMs by score, the highest first. The names are looked at only where
+// scores are the same, which is hardly ever.
+func (s scored) compare(other scored) int {
+	if s.score != other.score {
+		return cmp.Compare(other.score, s.score)
+	}
+	return cmp.Compare(s.vm, other.vm)
+}
+
 // Dispatchers returns the VMs among a zone's live ones that dispatch a
 // service whose upstreams in the zone have so many slots.
 func Dispatchers(service string, slots int, vms []string) []string {
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -3,10 +3,10 @@
 // Every upstream writes to the platform on each heartbeat, and whoever reads for the
 // others reads all of that: with 3,000 upstreams 0.7 MB a second. So VMs beside the
 // platform go first: read from another region, the heartbeats of 3,000 upstreams were a
-// third of what crossed between regions. Of these the strong go first, which all others ask:
-// one of 0.16 cores that answers 300 VMs is late with it, and those who wait read for
-// themselves. Among those rendezvous hashing decides, by which all VMs that know the same
-// agree without a word.
+// third of what crossed between regions. Of the VMs beside it the strong ones go first:
+// all others ask them, a VM of 0.16 cores is late with its answers to 300, and those who
+// wait for them read for themselves. Among equals rendezvous hashing decides, by which all
+// VMs that know the same agree without a word.
 //
 // A VM finds out how far the platform is when it starts, before it is known to the others,
 // and tells it with what it tells of itself. One that does not know counts as far.
--- a/io/entry/copies.go
+++ b/io/entry/copies.go
@@ -119,7 +119,7 @@
 	case !others:
 		return true
 	}
-	return v.strict(v.table.Load()) && v.rulesAge(clock.Boot()) >= v.sureFor(now)
+	return v.strict(v.table.Load()) && v.unsureTurn(now, v.rulesAge(clock.Boot()))
 }
 
 // rulesWait is how long the platform may hold back its answer about the rules. The answer
--- a/io/entry/fleet_bench_test.go
+++ b/io/entry/fleet_bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"syscall"
 	"testing"
 	"time"
 
@@ -13,6 +12,7 @@
 	"auburnlatch/io/entry"
 	"auburnlatch/io/logline"
 	"auburnlatch/io/settings"
+	"auburnlatch/standin/rusage"
 )
 
 // BenchmarkFleetAtRest runs a fleet without callers for some seconds, of which ten
@@ -53,28 +53,33 @@
 	}
 	for _, v := range fleet {
 		ready(b, v)
+		eventually(b, "the VMs know each other", func() bool { return v.Figures(time.Now()).LiveVMs == n })
 	}
-	time.Sleep(4 * time.Second) // They have heard of each other.
-	const span = 5 * time.Second
+	// changes registers upstreams anew for a while.
+	changes := func(every, span time.Duration) {
+		tick := time.NewTicker(every)
+		defer tick.Stop()
+		for i := range int(span / every) {
+			<-tick.C
+			enroll(i, 5+i%2)
+		}
+	}
+	const every, settle, span = 200 * time.Millisecond, 4 * time.Second, 5 * time.Second
+	changes(every, settle) // What a VM does in its first seconds is not counted.
 	before, from := processorTime(b), time.Now()
-	changes := 0
 	for b.Loop() {
-		for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
-			enroll(changes, 5+changes%2)
-			changes++
-		}
+		changes(every, span)
 	}
 	took, past := processorTime(b)-before, time.Since(from)
 	b.ReportMetric(took.Seconds()*1000/past.Seconds()/float64(n), "cpu-ms/VM-s")
 	b.ReportMetric(0, "ns/op")
 }
 
-// processorTime is what the process has taken so far.
 func processorTime(b *testing.B) time.Duration {
 	b.Helper()
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+	used, err := rusage.ProcessorTime()
+	if err != nil {
 		b.Fatal(err)
 	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	return used
 }
--- a/io/entry/watchers.go
+++ b/io/entry/watchers.go
@@ -13,7 +13,7 @@
 // watchers returns the addresses of the VMs that read the platform for all, none
 // where this VM is one of them.
 func (v *VM) watchers(now time.Time) []string {
-	first := watch.First(v.readers(now), watchers)
+	first := watch.First(v.candidates(now), watchers)
 	if slices.Contains(first, v.cfg.Load().Name) {
 		return nil
 	}
@@ -31,36 +31,42 @@
 // are not lost, or turned away, together, and calls are dearer than bytes.
 const nearFrom = 600
 
-// readers are the live VMs, this one included unless it leaves. How far they are from the
-// platform and how strong they are is told only where it matters.
-func (v *VM) readers(now time.Time) []watch.VM {
+// candidates are the VMs that may read for all: the live ones, this one included unless it
+// leaves. How far each is from the platform is left out where that does not matter.
+func (v *VM) candidates(now time.Time) []watch.VM {
+	there := v.targets.Load()
+	byTrip := there != nil && len(*there) >= nearFrom
 	mates := v.members.Mates(now)
 	list := make([]watch.VM, 0, len(mates)+1)
+	add := func(name string, trip time.Duration, cores float64) {
+		if !byTrip {
+			trip = 0
+		}
+		list = append(list, watch.VM{Name: name, Trip: trip, Cores: cores})
+	}
 	for _, m := range mates {
 		if m.State == member.Live {
-			list = append(list, watch.VM{Name: m.VM.Name, Trip: m.VM.PlatformTrip, Cores: m.VM.Capacity.Cores})
+			add(m.VM.Name, m.VM.PlatformTrip, m.VM.Capacity.Cores)
 		}
 	}
 	if !v.leaving.Load() {
 		cfg := v.cfg.Load()
-		list = append(list, watch.VM{Name: cfg.Name, Trip: v.platformTrip(), Cores: cfg.Capacity.Cores})
-	}
-	if there := v.targets.Load(); there == nil || len(*there) < nearFrom {
-		for i := range list {
-			list[i].Trip = 0
-		}
+		add(cfg.Name, v.platformTrip(), cfg.Capacity.Cores)
 	}
 	return list
 }
 
-// sureFor is how old the certainty about the rules may become before this VM asks the
-// platform itself. The VMs that come next after the watchers do so first, and hand on what
-// they know: where the platform turns both watchers away, two others take their place
-// rather than all.
-func (v *VM) sureFor(now time.Time) time.Duration {
-	rank := watch.Before(v.readers(now), v.cfg.Load().Name)
-	turn := time.Duration(min(rank, askTurns)) * askTurn
-	return lifecycle.Share(v.cfg.Load().RevokeWithin, sureShare) + turn
+// unsureTurn reports whether the certainty about the rules is so old that it is this VM's
+// turn to ask the platform itself. The VMs that come next after the watchers do so first,
+// and hand on what they know: where the platform turns both watchers away, two others take
+// their place rather than all.
+func (v *VM) unsureTurn(now time.Time, age time.Duration) bool {
+	over := age - lifecycle.Share(v.cfg.Load().RevokeWithin, sureShare)
+	if over < 0 {
+		return false
+	}
+	rank := watch.Before(v.candidates(now), v.cfg.Load().Name)
+	return over >= time.Duration(min(rank, askTurns))*askTurn
 }
 
 // awaitTrip waits for a moment until it is known how far the platform is. Told with a later
--- a/io/vm/bench_test.go
+++ b/io/vm/bench_test.go
@@ -5,19 +5,20 @@
 	"net/http"
 	"slices"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
+
+	"auburnlatch/standin/rusage"
 )
 
 // cpu returns the processor time the process has used.
 func cpu(b *testing.B) time.Duration {
 	b.Helper()
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+	used, err := rusage.ProcessorTime()
+	if err != nil {
 		b.Fatal(err)
 	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	return used
 }
 
 // measure calls f for each iteration and reports the median time and the
--- /dev/null
+++ b/standin/rusage/rusage.go
@@ -0,0 +1,24 @@
+// Package rusage tells how much processor time this process has taken, for benchmarks of
+// several VMs, callers and upstreams in one process.
+//
+// # Usage
+//
+//	before, err := rusage.ProcessorTime()
+package rusage
+
+import (
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ProcessorTime returns the time that the process has taken so far, of all its threads, the
+// kernel's for it included.
+func ProcessorTime() (time.Duration, error) {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0, errors.Wrap(err, "processor time")
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()), nil
+}
--- /dev/null
+++ b/standin/rusage/rusage_test.go
@@ -0,0 +1,27 @@
+package rusage_test
+
+import (
+	"testing"
+
+	"auburnlatch/standin/rusage"
+)
+
+func TestProcessorTimeRises(t *testing.T) {
+	before, err := rusage.ProcessorTime()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 1 << 30 {
+		now, err := rusage.ProcessorTime()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if now < before {
+			t.Fatalf("%v after %v", now, before)
+		}
+		if now > before {
+			return
+		}
+	}
+	t.Error("the process takes no time")
+}
