What an upstream says of its limit in answers is kept, logged and dumped

Nothing told the hypotheses apart, since no line and no figure spoke of a limit. A line UpstreamNotice tells when an upstream names a limit, changes or ends it; the dump has it for each target and RequestGivenUp how many targets name one. Nothing is decided by it yet.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"auburnlatch/core/target"
+	"auburnlatch/core/throttle"
 )
 
 // Lease is one request's place at a target.
@@ -208,6 +209,19 @@
 	return known[len(known)/2]
 }
 
+// Notice is what an upstream says of itself in the header of an answer.
+type Notice struct {
+	Limit throttle.Notice
+}
+
+// Heard takes in what a target says in the header of an answer to a lease's request, and
+// returns whether that is new.
+func (b *Balancer) Heard(now time.Time, l Lease, n Notice) (changed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return l.state.limit.Answered(now, l.sentAt, n.Limit)
+}
+
 // Done gives a place back and takes in what came of the request.
 func (b *Balancer) Done(now time.Time, l Lease, o Outcome) {
 	b.mu.Lock()
--- a/core/balance/dump.go
+++ b/core/balance/dump.go
@@ -14,6 +14,8 @@
 	Busy                    float64
 	Failing                 float64
 	Latency                 time.Duration
+	// Limit is how many requests a second the target takes of all VMs; nil: it names none.
+	Limit *float64
 }
 
 // Dump returns what is believed of all targets, in order of service and ID.
@@ -23,10 +25,14 @@
 	var list []TargetState
 	for _, p := range b.services {
 		for _, s := range p.states {
-			list = append(list, TargetState{
+			t := TargetState{
 				ID: s.ID, Service: s.Service, Addr: s.Addr, Zone: s.Zone, Usable: s.Usable, Cold: s.Cold(now),
 				Suspect: s.suspect(now, p.usual), InFlight: s.inFlight, Busy: s.busy(now), Failing: s.failing, Latency: s.latency,
-			})
+			}
+			if perSecond, ok := s.limit.PerSecond(); ok {
+				t.Limit = &perSecond
+			}
+			list = append(list, t)
 		}
 	}
 	slices.SortFunc(list, func(a, b TargetState) int {
@@ -40,6 +46,8 @@
 	// Usable targets are registered, not leaving and in no evacuated zone; the
 	// others count these only.
 	Usable, Cold, Suspect, Full int
+	// Limited targets name a limit.
+	Limited int
 }
 
 // Census counts a service's targets, for a log line that tells why a request found
@@ -65,6 +73,9 @@
 		if s.busy(now) >= otherDepth*float64(s.Slots) {
 			c.Full++
 		}
+		if _, ok := s.limit.PerSecond(); ok {
+			c.Limited++
+		}
 	}
 	return c
 }
--- a/core/balance/state.go
+++ b/core/balance/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"auburnlatch/core/target"
+	"auburnlatch/core/throttle"
 )
 
 // Load is what an upstream says of itself in an answer.
@@ -26,6 +27,8 @@
 	region int
 	// gone says that the target is not registered any more.
 	gone bool
+	// limit is what the target says that it takes of all VMs.
+	limit throttle.Limit
 
 	inFlight int
 	// reported is the target's own word, as of reportedAt.
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -150,6 +150,9 @@
 		return nil, e
 	}
 	if resp.StatusCode != http.StatusMisdirectedRequest {
+		if n := v.notice(resp.Header); v.balancer.Heard(time.Now(), lease, n) {
+			v.requests.heard(lease, n)
+		}
 		// What another says that has the address now is no word of this upstream's: it
 		// would clear the requests under which that one ended.
 		v.guard.Answered(time.Now(), began, lease.Target.Incarnation())
--- a/io/entry/doc.go
+++ b/io/entry/doc.go
@@ -94,6 +94,9 @@
 	NotRun string
 	// Load has the requests running, those waiting and the slots.
 	Load string
+	// Limit is how many requests a second the upstream takes of all VMs together, as a
+	// decimal number; an answer without it says that there is no limit.
+	Limit string
 	// Team tells an upstream whose request it is.
 	Team string
 	// Key returns the object that a request concerns, or "".
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -101,6 +101,9 @@
 	if e.Reason == verdict.ReasonNoCapacity {
 		c := v.balancer.Census(now, req.service)
 		f["UsableTargets"], f["ColdTargets"], f["SuspectTargets"], f["FullTargets"] = c.Usable, c.Cold, c.Suspect, c.Full
+		if c.Limited > 0 {
+			f["LimitedTargets"] = c.Limited
+		}
 	}
 	l.log.WithFields(f).Info("RequestGivenUp")
 }
--- /dev/null
+++ b/io/entry/notice_test.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"auburnlatch/core/throttle"
+)
+
+func TestLimitOf(t *testing.T) {
+	named := func(perSecond float64) throttle.Notice {
+		return throttle.Notice{Kind: throttle.Named, PerSecond: perSecond}
+	}
+	unreadable := throttle.Notice{Kind: throttle.Unreadable}
+	for _, c := range []struct {
+		name   string
+		values []string
+		want   throttle.Notice
+	}{
+		{"no field", nil, throttle.Notice{}},
+		{"decimal", []string{"7.5"}, named(7.5)},
+		{"whole", []string{"8"}, named(8)},
+		{"spaces", []string{" 0.5 "}, named(0.5)},
+		{"nothing is taken", []string{"0"}, named(0)},
+		{"same twice", []string{"3", "3.0"}, named(3)},
+		{"two limits", []string{"9", "3"}, named(3)},
+		{"one of two unreadable", []string{"x", "3"}, named(3)},
+		{"empty", []string{""}, unreadable},
+		{"negative", []string{"-1"}, unreadable},
+		{"no number", []string{"NaN"}, unreadable},
+		{"infinite", []string{"Inf"}, unreadable},
+		{"exponent", []string{"1e9"}, unreadable},
+		{"beyond range", []string{strings.Repeat("9", 400)}, unreadable},
+		{"hexadecimal", []string{"0x10"}, unreadable},
+		{"list", []string{"3, 9"}, unreadable},
+		{"date", []string{"Thu, 03 Dec 2026 09:00:00 GMT"}, unreadable},
+		{"two points", []string{"1.2.3"}, unreadable},
+	} {
+		if got := limitOf(c.values); got != c.want {
+			t.Errorf("%s: %+v, want %+v", c.name, got, c.want)
+		}
+	}
+}
+
+func FuzzNotice(f *testing.F) {
+	for _, text := range []string{"", "7.5", "-1", "NaN", "1e9", "Thu, 03 Dec 2026 09:00:00 GMT"} {
+		f.Add(text, text)
+	}
+	v := &VM{protocol: Protocol{Limit: "Limit"}}
+	f.Fuzz(func(t *testing.T, a, b string) {
+		n := v.notice(http.Header{"Limit": {a, b}})
+		if x := n.Limit.PerSecond; !(x >= 0) {
+			t.Errorf("a limit of %v", x)
+		}
+	})
+}
