An upstream's limit is kept over all VMs: few senders with equal parts of it

What callers saw: an upstream in need named in its answers how many requests a second it takes of all VMs together, and got 2.7 times as many, as before. Cause: nobody read it. What an upstream says of itself was taken from the register only; of an answer only its load and its refusals counted. Why this works: of the VMs that callers use the first few in the upstream's order have equal parts of nine tenths of the rate, in token buckets; the others send it nothing. As many as half of what it bears beyond its rate, so by construction the sum stays within the bound, and the other half pays for VMs that know other members. It is asked once more right before a request is written. What the upstream does not get goes to the next in the object's order. VMs pass on what they heard, so that those which send nothing learn that the limit is over; it outlives the row of the register. Weighed: parts by demand as teams have them (bursts of a token for each VM are beyond the bound at 20 VMs and a limit of 5), and moving objects away (what goes to the next in the order is that, without a decision to be taken back). Mutations that its tests find: all VMs send; the whole rate for each; no word between VMs; not asked before the request is written; a VM that has just started sends.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -24,6 +24,8 @@
 	Owner bool
 	// Trip is the usual round trip to the target, 0 where none is known.
 	Trip time.Duration
+	// limited says that the request was taken out of a limit that the target names.
+	limited bool
 }
 
 // Outcome is what came of a request.
@@ -40,6 +42,8 @@
 	Unanswered bool
 	// Unreachable says that no connection could be opened.
 	Unreachable bool
+	// NotSent says that nothing was sent to the target.
+	NotSent bool
 	// Load is the target's word, where it gave one.
 	Load *Load
 	// Bytes is the length of the request's and the answer's bodies.
@@ -57,7 +61,7 @@
 	services map[string]*pool
 	stats    map[string]*serviceStats // By service.
 	crowds   map[crowdKey]*crowd
-	vms      []string
+	vms      []VM
 	trips    map[string]time.Duration // By the target's zone.
 	regions  map[string]string        // By zone.
 	farTrip  time.Duration            // The mean to other regions.
@@ -69,7 +73,9 @@
 	placeChanges uint64
 	joined       bool
 	tell         func()
-	off          [mechanisms]bool
+	// kept are the limits of incarnations that are not registered, by their names.
+	kept map[string]keptLimit
+	off  [mechanisms]bool
 }
 
 // Option varies a Balancer.
@@ -111,7 +117,7 @@
 		self: self, region: region, zone: zone,
 		states: make(map[string]*state), services: make(map[string]*pool), stats: make(map[string]*serviceStats), crowds: make(map[crowdKey]*crowd),
 		trips: make(map[string]time.Duration), regions: make(map[string]string), routes: make(map[string]*traffic),
-		placed: make(map[placeKey]*placements),
+		placed: make(map[placeKey]*placements), kept: make(map[string]keptLimit),
 	}
 	for _, opt := range opts {
 		opt(b)
@@ -119,13 +125,22 @@
 	return b
 }
 
+// VM is one that sends to upstreams.
+type VM struct{ Name, Region string }
+
 // SetVMs tells which VMs there are, this one included. Shares of what all VMs
 // have in common depend on it, so VMs that may only be silent belong to it, and
 // a VM that has just started and cannot know yet names none: it then takes none.
-func (b *Balancer) SetVMs(names []string) {
+func (b *Balancer) SetVMs(vms []VM) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.vms = slices.Clone(names)
+	if slices.Equal(vms, b.vms) {
+		return
+	}
+	b.vms = slices.Clone(vms)
+	for _, s := range b.states {
+		s.place = throttle.Place{}
+	}
 }
 
 // SetTargets replaces the targets. What is known of those that stay is kept; one that
@@ -138,7 +153,10 @@
 	for _, t := range targets {
 		s := b.states[t.ID]
 		if s == nil || s.Born != t.Born {
-			s = &state{seed: xxhash.Sum64String(t.ID), weight: float64(t.Slots), usual: b.statsOf(t.Service), others: b.crowdOf(t), off: &b.off}
+			s = &state{
+				seed: xxhash.Sum64String(t.ID), weight: float64(t.Slots), usual: b.statsOf(t.Service), others: b.crowdOf(t), off: &b.off,
+				limit: b.recall(t),
+			}
 			if t.Zone == b.zone && !b.off[ZonePull] {
 				s.weight *= zonePull
 			}
@@ -157,7 +175,9 @@
 		p.index()
 	}
 	b.farTrip = b.farTripOf()
-	replaced(b.states, states)
+	for _, s := range replaced(b.states, states) {
+		b.keep(s)
+	}
 	b.states, b.services = states, services
 }
 
@@ -228,6 +248,9 @@
 	defer b.mu.Unlock()
 	s := l.state
 	s.inFlight--
+	if l.limited && (o.Unreachable || o.NotSent) {
+		s.limit.Return()
+	}
 	if o.Answered {
 		l.traffic.carried(o.Bytes)
 	}
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -266,9 +266,9 @@
 			b := balance.New(name, "north", "north-0")
 			b.SetTargets([]*target.Target{cold})
 			if i >= min(knowNobody, vms) {
-				b.SetVMs(names)
+				b.SetVMs(vmsNamed(names...))
 			} else {
-				b.SetVMs([]string{name})
+				b.SetVMs(vmsNamed(name))
 			}
 			all = append(all, b)
 		}
@@ -298,12 +298,19 @@
 	if _, err := b.Choose(start, req); err == nil {
 		t.Error("a VM that does not know the others sends to a cold target")
 	}
-	b.SetVMs([]string{"vm"})
+	b.SetVMs(vmsNamed("vm"))
 	if _, err := b.Choose(start, req); err != nil {
 		t.Errorf("a VM that knows there are no others: %v", err)
 	}
 }
 
+func vmsNamed(names ...string) (vms []balance.VM) {
+	for _, name := range names {
+		vms = append(vms, balance.VM{Name: name, Region: "north"})
+	}
+	return vms
+}
+
 func mostInWindow(at []time.Duration, window time.Duration) int {
 	most, from := 0, 0
 	for i := range at {
--- a/core/balance/cold.go
+++ b/core/balance/cold.go
@@ -33,7 +33,7 @@
 	own := unit(xxhash.Sum64String(b.self), s.seed)
 	rank := 0
 	for _, vm := range b.vms {
-		if vm != b.self && unit(xxhash.Sum64String(vm), s.seed) > own {
+		if vm.Name != b.self && unit(xxhash.Sum64String(vm.Name), s.seed) > own {
 			rank++
 		}
 	}
--- /dev/null
+++ b/core/balance/limit.go
@@ -0,0 +1,132 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"auburnlatch/core/target"
+	"auburnlatch/core/throttle"
+)
+
+// keepLimits is how long the limit of an upstream is kept that is off the register. Rows lapse
+// while the platform is away or an upstream is slow to renew them, and come back.
+const keepLimits = 5 * time.Minute
+
+// keptLimit is the limit of an incarnation that is not registered.
+type keptLimit struct {
+	limit *throttle.Limit
+	since time.Time // Zero until it is first looked at.
+}
+
+// keep keeps the limit of an incarnation that is off the register.
+func (b *Balancer) keep(s *state) {
+	if s.limited() {
+		b.kept[s.Incarnation()] = keptLimit{limit: s.limit}
+	}
+}
+
+// recall returns what is known of the limit of an incarnation that is registered anew.
+func (b *Balancer) recall(t *target.Target) *throttle.Limit {
+	name := t.Incarnation()
+	if k, ok := b.kept[name]; ok {
+		delete(b.kept, name)
+		return k.limit
+	}
+	return &throttle.Limit{}
+}
+
+// forgetLimits drops what was kept for long.
+func (b *Balancer) forgetLimits(now time.Time) {
+	for name, k := range b.kept {
+		switch {
+		case k.since.IsZero():
+			k.since = now
+			b.kept[name] = k
+		case now.Sub(k.since) > keepLimits:
+			delete(b.kept, name)
+		}
+	}
+}
+
+// limited reports whether the target names a limit.
+func (s *state) limited() bool {
+	_, ok := s.limit.PerSecond()
+	return ok
+}
+
+// placeAt returns this VM's place in the order of those that may send to a target that names
+// a limit: those of its region first, as they have most of its requests.
+func (b *Balancer) placeAt(s *state) throttle.Place {
+	if s.place.VMs == 0 && len(b.vms) > 0 {
+		own := unit(xxhash.Sum64String(b.self), s.seed)
+		rank := 0
+		for _, vm := range b.vms {
+			near, far := vm.Region == s.Region, b.region != s.Region
+			if vm.Name != b.self && (near && far || near != far && unit(xxhash.Sum64String(vm.Name), s.seed) > own) {
+				rank++
+			}
+		}
+		s.place = throttle.Place{Rank: rank, VMs: len(b.vms)}
+	}
+	return s.place
+}
+
+// comeBack returns when a caller should come back that found no target: when this VM may send
+// to one of those that name a limit, where these are all that could serve.
+func (b *Balancer) comeBack(now time.Time, p *pool, req Request) time.Duration {
+	var wait time.Duration
+	for _, s := range p.states {
+		if !s.Usable || req.Allowed != nil && !req.Allowed(s.Region) {
+			continue
+		}
+		if !s.limited() {
+			return comeBack
+		}
+		if next, ok := s.limit.Next(now, b.placeAt(s)); ok && (wait == 0 || next < wait) {
+			wait = next
+		}
+	}
+	return max(comeBack, wait)
+}
+
+// Admit reports whether the request of a lease may be sent now. Between the choice and the
+// moment at which a connection is there, the target may have named a limit.
+func (b *Balancer) Admit(now time.Time, l Lease) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return l.limited || l.state.limit.Take(now, b.placeAt(l.state))
+}
+
+// LimitReport is what one VM tells others of the limit of an upstream.
+type LimitReport struct {
+	// Target and Born name the incarnation.
+	Target string
+	Born   int64
+	throttle.Report
+}
+
+// LimitReports returns what other VMs should know of upstreams' limits.
+func (b *Balancer) LimitReports(now time.Time) []LimitReport {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []LimitReport
+	for _, s := range b.states {
+		if r, ok := s.limit.Report(now); ok {
+			list = append(list, LimitReport{s.ID, s.Born, r})
+		}
+	}
+	return list
+}
+
+// ToldLimits takes in what another VM tells of upstreams' limits. Of upstreams that are not
+// known here nothing is kept.
+func (b *Balancer) ToldLimits(now time.Time, list []LimitReport) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range list {
+		if s := b.states[r.Target]; s != nil && s.Born == r.Born {
+			s.limit.Told(now, r.Report)
+		}
+	}
+}
--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -182,7 +182,7 @@
 	var first [placeAmong]*state
 	var costs [placeAmong]float64
 	for _, s := range p.states {
-		if !s.Usable || s.Cold(now) || req.Allowed != nil && !req.Allowed(s.Region) || slices.Contains(req.Tried, s.ID) ||
+		if !s.Usable || s.Cold(now) || s.limited() || req.Allowed != nil && !req.Allowed(s.Region) || slices.Contains(req.Tried, s.ID) ||
 			!p.distrust && s.suspect(now, p.usual) {
 			continue
 		}
@@ -295,10 +295,12 @@
 	return b.objects
 }
 
-// Forget drops the places of objects that nobody has asked for in a while.
+// Forget drops the places of objects that nobody has asked for in a while, and what upstreams
+// said that have been off the register for long.
 func (b *Balancer) Forget(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.forgetLimits(now)
 	for _, placed := range b.placed {
 		for hash, pl := range placed.objects {
 			if now.Sub(pl.used) > forgetPlaced {
@@ -310,11 +312,13 @@
 	}
 }
 
-// replaced marks the states of targets that are not there any more.
-func replaced(old, states map[string]*state) {
+// replaced marks and returns the states of targets that are not there any more.
+func replaced(old, states map[string]*state) (gone []*state) {
 	for id, s := range old {
 		if states[id] != s {
 			s.gone = true
+			gone = append(gone, s)
 		}
 	}
+	return gone
 }
--- a/core/balance/state.go
+++ b/core/balance/state.go
@@ -27,8 +27,10 @@
 	region int
 	// gone says that the target is not registered any more.
 	gone bool
-	// limit is what the target says that it takes of all VMs.
-	limit throttle.Limit
+	// limit is what the target says that it takes of all VMs, and place this VM's in the order
+	// of those that may send it.
+	limit *throttle.Limit
+	place throttle.Place
 
 	inFlight int
 	// reported is the target's own word, as of reportedAt.
--- a/core/throttle/throttle.go
+++ b/core/throttle/throttle.go
@@ -1,14 +1,67 @@
-// Package throttle keeps what VMs send to an upstream within the request rate that the
-// upstream names in its answers.
+// Package throttle keeps what all VMs together send to an upstream within the request
+// rate that the upstream names in its answers, without asking anybody before a request is
+// sent.
+//
+// # The parts
+//
+// A few VMs, the senders, have equal parts of the rate, each in a token bucket; the others
+// send nothing to the upstream. Senders are the first in the upstream's order of the VMs that
+// callers use, so VMs that know the same members agree without a word. There are as many as
+// the upstream bears requests beyond its rate at once: a part of a small rate for each of
+// some hundred VMs is a request that comes too late for everybody, or too many at once.
+//
+// # What pays for not knowing
+//
+//   - A VM that knows fewer members may take itself for a sender. Half of what the upstream
+//     bears beyond its rate is left for that, and for requests that travel unequally long.
+//   - A VM that has just started knows no members and sends nothing.
+//   - A VM that sends nothing hears nothing. Senders hear with each answer whether the limit
+//     still holds, and VMs pass on what they heard, see Report.
+//   - Where nobody has heard of the upstream for quietAfter, as no sender has a request for
+//     it, one more VM after the other may send.
 //
 // # Usage
 //
 //	var l throttle.Limit                                   // Of one incarnation of an upstream.
 //	changed := l.Answered(now, sentAt, notice)             // With each of its answers.
+//	if l.Take(now, throttle.Place{Rank: 2, VMs: 40}) {     // Right before a request is sent.
+//		...
+//	}
+//	if r, ok := l.Report(now); ok { tell(r) }              // What other VMs should know,
+//	changed = l.Told(now, r)                               // and what they tell.
 package throttle
 
 import "time"
 
+// What an upstream bears beyond the rate that it names: half of it over a few seconds, and a
+// few requests.
+const (
+	excess  = 0.5
+	window  = 4 * time.Second
+	atLeast = 5
+)
+
+const (
+	// burstUsed is the part of that which the senders use.
+	burstUsed = 0.5
+	// rateUsed is the part of the rate that the senders use.
+	rateUsed = 0.9
+	// leastRate is a sender's rate a second at least, so that an upstream that takes nothing
+	// is asked now and then whether that still holds.
+	leastRate = 0.1
+	// burstSpan is the time for which a sender may save up its part.
+	burstSpan = time.Second
+	// quietAfter is the silence after which one more VM may send, and another one each
+	// quietStep after that.
+	quietAfter = 10 * time.Second
+	quietStep  = window
+	// reportFor is how long the end of a limit is told to other VMs.
+	reportFor = 15 * time.Second
+	// relayMargin is how much newer than what this VM heard itself another VM's word has to
+	// be that a limit is over: the time it travelled is not known.
+	relayMargin = 500 * time.Millisecond
+)
+
 // Kind says what an answer tells of a limit.
 type Kind int
 
@@ -29,13 +82,25 @@
 	PerSecond float64
 }
 
-// Limit is what one VM knows of the limit of one incarnation of an upstream. The zero
-// value is ready and knows of none. It is not safe for concurrent use.
+// Place is a VM's place in an upstream's order of the VMs that callers use.
+type Place struct {
+	// Rank is how many VMs come before it.
+	Rank int
+	// VMs is how many there are, this one included; 0: not known.
+	VMs int
+}
+
+// Limit is what one VM knows of the limit of one incarnation of an upstream, and its part
+// of it. The zero value is ready and knows of none. It is not safe for concurrent use.
 type Limit struct {
 	perSecond float64
 	limited   bool
-	// heardAt is when the newest word of the upstream was heard.
+	// heardAt is when the newest word of the upstream was heard, by whichever VM.
 	heardAt time.Time
+	// ownAt is when this VM heard it.
+	ownAt    time.Time
+	tokens   float64
+	filledAt time.Time
 }
 
 // Answered takes in what an answer says, and returns whether that is new. An answer without
@@ -44,14 +109,133 @@
 func (l *Limit) Answered(now, sentAt time.Time, n Notice) (changed bool) {
 	switch {
 	case n.Kind == Named:
-		changed = !l.limited || l.perSecond != n.PerSecond
-		l.limited, l.perSecond, l.heardAt = true, n.PerSecond, now
+		changed = l.set(now, now, n.PerSecond)
+		l.ownAt = now
 	case n.Kind == None && l.limited && sentAt.After(l.heardAt):
 		changed = true
-		l.limited, l.perSecond, l.heardAt = false, 0, now
+		l.lift(now)
+		l.ownAt = now
+	}
+	return changed
+}
+
+// set has a limit in force.
+func (l *Limit) set(now, heardAt time.Time, perSecond float64) (changed bool) {
+	changed = !l.limited || l.perSecond != perSecond
+	if !l.limited {
+		l.tokens, l.filledAt = 0, now
 	}
+	l.limited, l.perSecond, l.heardAt = true, perSecond, heardAt
 	return changed
 }
 
+func (l *Limit) lift(heardAt time.Time) { l.limited, l.perSecond, l.heardAt = false, 0, heardAt }
+
 // PerSecond returns the limit in force in requests a second; false: there is none.
 func (l *Limit) PerSecond() (float64, bool) { return l.perSecond, l.limited }
+
+// Ready reports whether a VM at a place may send a request now.
+func (l *Limit) Ready(now time.Time, p Place) bool {
+	if !l.limited {
+		return true
+	}
+	if !l.sends(now, p) {
+		return false
+	}
+	l.fill(now, p)
+	return l.tokens >= 1
+}
+
+// Take takes a request out of the part of a VM at a place, and reports whether it may be sent.
+func (l *Limit) Take(now time.Time, p Place) bool {
+	if !l.Ready(now, p) {
+		return false
+	}
+	if l.limited {
+		l.tokens--
+	}
+	return true
+}
+
+// Return gives back a request that was taken out and not sent.
+func (l *Limit) Return() { l.tokens++ }
+
+// Next returns after which time a VM at a place may send a request; false: it is no sender.
+func (l *Limit) Next(now time.Time, p Place) (time.Duration, bool) {
+	if !l.limited {
+		return 0, true
+	}
+	if !l.sends(now, p) {
+		return 0, false
+	}
+	l.fill(now, p)
+	return max(0, time.Duration((1-l.tokens)/l.rate(p)*float64(time.Second))), true
+}
+
+// sends reports whether a VM at a place is one of the senders.
+func (l *Limit) sends(now time.Time, p Place) bool {
+	if p.VMs == 0 {
+		return false
+	}
+	more := 0
+	if quiet := now.Sub(l.heardAt); quiet > quietAfter {
+		more = 1 + int((quiet-quietAfter)/quietStep)
+	}
+	return p.Rank < l.senders(p)+more
+}
+
+// burst is how many requests the senders together may send at once.
+func (l *Limit) burst() float64 { return burstUsed * (excess*l.perSecond*window.Seconds() + atLeast) }
+
+// senders is how many VMs may send.
+func (l *Limit) senders(p Place) int { return max(1, min(p.VMs, int(min(l.burst(), float64(p.VMs))))) }
+
+// rate is a sender's part in requests a second.
+func (l *Limit) rate(p Place) float64 {
+	return max(leastRate, rateUsed*l.perSecond/float64(l.senders(p)))
+}
+
+// fill refills the bucket up to now.
+func (l *Limit) fill(now time.Time, p Place) {
+	rate := l.rate(p)
+	depth := max(1, min(rate*burstSpan.Seconds(), l.burst()/float64(l.senders(p))))
+	if passed := now.Sub(l.filledAt); passed > 0 {
+		l.tokens += rate * passed.Seconds()
+		l.filledAt = now
+	}
+	l.tokens = min(l.tokens, depth)
+}
+
+// Report is what one VM tells others of the limit of an upstream.
+type Report struct {
+	// Limited says that there is a limit of PerSecond requests a second, else it is over.
+	Limited   bool
+	PerSecond float64
+	// Age is how long ago the upstream said so.
+	Age time.Duration
+}
+
+// Report returns what other VMs should know; false: nothing.
+func (l *Limit) Report(now time.Time) (Report, bool) {
+	if l.heardAt.IsZero() {
+		return Report{}, false
+	}
+	r := Report{l.limited, l.perSecond, max(0, now.Sub(l.heardAt))}
+	return r, r.Limited || r.Age < reportFor
+}
+
+// Told takes in what another VM tells, and returns whether that is new.
+func (l *Limit) Told(now time.Time, r Report) (changed bool) {
+	heardAt := now.Add(-max(0, r.Age))
+	if !heardAt.After(l.heardAt) || !(r.PerSecond >= 0) {
+		return false
+	}
+	if r.Limited {
+		return l.set(now, heardAt, r.PerSecond)
+	}
+	if !l.limited || heardAt.Before(l.ownAt.Add(relayMargin)) {
+		return false
+	}
+	l.lift(heardAt)
+	return true
+}
--- a/core/throttle/throttle_test.go
+++ b/core/throttle/throttle_test.go
@@ -1,6 +1,7 @@
 package throttle_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -42,3 +43,78 @@
 		}
 	}
 }
+
+func TestReady(t *testing.T) {
+	var unlimited throttle.Limit
+	if !unlimited.Take(at(0), throttle.Place{}) {
+		t.Error("without a limit a VM that knows no others may not send")
+	}
+	for _, c := range []struct {
+		name      string
+		perSecond float64
+		place     throttle.Place
+		after     int
+		want      bool
+	}{
+		{"no other VM, a part of a second", 2, throttle.Place{VMs: 1}, 100, false},
+		{"no other VM", 2, throttle.Place{VMs: 1}, 600, true},
+		{"just started", 2, throttle.Place{}, 5000, false},
+		{"first of many", 2, throttle.Place{VMs: 100}, 3000, true},
+		{"last of many", 2, throttle.Place{Rank: 99, VMs: 100}, 9000, false},
+		{"nothing is taken", 0, throttle.Place{VMs: 2}, 9000, false},
+		{"nothing is taken, asked now and then", 0, throttle.Place{VMs: 2}, 10_000, true},
+		{"nothing heard for long", 2, throttle.Place{Rank: 5, VMs: 100}, 18_500, true},
+	} {
+		var l throttle.Limit
+		l.Answered(at(0), at(0), named(c.perSecond))
+		if got := l.Ready(at(c.after), c.place); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestTold(t *testing.T) {
+	limited := func(perSecond float64, age int) throttle.Report {
+		return throttle.Report{Limited: true, PerSecond: perSecond, Age: time.Duration(age) * time.Millisecond}
+	}
+	over := func(age int) throttle.Report { return throttle.Report{Age: time.Duration(age) * time.Millisecond} }
+	for _, c := range []struct {
+		name    string
+		own     throttle.Notice // Heard at 0.
+		told    throttle.Report // Told at 1 s.
+		limited bool
+	}{
+		{"a limit", throttle.Notice{}, limited(2, 100), true},
+		{"no number", throttle.Notice{}, limited(math.NaN(), 100), false},
+		{"negative", throttle.Notice{}, limited(-1, 100), false},
+		{"over, newer than the own word", named(2), over(100), false},
+		{"over, no newer than the own word for certain", named(2), over(600), true},
+		{"over, older than the own word", named(2), over(2000), true},
+	} {
+		var l throttle.Limit
+		l.Answered(at(0), at(0), c.own)
+		l.Told(at(1000), c.told)
+		if _, got := l.PerSecond(); got != c.limited {
+			t.Errorf("%s: limited %v, want %v", c.name, got, c.limited)
+		}
+	}
+}
+
+// What a VM hears is told on as long as it matters, with its age.
+func TestReport(t *testing.T) {
+	var l throttle.Limit
+	if r, ok := l.Report(at(0)); ok {
+		t.Errorf("nothing heard: %+v", r)
+	}
+	l.Answered(at(0), at(0), named(2))
+	if r, ok := l.Report(at(1000)); !ok || r != (throttle.Report{Limited: true, PerSecond: 2, Age: time.Second}) {
+		t.Errorf("limited: %+v %v", r, ok)
+	}
+	l.Answered(at(2000), at(1500), throttle.Notice{})
+	if r, ok := l.Report(at(3000)); !ok || r != (throttle.Report{Age: time.Second}) {
+		t.Errorf("over: %+v %v", r, ok)
+	}
+	if r, ok := l.Report(at(60_000)); ok {
+		t.Errorf("over for long: %+v", r)
+	}
+}
--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -88,6 +88,7 @@
 	ReasonUnknownKey    Reason = "UnknownKey"
 	ReasonOverLimit     Reason = "OverLimit"
 	ReasonNotSure       Reason = "NotSure"
+	ReasonWithheld      Reason = "Withheld"
 )
 
 // Error is a request given up on.
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -73,7 +73,7 @@
 		}
 		last.drop()
 		last, lastErr = a, e
-		if e == nil || e.Reason != verdict.ReasonUnreachable {
+		if reached(e) {
 			sent++
 		}
 		if !v.mayRetry(ctx, req, e, sent) {
@@ -106,12 +106,18 @@
 	if e != nil && e.Verdict != verdict.NotRun && !req.idempotent() {
 		return false
 	}
-	if e != nil && e.Reason == verdict.ReasonUnreachable {
-		return true // It reached nobody, so it is no repeat.
+	if !reached(e) {
+		return true
 	}
 	return sent < max(1, req.route.Attempts) && v.retries.Retry(now, req.service)
 }
 
+// reached reports whether an upstream was sent the request. A request that reached nobody
+// may be sent without being a repeat.
+func reached(e *verdict.Error) bool {
+	return e == nil || e.Reason != verdict.ReasonUnreachable && e.Reason != verdict.ReasonWithheld
+}
+
 func (v *VM) choose(req *request, tried, avoid []string) (balance.Lease, error) {
 	now := time.Now()
 	table := v.table.Load()
@@ -143,7 +149,7 @@
 		e := verdict.As(err)
 		v.balancer.Done(time.Now(), lease, balance.Outcome{
 			Failed: e.Reason == verdict.ReasonUnreachable || e.Reason == verdict.ReasonBroken, Unreachable: e.Reason == verdict.ReasonUnreachable,
-			Unanswered: e.Verdict == verdict.MaybeRan,
+			Unanswered: e.Verdict == verdict.MaybeRan, NotSent: e.Reason == verdict.ReasonWithheld,
 		})
 		v.unanswered(req, lease, began, e)
 		v.requests.tried(v, req, lease, 0, e)
@@ -228,6 +234,7 @@
 		Target: lease.Target.Incarnation(), Addr: lease.Target.Addr,
 		Method: req.http.Method, URI: req.http.RequestURI, Host: req.http.Host, Header: h,
 		Body: req.body, Rest: req.rest, Length: req.length,
+		Admit:      func(now time.Time) bool { return v.balancer.Admit(now, lease) },
 		EchoHeader: v.protocol.RequestID, EchoID: req.id,
 	}
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -65,6 +65,7 @@
 	limits    ratelimit.Limiter
 	collector ratelimit.Collector
 	others    atomic.Pointer[others]
+	mates     atomic.Pointer[map[string]bool] // Addresses of VMs that may tell of upstreams.
 	upstreams *upstream.Pool
 	picks     route.Picks
 	guard     *quarantine.Guard
@@ -156,7 +157,7 @@
 	}
 	sync := peer.NewReplicaServer(v.members, v.replicas, v.signalChange, &v.sent)
 	go serving.Run(func(l net.Listener) error { return sync.Serve(live, l) }, control)
-	datagrams, err := peer.ListenDatagrams(cfg.PeerAddr, v.balancer, v.guard.Ledger(), peer.WithLimits(limitTable{v}), peer.WithDatagramsCounted(&v.sent))
+	datagrams, err := peer.ListenDatagrams(cfg.PeerAddr, v.balancer, v.guard.Ledger(), peer.WithLimits(limitTable{v}), peer.WithUpstreams(upstreamTable{v}), peer.WithDatagramsCounted(&v.sent))
 	if err != nil {
 		return err
 	}
@@ -187,7 +188,7 @@
 func (v *VM) startLoops(ctx context.Context, datagrams *peer.Datagrams) {
 	for _, loop := range []func(context.Context){
 		v.tripLoop, v.heartbeatLoop, v.rulesLoop, v.targetsLoop, v.applyLoop, v.addressLoop, v.requests.loop, v.sentLoop,
-		(&pusher{vm: v}).loop, (&placementTeller{vm: v, peer: datagrams}).loop, (&limitTeller{vm: v, peer: datagrams}).loop, datagrams.Run,
+		(&pusher{vm: v}).loop, (&placementTeller{vm: v, peer: datagrams}).loop, (&limitTeller{vm: v, peer: datagrams}).loop, (&noticeTeller{vm: v, peer: datagrams}).loop, datagrams.Run,
 	} {
 		v.background.Start(ctx, loop)
 	}
--- a/io/entry/limits.go
+++ b/io/entry/limits.go
@@ -97,10 +97,10 @@
 func (v *VM) usedAddrs(now time.Time) []string {
 	cfg := v.cfg.Load()
 	var addrs []string
-	for _, name := range v.sendingVMs(now) {
-		if name == cfg.Name {
+	for _, vm := range v.sendingVMs(now) {
+		if vm.Name == cfg.Name {
 			addrs = append(addrs, cfg.PeerAddr)
-		} else if m, ok := v.members.Mate(now, name); ok {
+		} else if m, ok := v.members.Mate(now, vm.Name); ok {
 			addrs = append(addrs, m.VM.Address.Peer)
 		}
 	}
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"auburnlatch/core/balance"
 	"auburnlatch/core/callers"
 	"auburnlatch/core/member"
 	"auburnlatch/io/lifecycle"
@@ -73,21 +74,25 @@
 // upstreams whose turns fall to those would get nothing for as long as they are cold.
 // This VM always is one. One that gets callers may not be known to the others for two
 // heartbeats, and takes a turn of its own then.
-func (v *VM) sendingVMs(now time.Time) []string {
+func (v *VM) sendingVMs(now time.Time) []balance.VM {
 	cfg := v.cfg.Load()
-	sending := map[string]bool{cfg.Name: true}
+	sending := map[string]string{cfg.Name: cfg.Region}
 	mates := v.members.Mates(now)
 	for _, m := range mates {
 		if m.State != member.Gone && now.Sub(m.Heard) < forgetAfter && m.VM.Traffic.Requests > 0 {
-			sending[m.VM.Name] = true
+			sending[m.VM.Name] = cfg.Regions[m.VM.Zone]
 		}
 	}
-	for _, near := range v.takersByRegion(now, mates) {
+	for region, near := range v.takersByRegion(now, mates) {
 		for _, vm := range callers.Named(near) {
-			sending[vm.Name] = true
+			sending[vm.Name] = region
 		}
 	}
-	return slices.Sorted(maps.Keys(sending))
+	vms := make([]balance.VM, 0, len(sending))
+	for _, name := range slices.Sorted(maps.Keys(sending)) {
+		vms = append(vms, balance.VM{Name: name, Region: sending[name]})
+	}
+	return vms
 }
 
 // knownNames returns all VMs that may be running, silent ones included: shares
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -130,7 +130,7 @@
 	for lifecycle.Pause(ctx, sentEvery) {
 		s := v.sent.Sent()
 		v.log.WithFields(logrus.Fields{
-			"Members": s.Members, "Tables": s.Tables, "Placements": s.Placements, "Poison": s.Poison, "Demand": s.Demand,
+			"Members": s.Members, "Tables": s.Tables, "Placements": s.Placements, "Poison": s.Poison, "Demand": s.Demand, "Upstreams": s.Upstreams,
 		}).Info("ControlSent")
 	}
 }
--- a/io/entry/naming_test.go
+++ b/io/entry/naming_test.go
@@ -67,7 +67,10 @@
 func TestTurnsAtColdUpstreamsFallToVMsWithCallers(t *testing.T) {
 	v, now := vmAmong(22, sizes)
 	for _, at := range []time.Time{now, now.Add(failAfter + time.Second)} {
-		names := v.sendingVMs(at)
+		var names []string
+		for _, vm := range v.sendingVMs(at) {
+			names = append(names, vm.Name)
+		}
 		if len(names) < 20 || len(names) > 24 {
 			t.Errorf("%d VMs share the turns, want the 20 with callers and this one", len(names))
 		}
--- a/io/entry/notice.go
+++ b/io/entry/notice.go
@@ -1,15 +1,29 @@
 package entry
 
 import (
+	"context"
+	"maps"
 	"math"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"auburnlatch/core/balance"
 	"auburnlatch/core/throttle"
+	"auburnlatch/io/lifecycle"
+	"auburnlatch/io/peer"
+)
+
+const (
+	// noticeEvery is how often VMs pass on what upstreams say of themselves, each to
+	// noticePartners others: a word is with 300 VMs after about six rounds.
+	noticeEvery    = 500 * time.Millisecond
+	noticePartners = 2
 )
 
 // notice returns what an upstream says of itself in the header of an answer.
@@ -57,3 +71,42 @@
 	}
 	l.log.WithFields(f).Info("UpstreamNotice")
 }
+
+// noticeTeller passes on to other VMs what upstreams say of themselves.
+type noticeTeller struct {
+	vm   *VM
+	peer *peer.Datagrams
+}
+
+// loop tells until ctx ends.
+func (t *noticeTeller) loop(ctx context.Context) {
+	lifecycle.Every(ctx, noticeEvery, t.tell)
+}
+
+// tell tells a few VMs.
+func (t *noticeTeller) tell(now time.Time) {
+	mates := t.vm.peerAddrs(now)
+	t.vm.mates.Store(&mates)
+	list := t.vm.balancer.LimitReports(now)
+	if len(list) == 0 || len(mates) == 0 {
+		return
+	}
+	addrs := slices.Collect(maps.Keys(mates))
+	for range noticePartners {
+		t.peer.TellLimits([]string{addrs[rand.IntN(len(addrs))]}, list)
+	}
+}
+
+// upstreamTable is what datagrams about upstreams are taken by.
+type upstreamTable struct{ *VM }
+
+// Knows implements peer.UpstreamTable.
+func (u upstreamTable) Knows(addr string) bool {
+	mates := u.mates.Load()
+	return mates != nil && (*mates)[addr]
+}
+
+// ToldLimits implements peer.UpstreamTable.
+func (u upstreamTable) ToldLimits(now time.Time, list []balance.LimitReport) {
+	u.balancer.ToldLimits(now, list)
+}
--- a/io/peer/datagram.go
+++ b/io/peer/datagram.go
@@ -66,6 +66,15 @@
 	Heard(now time.Time, t ratelimit.Total)
 }
 
+// UpstreamTable is what a VM knows of what upstreams say of themselves.
+type UpstreamTable interface {
+	// Knows reports whether the sender at an address, IP:port, is a VM. Others are not heard:
+	// they could keep all VMs from an upstream.
+	Knows(addr string) bool
+	// ToldLimits takes in what another VM knows of upstreams' limits.
+	ToldLimits(now time.Time, list []balance.LimitReport)
+}
+
 // Datagrams tells other VMs at once what they had better know: where objects belong, and
 // which requests end upstreams. Nothing waits for it. A placement that is lost costs an
 // object one more first touch; a ban that is lost is told again to those who differ.
@@ -74,6 +83,7 @@
 	placements PlacementTable
 	poison     PoisonTable
 	limits     LimitTable
+	upstreams  UpstreamTable
 	sent       *SentCounter
 }
 
@@ -86,6 +96,9 @@
 // WithLimits has the demand of teams with limits told and taken.
 func WithLimits(t LimitTable) DatagramsOption { return func(d *Datagrams) { d.limits = t } }
 
+// WithUpstreams has what upstreams say of themselves told and taken.
+func WithUpstreams(t UpstreamTable) DatagramsOption { return func(d *Datagrams) { d.upstreams = t } }
+
 // ListenDatagrams listens at an address, IP:port. Without placements (nil) none are told
 // nor taken.
 func ListenDatagrams(addr string, placements PlacementTable, poisoned PoisonTable, opts ...DatagramsOption) (*Datagrams, error) {
@@ -126,6 +139,9 @@
 		if d.limits != nil && (m.GetDemand() != nil || m.GetTotal() != nil) {
 			d.takeDemand(from, &m)
 		}
+		if d.upstreams != nil && len(m.GetLimits()) > 0 && d.upstreams.Knows(from.String()) {
+			d.upstreams.ToldLimits(time.Now(), wire.Limits(m.GetLimits()))
+		}
 	}
 }
 
@@ -210,6 +226,17 @@
 	})
 }
 
+// TellLimits tells VMs of upstreams' limits.
+func (d *Datagrams) TellLimits(addrs []string, list []balance.LimitReport) {
+	d.each(addrs, func(to netip.AddrPort) {
+		for rest := list; len(rest) > 0; {
+			n := min(perDatagram, len(rest))
+			d.send(to, &schema.Datagram{Limits: wire.FromLimits(rest[:n])})
+			rest = rest[n:]
+		}
+	})
+}
+
 // each calls f with each address that is one.
 func (d *Datagrams) each(addrs []string, f func(netip.AddrPort)) {
 	for _, addr := range addrs {
@@ -242,6 +269,8 @@
 		n = &d.sent.Poison
 	case m.GetDemand() != nil || m.GetTotal() != nil:
 		n = &d.sent.Demand
+	case len(m.GetLimits()) > 0:
+		n = &d.sent.Upstreams
 	}
 	n.Add(int64(bytes))
 }
--- a/io/peer/sent.go
+++ b/io/peer/sent.go
@@ -13,16 +13,16 @@
 type SentCounter struct {
 	// Members are digests and entries of VMs, Tables heads and rows of copies.
 	Members, Tables atomic.Int64
-	// Placements, Poison and Demand are datagrams.
-	Placements, Poison, Demand atomic.Int64
+	// Placements, Poison, Demand and Upstreams are datagrams.
+	Placements, Poison, Demand, Upstreams atomic.Int64
 }
 
 // Sent is a SentCounter at one moment.
-type Sent struct{ Members, Tables, Placements, Poison, Demand int64 }
+type Sent struct{ Members, Tables, Placements, Poison, Demand, Upstreams int64 }
 
 // Sent returns what was sent so far.
 func (t *SentCounter) Sent() Sent {
-	return Sent{t.Members.Load(), t.Tables.Load(), t.Placements.Load(), t.Poison.Load(), t.Demand.Load()}
+	return Sent{t.Members.Load(), t.Tables.Load(), t.Placements.Load(), t.Poison.Load(), t.Demand.Load(), t.Upstreams.Load()}
 }
 
 // count counts an answer or what is handed over.
--- a/io/upstream/call.go
+++ b/io/upstream/call.go
@@ -27,6 +27,10 @@
 	// Length of the whole body in bytes; -1: not known, sent in chunks.
 	Length int64
 
+	// Admit is asked right before the request is written; false keeps it from being sent.
+	// nil: nothing is asked.
+	Admit func(now time.Time) bool
+
 	// EchoHeader is the field in which the upstream repeats EchoID; empty: it
 	// repeats nothing.
 	EchoHeader, EchoID string
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -24,6 +24,8 @@
 	// without power or behind a cut sends no reset; without it a connection would
 	// hang until the request's deadline.
 	tcpUserTimeout = 1500 * time.Millisecond
+	// retryWithheld is when to come back after a request was kept from its upstream.
+	retryWithheld = 250 * time.Millisecond
 	// optTCPUserTimeout is TCP_USER_TIMEOUT, which package syscall does not name.
 	optTCPUserTimeout = 18
 )
@@ -75,6 +77,10 @@
 		p.put(call.Target, c)
 		return nil, verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.ReasonCanceled, 0)
 	}
+	if call.Admit != nil && !call.Admit(time.Now()) {
+		p.put(call.Target, c)
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonWithheld, retryWithheld)
+	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	e := &exchange{conn: c, call: call, wrote: make(chan struct{})}
 	before := c.written.Load()
