--- a/tools/soak/chaos.go
+++ b/tools/soak/chaos.go
@@ -42,14 +42,23 @@
 var faults = []fault{
 	{"vmKilled", func(f *fleet, i int, _ time.Duration) error { return f.vm(i).restart(syscall.SIGKILL) }},
 	{"vmStopped", func(f *fleet, i int, _ time.Duration) error { return f.vm(i).restart(syscall.SIGTERM) }},
-	{"vmPaused", func(f *fleet, i int, d time.Duration) error { return paused(f.vm(i).process, d) }},
+	{"vmPaused", func(f *fleet, i int, d time.Duration) error {
+		defer f.excuses.begin(f.vm(i).name)()
+		return paused(f.vm(i).process, d)
+	}},
 	{"vmReloaded", func(f *fleet, i int, _ time.Duration) error { f.vm(i).signal(syscall.SIGHUP); return nil }},
 	{"storePaused", func(f *fleet, _ int, d time.Duration) error { return paused(f.store, d) }},
 	{"storePathFaulty", func(f *fleet, i int, d time.Duration) error { return faulty(f.vm(i).store, i, d) }},
 	{"upstreamKilled", func(f *fleet, i int, _ time.Duration) error { return f.upstream(i).restart(syscall.SIGKILL) }},
 	{"upstreamDrained", func(f *fleet, i int, _ time.Duration) error { return f.upstream(i).restart(syscall.SIGTERM) }},
-	{"upstreamPaused", func(f *fleet, i int, d time.Duration) error { return paused(f.upstream(i).process, d) }},
-	{"upstreamPathFaulty", func(f *fleet, i int, d time.Duration) error { return faulty(f.upstream(i).path, i, d) }},
+	{"upstreamPaused", func(f *fleet, i int, d time.Duration) error {
+		defer f.excuses.begin(f.upstream(i).name)()
+		return paused(f.upstream(i).process, d)
+	}},
+	{"upstreamPathFaulty", func(f *fleet, i int, d time.Duration) error {
+		defer f.excuses.begin(f.upstream(i).name)()
+		return faulty(f.upstream(i).path, i, d)
+	}},
 	{"poisonSent", func(f *fleet, i int, d time.Duration) error { f.sendPoison(i, d); return nil }},
 	{"rulesChanged", func(f *fleet, _ int, _ time.Duration) error { return f.setConfig() }},
 	{"zoneEvacuated", func(f *fleet, i int, d time.Duration) error {
@@ -113,7 +122,7 @@
 	req.Host = "h"
 	req.Header.Set(platform.Protocol().RequestID, id)
 	req.Header.Set(platform.Protocol().DeadlineMillis, "1500")
-	p.fleet.ledger.poisoned(id)
+	p.fleet.ledger.poisoned(id, p.vm)
 	if resp, err := p.client.Do(req); err == nil {
 		resp.Body.Close()
 	}
@@ -239,7 +248,7 @@
 	req.Host = "h"
 	req.Header.Set(p.RequestID, id)
 	req.Header.Set(p.DeadlineMillis, "1500")
-	c.fleet.ledger.asked(id, once)
+	c.fleet.ledger.asked(id, v, once)
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return
@@ -280,7 +289,12 @@
 	asks := &prober{fleet: f, rnd: rand.New(rand.NewPCG(seed, 2000)), client: &http.Client{Timeout: 3 * time.Second}, wait: &wait}
 	go asks.run(ctx)
 	ch := &chaos{fleet: f, rnd: rand.New(rand.NewPCG(seed, 1000)), busy: make(map[string]*sync.Mutex)}
-	ch.run(time.Now().Add(cmd.For))
+	end := time.Now().Add(cmd.For)
+	says := &notices{fleet: f, rnd: rand.New(rand.NewPCG(seed, 4000))}
+	if cmd.Notices {
+		wait.Go(func() { says.run(ctx, end) })
+	}
+	ch.run(end)
 	calm := time.Now().Add(settle)
 	<-time.After(time.Until(calm))
 	wait.Add(1)
@@ -292,6 +306,7 @@
 	versions := f.versionsSoFar()
 	r := &result{seed: seed, faults: ch.names, began: began, moments: ch.faults, probed: len(asks.probes), versions: len(versions)}
 	f.ledger.judge(r, calm)
+	r.broken = append(r.broken, f.ledger.judgeNotices(&f.excuses)...)
 	r.broken = append(r.broken, judgeRules(asks.probes, versions)...)
 	r.broken = append(r.broken, f.endedByThemselves()...)
 	for _, err := range ch.errs {
--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -75,8 +75,9 @@
 // upstreamProc is one upstream; each start is a new incarnation.
 type upstreamProc struct {
 	*process
-	path  *proxy
-	lives int
+	path   *proxy
+	listen string
+	lives  int
 }
 
 // fleet is all processes of a seed.
@@ -87,6 +88,7 @@
 	vms       []*vm
 	upstreams []*upstreamProc
 	ledger    *ledger
+	excuses   excuses
 	poisons   atomic.Int64 // Sent so far.
 	taking    bool         // See proxy.
 
@@ -161,7 +163,7 @@
 	if err != nil {
 		return err
 	}
-	u := &upstreamProc{path: path}
+	u := &upstreamProc{path: path, listen: listen}
 	zone, _ := zoneOf(i)
 	u.process = &process{name: fmt.Sprint("upstream-", i), out: &lineWriter{take: f.ledger.ran}, args: func() []string {
 		u.lives++
--- a/tools/soak/ledger.go
+++ b/tools/soak/ledger.go
@@ -21,6 +21,8 @@
 	late   bool
 	left   bool // Its caller left, or it stood unread behind an answer that closes.
 	at     time.Time
+	// vm is the VM that was asked, and process its process at that moment.
+	vm, process string
 }
 
 // ledger has all requests, from what callers and upstreams saw.
@@ -31,9 +33,12 @@
 	repeats []time.Time
 	// other is what upstreams wrote besides: why they ended, if by themselves.
 	other []string
+	heard map[string]*heard // By upstreams' incarnations.
 }
 
-func newLedger() *ledger { return &ledger{entries: make(map[string]*entry)} }
+func newLedger() *ledger {
+	return &ledger{entries: make(map[string]*entry), heard: make(map[string]*heard)}
+}
 
 func (l *ledger) entry(id string) *entry {
 	e := l.entries[id]
@@ -45,24 +50,25 @@
 }
 
 // asked notes a request before it is sent.
-func (l *ledger) asked(id string, once bool) {
+func (l *ledger) asked(id string, v *vm, once bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entry(id)
 	e.once, e.at = once, time.Now()
+	e.vm, e.process = v.name, fmt.Sprint(v.name, "/", v.lives.Load())
 }
 
 // probed notes a question which rules are in force, before it is sent.
-func (l *ledger) probed(id string) {
-	l.asked(id, false)
+func (l *ledger) probed(id string, v *vm) {
+	l.asked(id, v, false)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.entry(id).probe = true
 }
 
 // poisoned notes a request that ends upstreams, before it is sent.
-func (l *ledger) poisoned(id string) {
-	l.probed(id)
+func (l *ledger) poisoned(id string, v *vm) {
+	l.probed(id, v)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.entry(id).poison = true
@@ -104,12 +110,16 @@
 	defer l.mu.Unlock()
 	switch what {
 	case "Got":
+		id, upstream, _ := strings.Cut(id, " ")
+		l.took(id, upstream)
 		e := l.entry(id)
 		if e.got++; e.got > 1 {
 			l.repeats = append(l.repeats, time.Now())
 		}
 	case "Ran":
 		l.entry(id).ran++
+	case "Said":
+		l.tell(id)
 	case "Late":
 		l.entry(id).late = true
 	default:
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -42,6 +42,7 @@
 	VMs       int           `help:"VMs." default:"6" name:"vms"`
 	Upstreams int           `help:"Upstreams." default:"8"`
 	Taking    bool          `help:"The ways to upstreams take connections also when the upstream has ended, and reset them."`
+	Notices   bool          `help:"Upstreams say of themselves what they take."`
 	Plots     string        `help:"Where to draw a timeline of each seed." type:"path"`
 	Logs      string        `help:"Where to keep the VMs' logs of seeds that fail." type:"path"`
 }
--- a/tools/soak/pipeline.go
+++ b/tools/soak/pipeline.go
@@ -61,7 +61,7 @@
 		ids[i] = fmt.Sprint(name, "-", i)
 		names := platform.Protocol()
 		fmt.Fprintf(&text, "GET /get/1 HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: 1500\r\n\r\n", names.RequestID, ids[i], names.DeadlineMillis)
-		p.fleet.ledger.asked(ids[i], false)
+		p.fleet.ledger.asked(ids[i], v, false)
 	}
 	if _, err := io.WriteString(conn, text.String()); err != nil {
 		return
--- a/tools/soak/probe.go
+++ b/tools/soak/probe.go
@@ -72,7 +72,7 @@
 	req.Host = "h"
 	req.Header.Set(platform.Protocol().RequestID, id)
 	found := probe{vm: v.name, life: v.lives.Load(), version: number, sent: time.Now()}
-	p.fleet.ledger.probed(id)
+	p.fleet.ledger.probed(id, v)
 	resp, err := p.client.Do(req)
 	if err != nil {
 		return
