What an upstream says of its leaving in answers is kept, logged and dumped

Nothing told the hypotheses apart: no line said when an answer told that its upstream leaves. UpstreamNotice does, and the dump has it for each target. What upstreams say is kept in one place for each incarnation. Nothing is decided by it yet.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -73,8 +73,8 @@
 	placeChanges uint64
 	joined       bool
 	tell         func()
-	// kept are the limits of incarnations that are not registered, by their names.
-	kept map[string]keptLimit
+	// kept is what incarnations said that are not registered, by their names.
+	kept map[string]keptSaid
 	off  [mechanisms]bool
 }
 
@@ -117,7 +117,7 @@
 		self: self, region: region, zone: zone,
 		states: make(map[string]*state), services: make(map[string]*pool), stats: make(map[string]*serviceStats), crowds: make(map[crowdKey]*crowd),
 		trips: make(map[string]time.Duration), regions: make(map[string]string), routes: make(map[string]*traffic),
-		placed: make(map[placeKey]*placements), kept: make(map[string]keptLimit),
+		placed: make(map[placeKey]*placements), kept: make(map[string]keptSaid),
 	}
 	for _, opt := range opts {
 		opt(b)
@@ -155,7 +155,7 @@
 		if s == nil || s.Born != t.Born {
 			s = &state{
 				seed: xxhash.Sum64String(t.ID), weight: float64(t.Slots), usual: b.statsOf(t.Service), others: b.crowdOf(t), off: &b.off,
-				limit: b.recall(t),
+				said: b.recall(t),
 			}
 			if t.Zone == b.zone && !b.off[ZonePull] {
 				s.weight *= zonePull
@@ -229,19 +229,6 @@
 	return known[len(known)/2]
 }
 
-// Notice is what an upstream says of itself in the header of an answer.
-type Notice struct {
-	Limit throttle.Notice
-}
-
-// Heard takes in what a target says in the header of an answer to a lease's request, and
-// returns whether that is new.
-func (b *Balancer) Heard(now time.Time, l Lease, n Notice) (changed bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return l.state.limit.Answered(now, l.sentAt, n.Limit)
-}
-
 // Done gives a place back and takes in what came of the request.
 func (b *Balancer) Done(now time.Time, l Lease, o Outcome) {
 	b.mu.Lock()
@@ -249,7 +236,7 @@
 	s := l.state
 	s.inFlight--
 	if l.limited && (o.Unreachable || o.NotSent) {
-		s.limit.Return()
+		s.said.limit.Return()
 	}
 	if o.Answered {
 		l.traffic.carried(o.Bytes)
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -86,7 +86,7 @@
 		s.quietSince = now
 	}
 	lease := Lease{Target: s.Target, state: s, traffic: tr, sentAt: now, Ahead: s.busy(now), Owner: owner, Trip: b.roundTrip(s)}
-	lease.limited = s.limited() && s.limit.Take(now, b.placeAt(s))
+	lease.limited = s.limited() && s.said.limit.Take(now, b.placeAt(s))
 	s.inFlight++
 	return lease, nil
 }
@@ -171,7 +171,7 @@
 	if req.Allowed != nil && !req.Allowed(s.Region) {
 		return false
 	}
-	if s.limited() && !s.limit.Ready(now, b.placeAt(s)) {
+	if s.limited() && !s.said.limit.Ready(now, b.placeAt(s)) {
 		return false
 	}
 	return !s.Cold(now) || b.coldTurn(now, s, req.ColdPerSecond)
--- a/core/balance/dump.go
+++ b/core/balance/dump.go
@@ -16,6 +16,8 @@
 	Latency                 time.Duration
 	// Limit is how many requests a second the target takes of all VMs; nil: it names none.
 	Limit *float64
+	// Leaving says that the target said so in an answer.
+	Leaving bool
 }
 
 // Dump returns what is believed of all targets, in order of service and ID.
@@ -28,8 +30,9 @@
 			t := TargetState{
 				ID: s.ID, Service: s.Service, Addr: s.Addr, Zone: s.Zone, Usable: s.Usable, Cold: s.Cold(now),
 				Suspect: s.suspect(now, p.usual), InFlight: s.inFlight, Busy: s.busy(now), Failing: s.failing, Latency: s.latency,
+				Leaving: s.said.leaving,
 			}
-			if perSecond, ok := s.limit.PerSecond(); ok {
+			if perSecond, ok := s.said.limit.PerSecond(); ok {
 				t.Limit = &perSecond
 			}
 			list = append(list, t)
@@ -73,7 +76,7 @@
 		if s.busy(now) >= otherDepth*float64(s.Slots) {
 			c.Full++
 		}
-		if _, ok := s.limit.PerSecond(); ok {
+		if s.limited() {
 			c.Limited++
 		}
 	}
--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -300,7 +300,7 @@
 func (b *Balancer) Forget(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.forgetLimits(now)
+	b.forgetSaid(now)
 	for _, placed := range b.placed {
 		for hash, pl := range placed.objects {
 			if now.Sub(pl.used) > forgetPlaced {
--- a/core/balance/limit.go
+++ b/core/balance/said.go
@@ -9,49 +9,81 @@
 	"auburnlatch/core/throttle"
 )
 
-// keepLimits is how long the limit of an upstream is kept that is off the register. Rows lapse
+// keepSaid is how long what an upstream said is kept once it is off the register. Rows lapse
 // while the platform is away or an upstream is slow to renew them, and come back.
-const keepLimits = 5 * time.Minute
+const keepSaid = time.Hour
 
-// keptLimit is the limit of an incarnation that is not registered.
-type keptLimit struct {
-	limit *throttle.Limit
+// said is what an incarnation of an upstream said of itself in answers.
+type said struct {
+	limit   throttle.Limit
+	leaving bool
+}
+
+// matters reports whether the incarnation said anything that has to outlive its row.
+func (s *said) matters() bool {
+	_, limited := s.limit.PerSecond()
+	return limited || s.leaving
+}
+
+// keptSaid is what an incarnation said that is not registered.
+type keptSaid struct {
+	*said
 	since time.Time // Zero until it is first looked at.
 }
 
-// keep keeps the limit of an incarnation that is off the register.
+// keep keeps what an incarnation said that is off the register.
 func (b *Balancer) keep(s *state) {
-	if s.limited() {
-		b.kept[s.Incarnation()] = keptLimit{limit: s.limit}
+	if s.said.matters() {
+		b.kept[s.Incarnation()] = keptSaid{said: s.said}
 	}
 }
 
-// recall returns what is known of the limit of an incarnation that is registered anew.
-func (b *Balancer) recall(t *target.Target) *throttle.Limit {
+// recall returns what an incarnation said that is registered anew.
+func (b *Balancer) recall(t *target.Target) *said {
 	name := t.Incarnation()
 	if k, ok := b.kept[name]; ok {
 		delete(b.kept, name)
-		return k.limit
+		return k.said
 	}
-	return &throttle.Limit{}
+	return &said{}
 }
 
-// forgetLimits drops what was kept for long.
-func (b *Balancer) forgetLimits(now time.Time) {
+// forgetSaid drops what was kept for long.
+func (b *Balancer) forgetSaid(now time.Time) {
 	for name, k := range b.kept {
 		switch {
 		case k.since.IsZero():
 			k.since = now
 			b.kept[name] = k
-		case now.Sub(k.since) > keepLimits:
+		case now.Sub(k.since) > keepSaid:
 			delete(b.kept, name)
 		}
 	}
 }
 
+// Notice is what an upstream says of itself in the header of an answer.
+type Notice struct {
+	Limit throttle.Notice
+	// Leaving says that the upstream is going away and wants nothing new.
+	Leaving bool
+}
+
+// Heard takes in what a target says in the header of an answer to a lease's request, and
+// returns whether that is new.
+func (b *Balancer) Heard(now time.Time, l Lease, n Notice) (changed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	said := l.state.said
+	changed = said.limit.Answered(now, l.sentAt, n.Limit)
+	if n.Leaving && !said.leaving {
+		said.leaving, changed = true, true
+	}
+	return changed
+}
+
 // limited reports whether the target names a limit.
 func (s *state) limited() bool {
-	_, ok := s.limit.PerSecond()
+	_, ok := s.said.limit.PerSecond()
 	return ok
 }
 
@@ -83,7 +115,7 @@
 		if !s.limited() {
 			return comeBack
 		}
-		if next, ok := s.limit.Next(now, b.placeAt(s)); ok && (wait == 0 || next < wait) {
+		if next, ok := s.said.limit.Next(now, b.placeAt(s)); ok && (wait == 0 || next < wait) {
 			wait = next
 		}
 	}
@@ -95,7 +127,7 @@
 func (b *Balancer) Admit(now time.Time, l Lease) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return l.limited || l.state.limit.Take(now, b.placeAt(l.state))
+	return l.limited || l.state.said.limit.Take(now, b.placeAt(l.state))
 }
 
 // LimitReport is what one VM tells others of the limit of an upstream.
@@ -112,7 +144,7 @@
 	defer b.mu.Unlock()
 	var list []LimitReport
 	for _, s := range b.states {
-		if r, ok := s.limit.Report(now); ok {
+		if r, ok := s.said.limit.Report(now); ok {
 			list = append(list, LimitReport{s.ID, s.Born, r})
 		}
 	}
@@ -126,7 +158,7 @@
 	defer b.mu.Unlock()
 	for _, r := range list {
 		if s := b.states[r.Target]; s != nil && s.Born == r.Born {
-			s.limit.Told(now, r.Report)
+			s.said.limit.Told(now, r.Report)
 		}
 	}
 }
--- a/core/balance/state.go
+++ b/core/balance/state.go
@@ -27,9 +27,10 @@
 	region int
 	// gone says that the target is not registered any more.
 	gone bool
-	// limit is what the target says that it takes of all VMs, and place this VM's in the order
-	// of those that may send it.
-	limit *throttle.Limit
+	// said is what the target said of itself in answers.
+	said *said
+	// place is this VM's in the order of those that may send to the target while it names a
+	// limit.
 	place throttle.Place
 
 	inFlight int
--- a/io/entry/doc.go
+++ b/io/entry/doc.go
@@ -97,6 +97,8 @@
 	// Limit is how many requests a second the upstream takes of all VMs together, as a
 	// decimal number; an answer without it says that there is no limit.
 	Limit string
+	// Leaving is "1" in the answers of an upstream that is going away and wants nothing new.
+	Leaving string
 	// Team tells an upstream whose request it is.
 	Team string
 	// Key returns the object that a request concerns, or "".
--- a/io/entry/fake_test.go
+++ b/io/entry/fake_test.go
@@ -254,7 +254,7 @@
 func (u *upstreamServer) addr() string { return strings.TrimPrefix(u.URL, "http://") }
 
 var protocol = entry.Protocol{
-	RequestID: "Request-Id", DeadlineMillis: "Deadline-Ms", ExpectTarget: "Expect-Target", NotRun: "Not-Run", Load: "Load", Limit: "Limit", Team: "Team",
+	RequestID: "Request-Id", DeadlineMillis: "Deadline-Ms", ExpectTarget: "Expect-Target", NotRun: "Not-Run", Load: "Load", Limit: "Limit", Leaving: "Leaving", Team: "Team",
 	Key:    func(r *http.Request) string { return r.Header.Get("Object") },
 	Caller: func(r *http.Request) string { return r.Header.Get("Caller") },
 }
--- a/io/entry/notice.go
+++ b/io/entry/notice.go
@@ -32,6 +32,9 @@
 	if name := v.protocol.Limit; name != "" {
 		n.Limit = limitOf(h.Values(name))
 	}
+	if name := v.protocol.Leaving; name != "" {
+		n.Leaving = slices.ContainsFunc(h.Values(name), func(text string) bool { return strings.TrimSpace(text) == "1" })
+	}
 	return n
 }
 
@@ -69,6 +72,9 @@
 	if n.Limit.Kind == throttle.Named {
 		f["LimitPerSecond"] = n.Limit.PerSecond
 	}
+	if n.Leaving {
+		f["Leaving"] = true
+	}
 	l.log.WithFields(f).Info("UpstreamNotice")
 }
 
--- a/io/entry/notice_test.go
+++ b/io/entry/notice_test.go
@@ -43,6 +43,28 @@
 	}
 }
 
+func TestLeaving(t *testing.T) {
+	v := &VM{protocol: Protocol{Leaving: "Leaving"}}
+	for _, c := range []struct {
+		name   string
+		values []string
+		want   bool
+	}{
+		{"no field", nil, false},
+		{"leaving", []string{"1"}, true},
+		{"spaces", []string{" 1 "}, true},
+		{"one of two", []string{"0", "1"}, true},
+		{"not leaving", []string{"0"}, false},
+		{"empty", []string{""}, false},
+		{"another word", []string{"true"}, false},
+		{"another number", []string{"11"}, false},
+	} {
+		if got := v.notice(http.Header{"Leaving": c.values}).Leaving; got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 func FuzzNotice(f *testing.F) {
 	for _, text := range []string{"", "7.5", "-1", "NaN", "1e9", "Thu, 03 Dec 2026 09:00:00 GMT"} {
 		f.Add(text, text)
