--- /dev/null
+++ b/io/entry/leaving_test.go
@@ -0,0 +1,99 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"auburnlatch/core/target"
+	"auburnlatch/io/entry"
+	"auburnlatch/io/settings"
+)
+
+// leavingUpstream says in each answer that it leaves, once it is told to.
+type leavingUpstream struct {
+	*upstreamServer
+	mu      sync.Mutex
+	leaving bool
+	told    map[string]time.Time // By VM, when it was first answered so.
+	late    []string             // Requests after LeaveWithin.
+}
+
+func startLeaving(t *testing.T, within time.Duration) *leavingUpstream {
+	u := &leavingUpstream{told: make(map[string]time.Time)}
+	u.upstreamServer = startUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("Request-Id")
+		vm, _, _ := strings.Cut(id, "/")
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		if !u.leaving {
+			return
+		}
+		if told := u.told[vm]; !told.IsZero() && time.Since(told) > within {
+			u.late = append(u.late, id)
+		}
+		if u.told[vm].IsZero() {
+			u.told[vm] = time.Now()
+		}
+		w.Header().Set("Leaving", "1")
+	})
+	return u
+}
+
+func (u *leavingUpstream) leave() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.leaving = true
+}
+
+func (u *leavingUpstream) seen() (told int, late []string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.told), u.late
+}
+
+// An upstream that leaves says so in its answers, while the platform is away or has a row of
+// it that lapses and is there again: VMs that go by the register alone go on sending to it.
+func TestUpstreamThatSaysItLeavesGetsNothing(t *testing.T) {
+	p := newPlatform()
+	p.set(entry.TableRules, "config", config(1))
+	const within = 2 * time.Second
+	u := startLeaving(t, within)
+	register(p, "leaves", u.addr())
+	other := startUpstream(t, func(http.ResponseWriter, *http.Request) {})
+	register(p, "stays", other.addr())
+	a := startVM(t, "a", p, nil)
+	b := startVM(t, "b", p, func(cfg *settings.Entry) { cfg.Seeds = []string{a.cfg.PeerAddr} })
+	ready(t, a)
+	ready(t, b)
+
+	ctx, stop := context.WithCancel(t.Context())
+	callers := callVMs(ctx, t, []*runningVM{a, b}, 25*time.Millisecond)
+	defer callers.Wait()
+	defer stop()
+	<-time.After(300 * time.Millisecond)
+	p.setAway(true)
+	u.leave()
+	eventually(t, "a VM is told", func() bool { told, _ := u.seen(); return told > 0 })
+	<-time.After(within + time.Second)
+	if _, late := u.seen(); len(late) > 0 {
+		t.Errorf("%d requests later than %v after the upstream had said that it leaves, the first %s", len(late), within, late[0])
+	}
+	p.setAway(false)
+	p.remove(entry.TableTargets, "leaves")
+	<-time.After(500 * time.Millisecond)
+	p.set(entry.TableTargets, "leaves", target.Registration{Service: "s", Addr: u.addr(), Zone: "z", Slots: 8})
+	<-time.After(time.Second)
+	if _, late := u.seen(); len(late) > 0 {
+		t.Errorf("%d requests after its row was there again", len(late))
+	}
+	if status := a.object(t, "a/last", "1"); status != 200 {
+		t.Errorf("the upstream that stays: %d", status)
+	}
+	if other.runs("a/last") != 1 {
+		t.Error("the last request did not run at the upstream that stays")
+	}
+}
