An upstream whose answers say that it leaves gets nothing new

What callers saw: look-ups were sent to an upstream 2.6 s after its answers had said that it leaves, while the platform was down and the register could not say so. Cause: the word was taken from the register only; nobody read the answer. Why this works: the word is kept for the incarnation and is final. It is asked where an upstream is chosen, where objects have their places and right before the request is written, and VMs pass it on, so that those which have not been told send nothing either.

--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -165,7 +165,7 @@
 }
 
 func (b *Balancer) eligible(now time.Time, s *state, req Request) bool {
-	if !s.Usable || slices.Contains(req.Tried, s.ID) || slices.Contains(req.Avoid, s.ID) {
+	if !s.usable() || slices.Contains(req.Tried, s.ID) || slices.Contains(req.Avoid, s.ID) {
 		return false
 	}
 	if req.Allowed != nil && !req.Allowed(s.Region) {
--- a/core/balance/dump.go
+++ b/core/balance/dump.go
@@ -63,7 +63,7 @@
 		return c
 	}
 	for _, s := range p.states {
-		if !s.Usable {
+		if !s.usable() {
 			continue
 		}
 		c.Usable++
--- /dev/null
+++ b/core/balance/leaving_test.go
@@ -0,0 +1,125 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"auburnlatch/core/balance"
+	"auburnlatch/core/target"
+)
+
+// leavingPair returns a balancer that places objects at two targets, and a lease of one.
+func leavingPair(t *testing.T) (*balance.Balancer, []*target.Target, balance.Lease) {
+	t.Helper()
+	targets := []*target.Target{
+		{ID: "a", Born: 1, Service: "s", Region: "north", Zone: "north-0", Slots: 4, Usable: true},
+		{ID: "b", Born: 1, Service: "s", Region: "north", Zone: "north-0", Slots: 4, Usable: true},
+	}
+	b := balance.New("vm", "north", "north-0")
+	b.SetTargets(targets)
+	b.Join()
+	return b, targets, leased(t, b, 0)
+}
+
+func leased(t *testing.T, b *balance.Balancer, ms int) balance.Lease {
+	t.Helper()
+	l, err := b.Choose(at(ms), balance.Request{Service: "s", Route: "r", Key: "k", Idempotent: true, Urgent: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// An upstream said in an answer that it leaves. Neither a later answer without that, nor a row
+// that says ready, nor a row that has lapsed and is back brings requests to it; another
+// incarnation under its ID is another upstream.
+func TestLeavingIsFinal(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(b *balance.Balancer, targets []*target.Target, l balance.Lease) []*target.Target
+		back bool // It may be sent requests again.
+	}{
+		{"told", func(_ *balance.Balancer, targets []*target.Target, _ balance.Lease) []*target.Target {
+			return targets
+		}, false},
+		{"an answer without it", func(b *balance.Balancer, targets []*target.Target, l balance.Lease) []*target.Target {
+			b.Heard(at(50), l, balance.Notice{})
+			return targets
+		}, false},
+		{"its row says ready", func(_ *balance.Balancer, targets []*target.Target, l balance.Lease) []*target.Target {
+			return renewed(targets, l.Target.ID, l.Target.Born)
+		}, false},
+		{"its row lapses and is back", func(b *balance.Balancer, targets []*target.Target, l balance.Lease) []*target.Target {
+			b.SetTargets(nil)
+			b.Forget(at(60))
+			b.Forget(at(60_000))
+			return targets
+		}, false},
+		{"another incarnation", func(_ *balance.Balancer, targets []*target.Target, l balance.Lease) []*target.Target {
+			return renewed(targets, l.Target.ID, 2)
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b, targets, l := leavingPair(t)
+			if !b.Heard(at(10), l, balance.Notice{Leaving: true}) {
+				t.Error("the word is not new")
+			}
+			b.SetTargets(c.do(b, targets, l))
+			got := 0
+			for i := range 40 {
+				next, err := b.Choose(at(100+i), balance.Request{Service: "s", Key: string(rune('a' + i)), Single: true, Urgent: true})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if next.Target.ID == l.Target.ID {
+					got++
+				}
+				b.Done(at(100+i), next, balance.Outcome{Answered: true})
+			}
+			if owner := leased(t, b, 200); owner.Target.ID == l.Target.ID && !c.back {
+				t.Error("its objects are still sent to it")
+			}
+			if back := got > 0; back != c.back {
+				t.Errorf("%d of 40 requests", got)
+			}
+		})
+	}
+}
+
+func renewed(targets []*target.Target, id string, born int64) []*target.Target {
+	var list []*target.Target
+	for _, to := range targets {
+		to := *to
+		if to.ID == id {
+			to.Born = born
+		}
+		list = append(list, &to)
+	}
+	return list
+}
+
+// A request was given to an upstream that says it leaves before the request is written: it is
+// not sent. Other VMs are told and send nothing either.
+func TestLeavingBeforeTheRequestIsSent(t *testing.T) {
+	b, targets, first := leavingPair(t)
+	second := leased(t, b, 5)
+	if first.Target.ID != second.Target.ID {
+		t.Fatal("one object at two targets")
+	}
+	b.Heard(at(10), first, balance.Notice{Leaving: true})
+	if b.Admit(at(11), second) {
+		t.Error("a request is sent to an upstream that has said it leaves")
+	}
+	other := balance.New("other", "north", "north-0")
+	other.SetTargets(targets)
+	other.ToldReports(at(20), b.Reports(at(20)))
+	for i := range 20 {
+		next := leased(t, other, 30+i)
+		if next.Target.ID == first.Target.ID {
+			t.Fatal("a VM that was told sends to it")
+		}
+		other.Done(at(30+i), next, balance.Outcome{Answered: true})
+	}
+}
--- a/core/balance/limit_test.go
+++ b/core/balance/limit_test.go
@@ -196,13 +196,13 @@
 			if v.frozen > f.now {
 				return
 			}
-			list := v.LimitReports(f.clock())
+			list := v.Reports(f.clock())
 			for range 2 {
 				to := f.vms[f.rng.IntN(len(f.vms))]
 				if to == v || len(list) == 0 || f.rng.IntN(20) == 0 {
 					continue
 				}
-				f.after(f.trip(v.region, to.region), func() { to.ToldLimits(f.clock(), list) })
+				f.after(f.trip(v.region, to.region), func() { to.ToldReports(f.clock(), list) })
 			}
 		})
 	}
--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -143,7 +143,7 @@
 			placed.assign(pl, s)
 		}
 	}
-	return pl.state != nil && !pl.state.gone && pl.state.Usable
+	return pl.state != nil && !pl.state.gone && pl.state.usable()
 }
 
 // assign enters an object at a target.
@@ -182,7 +182,7 @@
 	var first [placeAmong]*state
 	var costs [placeAmong]float64
 	for _, s := range p.states {
-		if !s.Usable || s.Cold(now) || s.limited() || req.Allowed != nil && !req.Allowed(s.Region) || slices.Contains(req.Tried, s.ID) ||
+		if !s.usable() || s.Cold(now) || s.limited() || req.Allowed != nil && !req.Allowed(s.Region) || slices.Contains(req.Tried, s.ID) ||
 			!p.distrust && s.suspect(now, p.usual) {
 			continue
 		}
--- a/core/balance/said.go
+++ b/core/balance/said.go
@@ -81,6 +81,11 @@
 	return changed
 }
 
+// usable reports whether the target may be sent requests, by the register and by its own word.
+// That it leaves is final: a row which says otherwise is older, and it sends no such answer
+// that is not.
+func (s *state) usable() bool { return s.Usable && !s.said.leaving }
+
 // limited reports whether the target names a limit.
 func (s *state) limited() bool {
 	_, ok := s.said.limit.PerSecond()
@@ -109,7 +114,7 @@
 func (b *Balancer) comeBack(now time.Time, p *pool, req Request) time.Duration {
 	var wait time.Duration
 	for _, s := range p.states {
-		if !s.Usable || req.Allowed != nil && !req.Allowed(s.Region) {
+		if !s.usable() || req.Allowed != nil && !req.Allowed(s.Region) {
 			continue
 		}
 		if !s.limited() {
@@ -123,42 +128,57 @@
 }
 
 // Admit reports whether the request of a lease may be sent now. Between the choice and the
-// moment at which a connection is there, the target may have named a limit.
+// moment at which a connection is there, the target may have said that it leaves, or named a
+// limit.
 func (b *Balancer) Admit(now time.Time, l Lease) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if l.state.said.leaving {
+		return false
+	}
 	return l.limited || l.state.said.limit.Take(now, b.placeAt(l.state))
 }
 
-// LimitReport is what one VM tells others of the limit of an upstream.
-type LimitReport struct {
+// Report is what one VM tells others of what an upstream said.
+type Report struct {
 	// Target and Born name the incarnation.
 	Target string
 	Born   int64
-	throttle.Report
+	// Limit is what is known of its limit; nil: nothing.
+	Limit   *throttle.Report
+	Leaving bool
 }
 
-// LimitReports returns what other VMs should know of upstreams' limits.
-func (b *Balancer) LimitReports(now time.Time) []LimitReport {
+// Reports returns what other VMs should know of what upstreams said.
+func (b *Balancer) Reports(now time.Time) []Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var list []LimitReport
+	var list []Report
 	for _, s := range b.states {
-		if r, ok := s.said.limit.Report(now); ok {
-			list = append(list, LimitReport{s.ID, s.Born, r})
+		r := Report{Target: s.ID, Born: s.Born, Leaving: s.said.leaving}
+		if limit, ok := s.said.limit.Report(now); ok {
+			r.Limit = &limit
+		}
+		if r.Limit != nil || r.Leaving {
+			list = append(list, r)
 		}
 	}
 	return list
 }
 
-// ToldLimits takes in what another VM tells of upstreams' limits. Of upstreams that are not
+// ToldReports takes in what another VM tells of what upstreams said. Of upstreams that are not
 // known here nothing is kept.
-func (b *Balancer) ToldLimits(now time.Time, list []LimitReport) {
+func (b *Balancer) ToldReports(now time.Time, list []Report) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, r := range list {
-		if s := b.states[r.Target]; s != nil && s.Born == r.Born {
-			s.said.limit.Told(now, r.Report)
+		s := b.states[r.Target]
+		if s == nil || s.Born != r.Born {
+			continue
+		}
+		if r.Limit != nil {
+			s.said.limit.Told(now, *r.Limit)
 		}
+		s.said.leaving = s.said.leaving || r.Leaving
 	}
 }
--- a/core/balance/weigh.go
+++ b/core/balance/weigh.go
@@ -162,7 +162,7 @@
 			list = append(list, regionSlots{region: s.Region, slots: leastSlots, weight: 1})
 			i = len(list) - 1
 		}
-		if s.Usable {
+		if s.usable() {
 			list[i].slots += float64(s.Slots)
 		}
 	}
--- a/io/entry/notice.go
+++ b/io/entry/notice.go
@@ -93,13 +93,13 @@
 func (t *noticeTeller) tell(now time.Time) {
 	mates := t.vm.peerAddrs(now)
 	t.vm.mates.Store(&mates)
-	list := t.vm.balancer.LimitReports(now)
+	list := t.vm.balancer.Reports(now)
 	if len(list) == 0 || len(mates) == 0 {
 		return
 	}
 	addrs := slices.Collect(maps.Keys(mates))
 	for range noticePartners {
-		t.peer.TellLimits([]string{addrs[rand.IntN(len(addrs))]}, list)
+		t.peer.TellReports([]string{addrs[rand.IntN(len(addrs))]}, list)
 	}
 }
 
@@ -112,7 +112,7 @@
 	return mates != nil && (*mates)[addr]
 }
 
-// ToldLimits implements peer.UpstreamTable.
-func (u upstreamTable) ToldLimits(now time.Time, list []balance.LimitReport) {
-	u.balancer.ToldLimits(now, list)
+// ToldReports implements peer.UpstreamTable.
+func (u upstreamTable) ToldReports(now time.Time, list []balance.Report) {
+	u.balancer.ToldReports(now, list)
 }
--- a/io/peer/datagram.go
+++ b/io/peer/datagram.go
@@ -71,8 +71,8 @@
 	// Knows reports whether the sender at an address, IP:port, is a VM. Others are not heard:
 	// they could keep all VMs from an upstream.
 	Knows(addr string) bool
-	// ToldLimits takes in what another VM knows of upstreams' limits.
-	ToldLimits(now time.Time, list []balance.LimitReport)
+	// ToldReports takes in what another VM knows.
+	ToldReports(now time.Time, list []balance.Report)
 }
 
 // Datagrams tells other VMs at once what they had better know: where objects belong, and
@@ -139,8 +139,8 @@
 		if d.limits != nil && (m.GetDemand() != nil || m.GetTotal() != nil) {
 			d.takeDemand(from, &m)
 		}
-		if d.upstreams != nil && len(m.GetLimits()) > 0 && d.upstreams.Knows(from.String()) {
-			d.upstreams.ToldLimits(time.Now(), wire.Limits(m.GetLimits()))
+		if d.upstreams != nil && len(m.GetUpstreams()) > 0 && d.upstreams.Knows(from.String()) {
+			d.upstreams.ToldReports(time.Now(), wire.Reports(m.GetUpstreams()))
 		}
 	}
 }
@@ -226,12 +226,12 @@
 	})
 }
 
-// TellLimits tells VMs of upstreams' limits.
-func (d *Datagrams) TellLimits(addrs []string, list []balance.LimitReport) {
+// TellReports tells VMs what upstreams said.
+func (d *Datagrams) TellReports(addrs []string, list []balance.Report) {
 	d.each(addrs, func(to netip.AddrPort) {
 		for rest := list; len(rest) > 0; {
 			n := min(perDatagram, len(rest))
-			d.send(to, &schema.Datagram{Limits: wire.FromLimits(rest[:n])})
+			d.send(to, &schema.Datagram{Upstreams: wire.FromReports(rest[:n])})
 			rest = rest[n:]
 		}
 	})
@@ -269,7 +269,7 @@
 		n = &d.sent.Poison
 	case m.GetDemand() != nil || m.GetTotal() != nil:
 		n = &d.sent.Demand
-	case len(m.GetLimits()) > 0:
+	case len(m.GetUpstreams()) > 0:
 		n = &d.sent.Upstreams
 	}
 	n.Add(int64(bytes))
--- a/tools/soak/chaos.go
+++ b/tools/soak/chaos.go
@@ -182,11 +182,17 @@
 	lock := i.chaos.lock(i.fault.name, i.which)
 	lock.Lock()
 	defer lock.Unlock()
-	if err := i.fault.run(i.chaos.fleet, i.which, i.lasts); err != nil {
-		i.chaos.mu.Lock()
-		defer i.chaos.mu.Unlock()
-		i.chaos.errs = append(i.chaos.errs, fmt.Errorf("%s: %w", i.fault.name, err))
+	i.chaos.failed(i.fault.name, i.fault.run(i.chaos.fleet, i.which, i.lasts))
+}
+
+// failed notes a fault that could not be injected.
+func (c *chaos) failed(name string, err error) {
+	if err == nil {
+		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.errs = append(c.errs, fmt.Errorf("%s: %w", name, err))
 }
 
 // lock returns the lock of what a fault is about.
@@ -290,11 +296,13 @@
 	go asks.run(ctx)
 	ch := &chaos{fleet: f, rnd: rand.New(rand.NewPCG(seed, 1000)), busy: make(map[string]*sync.Mutex)}
 	end := time.Now().Add(cmd.For)
-	says := &notices{fleet: f, rnd: rand.New(rand.NewPCG(seed, 4000))}
+	says := &notices{fleet: f, chaos: ch, rnd: rand.New(rand.NewPCG(seed, 4000))}
+	var said sync.WaitGroup
 	if cmd.Notices {
-		wait.Go(func() { says.run(ctx, end) })
+		said.Go(func() { says.run(ctx, end) })
 	}
 	ch.run(end)
+	said.Wait()
 	calm := time.Now().Add(settle)
 	<-time.After(time.Until(calm))
 	wait.Add(1)
--- a/tools/soak/notices.go
+++ b/tools/soak/notices.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"auburnlatch/platform/standin"
@@ -24,6 +25,8 @@
 	limitExcess = 1.5
 	limitSlack  = 5
 	limitNamed  = 4
+	// leaveWithin is the bound after which an upstream that leaves gets nothing new.
+	leaveWithin = 2500 * time.Millisecond
 	// knownAfter is when a VM has to know what an answer that it passed on said.
 	knownAfter = 500 * time.Millisecond
 	// excusedFor is how long after a pause or a path's fault nothing is held against a VM or
@@ -34,6 +37,7 @@
 // notices has upstreams say things of themselves, on a schedule that a seed gives.
 type notices struct {
 	fleet *fleet
+	chaos *chaos
 	rnd   *rand.Rand
 	wait  sync.WaitGroup
 }
@@ -41,8 +45,14 @@
 // run has upstreams say things until the end and returns when none says any more.
 func (n *notices) run(ctx context.Context, end time.Time) {
 	for time.Now().Before(end) && ctx.Err() == nil {
-		u := n.fleet.upstream(n.rnd.IntN(1000))
-		n.wait.Go(func() { u.limited(ctx, excusedFor+faultFor) })
+		which := n.rnd.IntN(1000)
+		u := n.fleet.upstream(which)
+		switch n.rnd.IntN(2) {
+		case 0:
+			n.wait.Go(func() { u.limited(ctx, excusedFor+faultFor) })
+		case 1:
+			n.wait.Go(func() { n.leaving(ctx, which) })
+		}
 		<-time.After(time.Duration(n.rnd.ExpFloat64() * float64(noticeEvery)))
 	}
 	n.wait.Wait()
@@ -55,6 +65,17 @@
 	u.say(ctx, "limit", "")
 }
 
+// leaving has an upstream say that it leaves, and ends it after a while.
+func (n *notices) leaving(ctx context.Context, which int) {
+	lock := n.chaos.lock("upstream", which)
+	lock.Lock()
+	defer lock.Unlock()
+	u := n.fleet.upstream(which)
+	u.say(ctx, "leaving", "1")
+	<-time.After(leaveWithin + faultFor)
+	n.chaos.failed("leaving", u.restart(syscall.SIGKILL))
+}
+
 // say tells the upstream what to say of itself. One that is down says nothing.
 func (u *upstreamProc) say(ctx context.Context, what, value string) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
@@ -155,6 +176,9 @@
 		if n := h.overLimit(x, upstreamOf(name)); n > 0 {
 			broken = append(broken, fmt.Sprintf("upstream %s named a limit of %d a second and got %d requests in %v", name, limitNamed, n, limitWindow))
 		}
+		if n := h.afterLeaving(x); n > 0 {
+			broken = append(broken, fmt.Sprintf("upstream %s said that it leaves and got %d requests of VMs that it had told", name, n))
+		}
 	}
 	slices.Sort(broken)
 	return broken
@@ -206,6 +230,20 @@
 	return most
 }
 
+// afterLeaving returns how many requests arrived that were made later than leaveWithin after
+// their VM had passed on that the upstream leaves.
+func (h *heard) afterLeaving(x *excuses) (n int) {
+	for _, a := range h.arrivals {
+		late := slices.ContainsFunc(h.said[a.e.process], func(s said) bool {
+			return s.what == "leaving" && a.e.at.Sub(s.at) > leaveWithin
+		})
+		if late && !x.at(a.e.vm, a.at) {
+			n++
+		}
+	}
+	return n
+}
+
 // told reports whether the VM that sent a request had heard of a limit long enough before.
 func (h *heard) told(a arrival) bool {
 	return slices.ContainsFunc(h.said[a.e.process], func(s said) bool {
