How long an upstream wants to be left alone is kept, logged and dumped

Nothing told whether an answer with Retry-After had come and for how long. UpstreamNotice tells it when a pause begins, the dump how much is left of it, RequestGivenUp how many upstreams pause. Nothing is decided by it yet.

--- a/core/balance/dump.go
+++ b/core/balance/dump.go
@@ -18,6 +18,8 @@
 	Limit *float64
 	// Leaving says that the target said so in an answer.
 	Leaving bool
+	// PausedMillis is for how much longer the target wants nothing of this VM.
+	PausedMillis int64
 }
 
 // Dump returns what is believed of all targets, in order of service and ID.
@@ -30,7 +32,7 @@
 			t := TargetState{
 				ID: s.ID, Service: s.Service, Addr: s.Addr, Zone: s.Zone, Usable: s.Usable, Cold: s.Cold(now),
 				Suspect: s.suspect(now, p.usual), InFlight: s.inFlight, Busy: s.busy(now), Failing: s.failing, Latency: s.latency,
-				Leaving: s.said.leaving,
+				Leaving: s.said.leaving, PausedMillis: max(0, s.said.pausedUntil.Sub(now)).Milliseconds(),
 			}
 			if perSecond, ok := s.said.limit.PerSecond(); ok {
 				t.Limit = &perSecond
@@ -49,8 +51,8 @@
 	// Usable targets are registered, not leaving and in no evacuated zone; the
 	// others count these only.
 	Usable, Cold, Suspect, Full int
-	// Limited targets name a limit.
-	Limited int
+	// Limited targets name a limit, Paused ones want nothing of this VM for a while.
+	Limited, Paused int
 }
 
 // Census counts a service's targets, for a log line that tells why a request found
@@ -79,6 +81,9 @@
 		if s.limited() {
 			c.Limited++
 		}
+		if now.Before(s.said.pausedUntil) {
+			c.Paused++
+		}
 	}
 	return c
 }
--- a/core/balance/said.go
+++ b/core/balance/said.go
@@ -17,6 +17,8 @@
 type said struct {
 	limit   throttle.Limit
 	leaving bool
+	// pausedUntil is until when it wants nothing of this VM.
+	pausedUntil time.Time
 }
 
 // matters reports whether the incarnation said anything that has to outlive its row.
@@ -66,6 +68,8 @@
 	Limit throttle.Notice
 	// Leaving says that the upstream is going away and wants nothing new.
 	Leaving bool
+	// RetryAfter is for how long the upstream wants nothing of this VM; 0: it does not say.
+	RetryAfter time.Duration
 }
 
 // Heard takes in what a target says in the header of an answer to a lease's request, and
@@ -78,6 +82,10 @@
 	if n.Leaving && !said.leaving {
 		said.leaving, changed = true, true
 	}
+	if until := now.Add(n.RetryAfter); n.RetryAfter > 0 && until.After(said.pausedUntil) {
+		changed = changed || !now.Before(said.pausedUntil)
+		said.pausedUntil = until
+	}
 	return changed
 }
 
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -156,7 +156,7 @@
 		return nil, e
 	}
 	if resp.StatusCode != http.StatusMisdirectedRequest {
-		if n := v.notice(resp.Header); v.balancer.Heard(time.Now(), lease, n) {
+		if n := v.notice(resp.StatusCode, resp.Header); v.balancer.Heard(time.Now(), lease, n) {
 			v.requests.heard(lease, n)
 		}
 		// What another says that has the address now is no word of this upstream's: it
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -104,6 +104,9 @@
 		if c.Limited > 0 {
 			f["LimitedTargets"] = c.Limited
 		}
+		if c.Paused > 0 {
+			f["PausedTargets"] = c.Paused
+		}
 	}
 	l.log.WithFields(f).Info("RequestGivenUp")
 }
--- a/io/entry/notice.go
+++ b/io/entry/notice.go
@@ -26,9 +26,15 @@
 	noticePartners = 2
 )
 
-// notice returns what an upstream says of itself in the header of an answer.
-func (v *VM) notice(h http.Header) balance.Notice {
+// maxPause bounds for how long an upstream is left alone at its own word.
+const maxPause = 24 * time.Hour
+
+// notice returns what an upstream says of itself in the status and the header of an answer.
+func (v *VM) notice(status int, h http.Header) balance.Notice {
 	var n balance.Notice
+	if status == http.StatusServiceUnavailable {
+		n.RetryAfter = retryAfter(h.Values("Retry-After"))
+	}
 	if name := v.protocol.Limit; name != "" {
 		n.Limit = limitOf(h.Values(name))
 	}
@@ -53,6 +59,18 @@
 	return n
 }
 
+// retryAfter parses how many seconds the values of a field name; 0: none. Of several the
+// longest time holds. A date is none: an upstream's time of day is not this VM's.
+func retryAfter(values []string) time.Duration {
+	longest := 0.0
+	for _, text := range values {
+		if seconds, ok := decimal(text); ok {
+			longest = max(longest, seconds)
+		}
+	}
+	return time.Duration(min(longest, maxPause.Seconds()) * float64(time.Second))
+}
+
 // decimal parses a decimal number that is not negative, without an exponent.
 func decimal(text string) (float64, bool) {
 	text = strings.TrimSpace(text)
@@ -75,6 +93,9 @@
 	if n.Leaving {
 		f["Leaving"] = true
 	}
+	if n.RetryAfter > 0 {
+		f["RetryAfterMs"] = n.RetryAfter.Milliseconds()
+	}
 	l.log.WithFields(f).Info("UpstreamNotice")
 }
 
--- a/io/entry/notice_test.go
+++ b/io/entry/notice_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"auburnlatch/core/throttle"
 )
@@ -59,7 +60,36 @@
 		{"another word", []string{"true"}, false},
 		{"another number", []string{"11"}, false},
 	} {
-		if got := v.notice(http.Header{"Leaving": c.values}).Leaving; got != c.want {
+		if got := v.notice(http.StatusOK, http.Header{"Leaving": c.values}).Leaving; got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestRetryAfter(t *testing.T) {
+	v := &VM{}
+	for _, c := range []struct {
+		name   string
+		status int
+		values []string
+		want   time.Duration
+	}{
+		{"no field", 503, nil, 0},
+		{"seconds", 503, []string{"3"}, 3 * time.Second},
+		{"parts of a second", 503, []string{" 0.25 "}, 250 * time.Millisecond},
+		{"no time", 503, []string{"0"}, 0},
+		{"two times", 503, []string{"1", "3"}, 3 * time.Second},
+		{"one of two unreadable", 503, []string{"x", "3"}, 3 * time.Second},
+		{"longer than anybody waits", 503, []string{"99999999999999999999"}, maxPause},
+		{"another status", 429, []string{"3"}, 0},
+		{"an answer", 200, []string{"3"}, 0},
+		{"empty", 503, []string{""}, 0},
+		{"negative", 503, []string{"-3"}, 0},
+		{"no number", 503, []string{"NaN"}, 0},
+		{"exponent", 503, []string{"1e9"}, 0},
+		{"date", 503, []string{"Thu, 03 Dec 2026 09:00:00 GMT"}, 0},
+	} {
+		if got := v.notice(c.status, http.Header{"Retry-After": c.values}).RetryAfter; got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
@@ -71,9 +101,12 @@
 	}
 	v := &VM{protocol: Protocol{Limit: "Limit"}}
 	f.Fuzz(func(t *testing.T, a, b string) {
-		n := v.notice(http.Header{"Limit": {a, b}})
+		n := v.notice(http.StatusServiceUnavailable, http.Header{"Limit": {a, b}, "Retry-After": {a, b}})
 		if x := n.Limit.PerSecond; !(x >= 0) {
 			t.Errorf("a limit of %v", x)
 		}
+		if n.RetryAfter < 0 || n.RetryAfter > maxPause {
+			t.Errorf("a pause of %v", n.RetryAfter)
+		}
 	})
 }
