--- /dev/null
+++ b/io/entry/pause_test.go
@@ -0,0 +1,121 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"auburnlatch/io/settings"
+)
+
+// pausingUpstream turns all requests away and asks for a pause, for as long as it is told to.
+type pausingUpstream struct {
+	*upstreamServer
+	mu      sync.Mutex
+	after   string
+	pause   time.Duration
+	until   map[string]time.Time // By VM, the end of the pause.
+	since   map[string]time.Time // By VM, when half a second of the pause is over.
+	early   map[string]int       // Requests within the pauses of a VM.
+	arrived int
+}
+
+func startPausing(t *testing.T, after string, pause time.Duration) *pausingUpstream {
+	u := &pausingUpstream{after: after, pause: pause, until: map[string]time.Time{}, since: map[string]time.Time{}, early: map[string]int{}}
+	u.upstreamServer = startUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		vm, _, _ := strings.Cut(r.Header.Get("Request-Id"), "/")
+		now := time.Now()
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.arrived++
+		if now.After(u.since[vm]) && now.Before(u.until[vm]) {
+			u.early[vm]++
+		}
+		if u.after == "" {
+			return
+		}
+		if now.After(u.until[vm]) {
+			u.since[vm] = now.Add(500 * time.Millisecond)
+		}
+		u.until[vm] = now.Add(u.pause)
+		w.Header().Set("Not-Run", "1")
+		w.Header().Set("Retry-After", u.after)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	return u
+}
+
+func (u *pausingUpstream) serve() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.after = ""
+}
+
+func (u *pausingUpstream) seen() (early, arrived int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, n := range u.early {
+		early = max(early, n)
+	}
+	return early, u.arrived
+}
+
+// An upstream turns requests away and asks to be left alone for a while: VMs that go on
+// sending to it keep it from recovering, and their callers' tries are lost.
+func TestUpstreamIsLeftAloneForRetryAfter(t *testing.T) {
+	p := newPlatform()
+	p.set("Rules", "config", config(1))
+	u := startPausing(t, "2", 2*time.Second)
+	register(p, "pauses", u.addr())
+	other := startUpstream(t, func(http.ResponseWriter, *http.Request) {})
+	register(p, "serves", other.addr())
+	a := startVM(t, "a", p, nil)
+	b := startVM(t, "b", p, func(cfg *settings.Entry) { cfg.Seeds = []string{a.cfg.PeerAddr} })
+	ready(t, a)
+	ready(t, b)
+
+	ctx, stop := context.WithCancel(t.Context())
+	callers := callVMs(ctx, t, []*runningVM{a, b}, 25*time.Millisecond)
+	defer callers.Wait()
+	defer stop()
+	<-time.After(5 * time.Second)
+	if early, arrived := u.seen(); early > 2 || arrived == 0 {
+		t.Errorf("a VM sent %d requests within pauses, 2 are allowed in each; %d arrived in all", early, arrived)
+	}
+	u.serve()
+	eventually(t, "it gets its part again", func() bool {
+		_, before := u.seen()
+		<-time.After(time.Second)
+		_, after := u.seen()
+		return after-before > 20
+	})
+}
+
+// All upstreams of a service ask to be left alone: callers are told at once when the first of
+// them may be sent requests again.
+func TestAllUpstreamsPause(t *testing.T) {
+	p := newPlatform()
+	p.set("Rules", "config", config(1))
+	for _, u := range []struct {
+		name, after string
+	}{{"long", "5"}, {"short", "2"}} {
+		register(p, u.name, startPausing(t, u.after, time.Second).addr())
+	}
+	v := startVM(t, "a", p, nil)
+	ready(t, v)
+	v.request(t, http.MethodGet, "/get/", "a/1", "") // Is refused by both.
+	began := time.Now()
+	r := v.request(t, http.MethodGet, "/get/", "a/2", "")
+	if r.status != http.StatusServiceUnavailable || r.header.Get("Auburnlatch-Verdict") != "NotRun" {
+		t.Errorf("%d %v", r.status, r.header)
+	}
+	if took := time.Since(began); took > 500*time.Millisecond {
+		t.Errorf("refused after %v", took)
+	}
+	if after := r.header.Get("Retry-After"); after < "1." || after > "3." {
+		t.Errorf("Retry-After %s, want about 2", after)
+	}
+}
