An upstream that asks to be left alone gets nothing of the VM until its time is over

What callers saw: over a tenth of the look-ups not served for two seconds, as their tries went to upstreams that turned all away and had asked to be left alone for 3 s. Cause: nobody read Retry-After of an upstream; its refusal counted for less than half of a failure, and only where it seemed to have room. Why this works: the end of the pause is kept for the incarnation by this VM's own clock, of two the later; nothing is sent before it, trials of suspects included, which would have been three in 3 s. It is asked again right before a request is written. After it one request finds out whether the upstream takes any, and each VM waits a little longer than asked, another part of a quarter of the pause, so that they are not all back at once. Where all that could serve pause, callers are told at once when the first pause ends.

--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -77,11 +77,12 @@
 		s, owner = b.pick(now, p, req, tr)
 	}
 	if s == nil {
-		return Lease{}, verdict.New(verdict.NotRun, verdict.ReasonNoCapacity, b.comeBack(now, p, req))
+		return Lease{}, verdict.New(verdict.NotRun, verdict.ReasonNoCapacity, max(comeBack, b.wait(now, p, req)))
 	}
 	if s.Cold(now) {
 		s.lastCold = now
 	}
+	s.said.probedAt = now
 	if s.inFlight == 0 {
 		s.quietSince = now
 	}
@@ -171,7 +172,7 @@
 	if req.Allowed != nil && !req.Allowed(s.Region) {
 		return false
 	}
-	if s.limited() && !s.said.limit.Ready(now, b.placeAt(s)) {
+	if !s.said.ready(now) || s.limited() && !s.said.limit.Ready(now, b.placeAt(s)) {
 		return false
 	}
 	return !s.Cold(now) || b.coldTurn(now, s, req.ColdPerSecond)
--- a/core/balance/said.go
+++ b/core/balance/said.go
@@ -19,12 +19,46 @@
 	leaving bool
 	// pausedUntil is until when it wants nothing of this VM.
 	pausedUntil time.Time
+	// probing says that nothing has shown since that it takes requests again, and probedAt
+	// when it was last sent one to find out.
+	probing  bool
+	probedAt time.Time
+}
+
+const (
+	// probeEvery is the least time between two requests that find out whether an upstream
+	// takes requests again after a pause: about a round trip and an answer.
+	probeEvery = 250 * time.Millisecond
+	// pauseSpread is the part of a pause by which VMs wait longer, each another part of it, and
+	// maxSpread the longest: those that were turned away at once would all be back at once.
+	pauseSpread = 0.25
+	maxSpread   = time.Second
+)
+
+// pause has nothing sent until a moment.
+func (s *said) pause(until time.Time) {
+	if until.After(s.pausedUntil) {
+		s.pausedUntil, s.probing = until, true
+	}
+}
+
+// ready reports whether the incarnation may be sent a request as far as pauses go.
+func (s *said) ready(now time.Time) bool {
+	return !now.Before(s.pausedUntil) && (!s.probing || now.Sub(s.probedAt) >= probeEvery)
+}
+
+// answered notes an answer that asks for no pause. One to a request from before the end of the
+// last pause does not show that it is over.
+func (s *said) answered(sentAt time.Time) {
+	if !sentAt.Before(s.pausedUntil) {
+		s.probing = false
+	}
 }
 
 // matters reports whether the incarnation said anything that has to outlive its row.
 func (s *said) matters() bool {
 	_, limited := s.limit.PerSecond()
-	return limited || s.leaving
+	return limited || s.leaving || s.probing
 }
 
 // keptSaid is what an incarnation said that is not registered.
@@ -82,13 +116,21 @@
 	if n.Leaving && !said.leaving {
 		said.leaving, changed = true, true
 	}
-	if until := now.Add(n.RetryAfter); n.RetryAfter > 0 && until.After(said.pausedUntil) {
-		changed = changed || !now.Before(said.pausedUntil)
-		said.pausedUntil = until
+	if n.RetryAfter <= 0 {
+		said.answered(l.sentAt)
+		return changed
 	}
+	changed = changed || !now.Before(said.pausedUntil)
+	said.pause(now.Add(n.RetryAfter + b.spread(l.state, n.RetryAfter)))
 	return changed
 }
 
+// spread is how much longer than asked for this VM leaves a target alone.
+func (b *Balancer) spread(s *state, pause time.Duration) time.Duration {
+	most := min(maxSpread, time.Duration(pauseSpread*float64(pause)))
+	return time.Duration(unit(xxhash.Sum64String(b.self), s.seed) * float64(most))
+}
+
 // usable reports whether the target may be sent requests, by the register and by its own word.
 // That it leaves is final: a row which says otherwise is older, and it sends no such answer
 // that is not.
@@ -117,31 +159,48 @@
 	return s.place
 }
 
-// comeBack returns when a caller should come back that found no target: when this VM may send
-// to one of those that name a limit, where these are all that could serve.
-func (b *Balancer) comeBack(now time.Time, p *pool, req Request) time.Duration {
-	var wait time.Duration
+// Wait returns for how long all targets that could serve a request are kept from this VM by
+// their own word, 0 where one is not.
+func (b *Balancer) Wait(now time.Time, req Request) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p := b.services[req.Service]; p != nil {
+		return b.wait(now, p, req)
+	}
+	return 0
+}
+
+func (b *Balancer) wait(now time.Time, p *pool, req Request) time.Duration {
+	var least time.Duration
 	for _, s := range p.states {
 		if !s.usable() || req.Allowed != nil && !req.Allowed(s.Region) {
 			continue
 		}
-		if !s.limited() {
-			return comeBack
+		left := max(0, s.said.pausedUntil.Sub(now))
+		if s.limited() {
+			next, ok := s.said.limit.Next(now, b.placeAt(s))
+			if !ok {
+				continue // Other VMs send to it.
+			}
+			left = max(left, next)
+		}
+		if left == 0 {
+			return 0
 		}
-		if next, ok := s.said.limit.Next(now, b.placeAt(s)); ok && (wait == 0 || next < wait) {
-			wait = next
+		if least == 0 || left < least {
+			least = left
 		}
 	}
-	return max(comeBack, wait)
+	return least
 }
 
 // Admit reports whether the request of a lease may be sent now. Between the choice and the
-// moment at which a connection is there, the target may have said that it leaves, or named a
-// limit.
+// moment at which a connection is there, the target may have said that it leaves, asked for a
+// pause, or named a limit.
 func (b *Balancer) Admit(now time.Time, l Lease) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if l.state.said.leaving {
+	if l.state.said.leaving || now.Before(l.state.said.pausedUntil) {
 		return false
 	}
 	return l.limited || l.state.said.limit.Take(now, b.placeAt(l.state))
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -86,6 +86,9 @@
 	if last != nil {
 		return last, nil
 	}
+	if lastErr.Reason == verdict.ReasonShed {
+		lastErr.RetryAfter = max(lastErr.RetryAfter, v.balancer.Wait(time.Now(), v.wanted(req, time.Now())))
+	}
 	return nil, lastErr
 }
 
@@ -120,9 +123,16 @@
 
 func (v *VM) choose(req *request, tried, avoid []string) (balance.Lease, error) {
 	now := time.Now()
+	want := v.wanted(req, now)
+	want.Tried, want.Avoid = tried, avoid
+	return v.balancer.Choose(now, want)
+}
+
+// wanted returns what the choice of an upstream depends on.
+func (v *VM) wanted(req *request, now time.Time) balance.Request {
 	table := v.table.Load()
 	want := balance.Request{
-		Service: req.service, Route: req.route.Name, Key: req.key, Idempotent: req.idempotent(), Tried: tried, Avoid: avoid,
+		Service: req.service, Route: req.route.Name, Key: req.key, Idempotent: req.idempotent(),
 		Urgent: req.team.Rank(req.route.Priority) <= table.UrgentPriority(req.service),
 	}
 	if within := req.route.Objective; within > 0 {
@@ -138,7 +148,7 @@
 	if s := table.Service(req.service); s != nil {
 		want.ColdPerSecond = s.ColdPerSecond
 	}
-	return v.balancer.Choose(now, want)
+	return want
 }
 
 // try sends a request to one upstream.
@@ -155,8 +165,9 @@
 		v.requests.tried(v, req, lease, 0, e)
 		return nil, e
 	}
+	var n balance.Notice
 	if resp.StatusCode != http.StatusMisdirectedRequest {
-		if n := v.notice(resp.StatusCode, resp.Header); v.balancer.Heard(time.Now(), lease, n) {
+		if n = v.notice(resp.StatusCode, resp.Header); v.balancer.Heard(time.Now(), lease, n) {
 			v.requests.heard(lease, n)
 		}
 		// What another says that has the address now is no word of this upstream's: it
@@ -179,7 +190,7 @@
 	case e != nil && e.Reason == verdict.ReasonMisdirected:
 		outcome.Failed, outcome.Unreachable = true, true
 	case e != nil:
-		outcome.Refused = outcome.Load == nil || outcome.Load.Running < outcome.Load.Slots
+		outcome.Refused = n.RetryAfter == 0 && (outcome.Load == nil || outcome.Load.Running < outcome.Load.Slots)
 	default:
 		outcome.Failed = resp.StatusCode >= http.StatusInternalServerError && resp.StatusCode != http.StatusGatewayTimeout
 	}
--- a/tools/soak/notices.go
+++ b/tools/soak/notices.go
@@ -27,6 +27,10 @@
 	limitNamed  = 4
 	// leaveWithin is the bound after which an upstream that leaves gets nothing new.
 	leaveWithin = 2500 * time.Millisecond
+	// pauseFor is for how long upstreams want to be left alone, and maxInPause how many
+	// requests a VM may send in it.
+	pauseFor   = 1500 * time.Millisecond
+	maxInPause = 2
 	// knownAfter is when a VM has to know what an answer that it passed on said.
 	knownAfter = 500 * time.Millisecond
 	// excusedFor is how long after a pause or a path's fault nothing is held against a VM or
@@ -47,11 +51,13 @@
 	for time.Now().Before(end) && ctx.Err() == nil {
 		which := n.rnd.IntN(1000)
 		u := n.fleet.upstream(which)
-		switch n.rnd.IntN(2) {
+		switch n.rnd.IntN(3) {
 		case 0:
 			n.wait.Go(func() { u.limited(ctx, excusedFor+faultFor) })
 		case 1:
 			n.wait.Go(func() { n.leaving(ctx, which) })
+		case 2:
+			n.wait.Go(func() { u.pausing(ctx, excusedFor) })
 		}
 		<-time.After(time.Duration(n.rnd.ExpFloat64() * float64(noticeEvery)))
 	}
@@ -65,6 +71,13 @@
 	u.say(ctx, "limit", "")
 }
 
+// pausing has the upstream turn all requests away for a while and ask for pauses.
+func (u *upstreamProc) pausing(ctx context.Context, d time.Duration) {
+	u.say(ctx, "pause", strconv.FormatFloat(pauseFor.Seconds(), 'f', -1, 64))
+	<-time.After(d)
+	u.say(ctx, "pause", "")
+}
+
 // leaving has an upstream say that it leaves, and ends it after a while.
 func (n *notices) leaving(ctx context.Context, which int) {
 	lock := n.chaos.lock("upstream", which)
@@ -176,6 +189,9 @@
 		if n := h.overLimit(x, upstreamOf(name)); n > 0 {
 			broken = append(broken, fmt.Sprintf("upstream %s named a limit of %d a second and got %d requests in %v", name, limitNamed, n, limitWindow))
 		}
+		if n := h.inPause(x, upstreamOf(name)); n > 0 {
+			broken = append(broken, fmt.Sprintf("upstream %s asked a VM for a pause of %v and got %d requests of it", name, pauseFor, n))
+		}
 		if n := h.afterLeaving(x); n > 0 {
 			broken = append(broken, fmt.Sprintf("upstream %s said that it leaves and got %d requests of VMs that it had told", name, n))
 		}
@@ -244,6 +260,30 @@
 	return n
 }
 
+// inPause returns the most requests of one VM in a pause that it was asked for, 0 if none are
+// more than it may send.
+func (h *heard) inPause(x *excuses, upstream string) (most int) {
+	for process, list := range h.said {
+		for _, s := range list {
+			if s.what != "pause" {
+				continue
+			}
+			from, to := s.at.Add(knownAfter), s.at.Add(time.Duration(s.value*float64(time.Second)))
+			n := 0
+			for _, a := range h.arrivals {
+				if a.e.process == process && a.at.After(from) && a.at.Before(to) && !x.at(a.e.vm, a.at) && !x.at(upstream, a.at) {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+	}
+	if most <= maxInPause {
+		return 0
+	}
+	return most
+}
+
 // told reports whether the VM that sent a request had heard of a limit long enough before.
 func (h *heard) told(a arrival) bool {
 	return slices.ContainsFunc(h.said[a.e.process], func(s said) bool {
