Tidy: what upstreams signal in files of their own; notices within the lines' budget; VMs' addresses looked up only when one tells

No behaviour changes but two: a limit that changes with each answer no longer writes a line for each, and a VM that nobody tells anything does not list the others' addresses twice a second.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -74,7 +74,7 @@
 	joined       bool
 	tell         func()
 	// kept is what incarnations said that are not registered, by their names.
-	kept map[string]keptSaid
+	kept map[string]keptSignals
 	off  [mechanisms]bool
 }
 
@@ -117,7 +117,7 @@
 		self: self, region: region, zone: zone,
 		states: make(map[string]*state), services: make(map[string]*pool), stats: make(map[string]*serviceStats), crowds: make(map[crowdKey]*crowd),
 		trips: make(map[string]time.Duration), regions: make(map[string]string), routes: make(map[string]*traffic),
-		placed: make(map[placeKey]*placements), kept: make(map[string]keptSaid),
+		placed: make(map[placeKey]*placements), kept: make(map[string]keptSignals),
 	}
 	for _, opt := range opts {
 		opt(b)
@@ -155,7 +155,7 @@
 		if s == nil || s.Born != t.Born {
 			s = &state{
 				seed: xxhash.Sum64String(t.ID), weight: float64(t.Slots), usual: b.statsOf(t.Service), others: b.crowdOf(t), off: &b.off,
-				said: b.recall(t),
+				signals: b.recall(t),
 			}
 			if t.Zone == b.zone && !b.off[ZonePull] {
 				s.weight *= zonePull
@@ -236,7 +236,7 @@
 	s := l.state
 	s.inFlight--
 	if l.limited && (o.Unreachable || o.NotSent) {
-		s.said.limit.Return()
+		s.signals.limit.Return()
 	}
 	if o.Answered {
 		l.traffic.carried(o.Bytes)
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -82,12 +82,12 @@
 	if s.Cold(now) {
 		s.lastCold = now
 	}
-	s.said.probedAt = now
+	s.signals.probedAt = now
 	if s.inFlight == 0 {
 		s.quietSince = now
 	}
 	lease := Lease{Target: s.Target, state: s, traffic: tr, sentAt: now, Ahead: s.busy(now), Owner: owner, Trip: b.roundTrip(s)}
-	lease.limited = s.limited() && s.said.limit.Take(now, b.placeAt(s))
+	lease.limited = s.limited() && s.signals.limit.Take(now, b.placeAt(s))
 	s.inFlight++
 	return lease, nil
 }
@@ -172,7 +172,7 @@
 	if req.Allowed != nil && !req.Allowed(s.Region) {
 		return false
 	}
-	if !s.said.ready(now) || s.limited() && !s.said.limit.Ready(now, b.placeAt(s)) {
+	if !s.signals.ready(now) || s.limited() && !s.signals.limit.Ready(now, b.placeAt(s)) {
 		return false
 	}
 	return !s.Cold(now) || b.coldTurn(now, s, req.ColdPerSecond)
--- a/core/balance/dump.go
+++ b/core/balance/dump.go
@@ -32,9 +32,9 @@
 			t := TargetState{
 				ID: s.ID, Service: s.Service, Addr: s.Addr, Zone: s.Zone, Usable: s.Usable, Cold: s.Cold(now),
 				Suspect: s.suspect(now, p.usual), InFlight: s.inFlight, Busy: s.busy(now), Failing: s.failing, Latency: s.latency,
-				Leaving: s.said.leaving, PausedMillis: max(0, s.said.pausedUntil.Sub(now)).Milliseconds(),
+				Leaving: s.signals.leaving, PausedMillis: max(0, s.signals.pausedUntil.Sub(now)).Milliseconds(),
 			}
-			if perSecond, ok := s.said.limit.PerSecond(); ok {
+			if perSecond, ok := s.signals.limit.PerSecond(); ok {
 				t.Limit = &perSecond
 			}
 			list = append(list, t)
@@ -81,7 +81,7 @@
 		if s.limited() {
 			c.Limited++
 		}
-		if now.Before(s.said.pausedUntil) {
+		if now.Before(s.signals.pausedUntil) {
 			c.Paused++
 		}
 	}
--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -182,7 +182,7 @@
 	var first [placeAmong]*state
 	var costs [placeAmong]float64
 	for _, s := range p.states {
-		if !s.usable() || s.Cold(now) || s.limited() || !s.said.ready(now) || req.Allowed != nil && !req.Allowed(s.Region) || slices.Contains(req.Tried, s.ID) ||
+		if !s.usable() || s.Cold(now) || s.limited() || !s.signals.ready(now) || req.Allowed != nil && !req.Allowed(s.Region) || slices.Contains(req.Tried, s.ID) ||
 			!p.distrust && s.suspect(now, p.usual) {
 			continue
 		}
@@ -300,7 +300,7 @@
 func (b *Balancer) Forget(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.forgetSaid(now)
+	b.forgetSignals(now)
 	for _, placed := range b.placed {
 		for hash, pl := range placed.objects {
 			if now.Sub(pl.used) > forgetPlaced {
--- /dev/null
+++ b/core/balance/report.go
@@ -0,0 +1,51 @@
+package balance
+
+import (
+	"time"
+
+	"auburnlatch/core/throttle"
+)
+
+// Report is what one VM tells others of what an upstream said.
+type Report struct {
+	// Target and Born name the incarnation.
+	Target string
+	Born   int64
+	// Limit is what is known of its limit; nil: nothing.
+	Limit   *throttle.Report
+	Leaving bool
+}
+
+// Reports returns what other VMs should know of what upstreams said.
+func (b *Balancer) Reports(now time.Time) []Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []Report
+	for _, s := range b.states {
+		r := Report{Target: s.ID, Born: s.Born, Leaving: s.signals.leaving}
+		if limit, ok := s.signals.limit.Report(now); ok {
+			r.Limit = &limit
+		}
+		if r.Limit != nil || r.Leaving {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// ToldReports takes in what another VM tells of what upstreams said. Of upstreams that are not
+// known here nothing is kept.
+func (b *Balancer) ToldReports(now time.Time, list []Report) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range list {
+		s := b.states[r.Target]
+		if s == nil || s.Born != r.Born {
+			continue
+		}
+		if r.Limit != nil {
+			s.signals.limit.Told(now, *r.Limit)
+		}
+		s.signals.leaving = s.signals.leaving || r.Leaving
+	}
+}
--- a/core/balance/said.go
+++ b/core/balance/signals.go
@@ -9,12 +9,12 @@
 	"auburnlatch/core/throttle"
 )
 
-// keepSaid is how long what an upstream said is kept once it is off the register. Rows lapse
+// keepSignals is how long what an upstream said is kept once it is off the register. Rows lapse
 // while the platform is away or an upstream is slow to renew them, and come back.
-const keepSaid = time.Hour
+const keepSignals = time.Hour
 
-// said is what an incarnation of an upstream said of itself in answers.
-type said struct {
+// signals are what an incarnation of an upstream said of itself in answers.
+type signals struct {
 	limit   throttle.Limit
 	leaving bool
 	// pausedUntil is until when it wants nothing of this VM.
@@ -36,62 +36,62 @@
 )
 
 // pause has nothing sent until a moment.
-func (s *said) pause(until time.Time) {
+func (s *signals) pause(until time.Time) {
 	if until.After(s.pausedUntil) {
 		s.pausedUntil, s.probing = until, true
 	}
 }
 
 // ready reports whether the incarnation may be sent a request as far as pauses go.
-func (s *said) ready(now time.Time) bool {
+func (s *signals) ready(now time.Time) bool {
 	return !now.Before(s.pausedUntil) && (!s.probing || now.Sub(s.probedAt) >= probeEvery)
 }
 
 // answered notes an answer that asks for no pause. One to a request from before the end of the
 // last pause does not show that it is over.
-func (s *said) answered(sentAt time.Time) {
+func (s *signals) answered(sentAt time.Time) {
 	if !sentAt.Before(s.pausedUntil) {
 		s.probing = false
 	}
 }
 
 // matters reports whether the incarnation said anything that has to outlive its row.
-func (s *said) matters() bool {
+func (s *signals) matters() bool {
 	_, limited := s.limit.PerSecond()
 	return limited || s.leaving || s.probing
 }
 
-// keptSaid is what an incarnation said that is not registered.
-type keptSaid struct {
-	*said
+// keptSignals is what an incarnation said that is not registered.
+type keptSignals struct {
+	*signals
 	since time.Time // Zero until it is first looked at.
 }
 
 // keep keeps what an incarnation said that is off the register.
 func (b *Balancer) keep(s *state) {
-	if s.said.matters() {
-		b.kept[s.Incarnation()] = keptSaid{said: s.said}
+	if s.signals.matters() {
+		b.kept[s.Incarnation()] = keptSignals{signals: s.signals}
 	}
 }
 
 // recall returns what an incarnation said that is registered anew.
-func (b *Balancer) recall(t *target.Target) *said {
+func (b *Balancer) recall(t *target.Target) *signals {
 	name := t.Incarnation()
 	if k, ok := b.kept[name]; ok {
 		delete(b.kept, name)
-		return k.said
+		return k.signals
 	}
-	return &said{}
+	return &signals{}
 }
 
-// forgetSaid drops what was kept for long.
-func (b *Balancer) forgetSaid(now time.Time) {
+// forgetSignals drops what was kept for long.
+func (b *Balancer) forgetSignals(now time.Time) {
 	for name, k := range b.kept {
 		switch {
 		case k.since.IsZero():
 			k.since = now
 			b.kept[name] = k
-		case now.Sub(k.since) > keepSaid:
+		case now.Sub(k.since) > keepSignals:
 			delete(b.kept, name)
 		}
 	}
@@ -111,17 +111,17 @@
 func (b *Balancer) Heard(now time.Time, l Lease, n Notice) (changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	said := l.state.said
-	changed = said.limit.Answered(now, l.sentAt, n.Limit)
-	if n.Leaving && !said.leaving {
-		said.leaving, changed = true, true
+	sig := l.state.signals
+	changed = sig.limit.Answered(now, l.sentAt, n.Limit)
+	if n.Leaving && !sig.leaving {
+		sig.leaving, changed = true, true
 	}
 	if n.RetryAfter <= 0 {
-		said.answered(l.sentAt)
+		sig.answered(l.sentAt)
 		return changed
 	}
-	changed = changed || !now.Before(said.pausedUntil)
-	said.pause(now.Add(n.RetryAfter + b.spread(l.state, n.RetryAfter)))
+	changed = changed || !now.Before(sig.pausedUntil)
+	sig.pause(now.Add(n.RetryAfter + b.spread(l.state, n.RetryAfter)))
 	return changed
 }
 
@@ -132,32 +132,8 @@
 }
 
 // usable reports whether the target may be sent requests, by the register and by its own word.
-// That it leaves is final: a row which says otherwise is older, and it sends no such answer
-// that is not.
-func (s *state) usable() bool { return s.Usable && !s.said.leaving }
-
-// limited reports whether the target names a limit.
-func (s *state) limited() bool {
-	_, ok := s.said.limit.PerSecond()
-	return ok
-}
-
-// placeAt returns this VM's place in the order of those that may send to a target that names
-// a limit: those of its region first, as they have most of its requests.
-func (b *Balancer) placeAt(s *state) throttle.Place {
-	if s.place.VMs == 0 && len(b.vms) > 0 {
-		own := unit(xxhash.Sum64String(b.self), s.seed)
-		rank := 0
-		for _, vm := range b.vms {
-			near, far := vm.Region == s.Region, b.region != s.Region
-			if vm.Name != b.self && (near && far || near != far && unit(xxhash.Sum64String(vm.Name), s.seed) > own) {
-				rank++
-			}
-		}
-		s.place = throttle.Place{Rank: rank, VMs: len(b.vms)}
-	}
-	return s.place
-}
+// That it leaves is final: a row that says otherwise is older.
+func (s *state) usable() bool { return s.Usable && !s.signals.leaving }
 
 // Wait returns for how long all targets that could serve a request are kept from this VM by
 // their own word, 0 where one is not.
@@ -176,9 +152,9 @@
 		if !s.usable() || req.Allowed != nil && !req.Allowed(s.Region) {
 			continue
 		}
-		left := max(0, s.said.pausedUntil.Sub(now))
+		left := max(0, s.signals.pausedUntil.Sub(now))
 		if s.limited() {
-			next, ok := s.said.limit.Next(now, b.placeAt(s))
+			next, ok := s.signals.limit.Next(now, b.placeAt(s))
 			if !ok {
 				continue // Other VMs send to it.
 			}
@@ -200,52 +176,8 @@
 func (b *Balancer) Admit(now time.Time, l Lease) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if l.state.said.leaving || now.Before(l.state.said.pausedUntil) {
+	if l.state.signals.leaving || now.Before(l.state.signals.pausedUntil) {
 		return false
 	}
-	return l.limited || l.state.said.limit.Take(now, b.placeAt(l.state))
-}
-
-// Report is what one VM tells others of what an upstream said.
-type Report struct {
-	// Target and Born name the incarnation.
-	Target string
-	Born   int64
-	// Limit is what is known of its limit; nil: nothing.
-	Limit   *throttle.Report
-	Leaving bool
-}
-
-// Reports returns what other VMs should know of what upstreams said.
-func (b *Balancer) Reports(now time.Time) []Report {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var list []Report
-	for _, s := range b.states {
-		r := Report{Target: s.ID, Born: s.Born, Leaving: s.said.leaving}
-		if limit, ok := s.said.limit.Report(now); ok {
-			r.Limit = &limit
-		}
-		if r.Limit != nil || r.Leaving {
-			list = append(list, r)
-		}
-	}
-	return list
-}
-
-// ToldReports takes in what another VM tells of what upstreams said. Of upstreams that are not
-// known here nothing is kept.
-func (b *Balancer) ToldReports(now time.Time, list []Report) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, r := range list {
-		s := b.states[r.Target]
-		if s == nil || s.Born != r.Born {
-			continue
-		}
-		if r.Limit != nil {
-			s.said.limit.Told(now, *r.Limit)
-		}
-		s.said.leaving = s.said.leaving || r.Leaving
-	}
+	return l.limited || l.state.signals.limit.Take(now, b.placeAt(l.state))
 }
--- a/core/balance/state.go
+++ b/core/balance/state.go
@@ -27,8 +27,8 @@
 	region int
 	// gone says that the target is not registered any more.
 	gone bool
-	// said is what the target said of itself in answers.
-	said *said
+	// signals are what the target said of itself in answers.
+	signals *signals
 	// place is this VM's in the order of those that may send to the target while it names a
 	// limit.
 	place throttle.Place
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -65,7 +65,7 @@
 	limits    ratelimit.Limiter
 	collector ratelimit.Collector
 	others    atomic.Pointer[others]
-	mates     atomic.Pointer[map[string]bool] // Addresses of VMs that may tell of upstreams.
+	mates     atomic.Pointer[knownMates]
 	upstreams *upstream.Pool
 	picks     route.Picks
 	guard     *quarantine.Guard
--- a/io/entry/notice.go
+++ b/io/entry/notice.go
@@ -86,6 +86,9 @@
 
 // heard logs what an upstream says of itself, where that is new.
 func (l *requestLog) heard(lease balance.Lease, n balance.Notice) {
+	if !l.failures.take() {
+		return
+	}
 	f := logrus.Fields{"Target": lease.Target.ID, "Addr": lease.Target.Addr, "TargetZone": lease.Target.Zone, "Service": lease.Target.Service}
 	if n.Limit.Kind == throttle.Named {
 		f["LimitPerSecond"] = n.Limit.PerSecond
@@ -112,13 +115,14 @@
 
 // tell tells a few VMs.
 func (t *noticeTeller) tell(now time.Time) {
-	mates := t.vm.peerAddrs(now)
-	t.vm.mates.Store(&mates)
 	list := t.vm.balancer.Reports(now)
-	if len(list) == 0 || len(mates) == 0 {
+	if len(list) == 0 {
+		return
+	}
+	addrs := slices.Collect(maps.Keys(t.vm.peerAddrs(now)))
+	if len(addrs) == 0 {
 		return
 	}
-	addrs := slices.Collect(maps.Keys(mates))
 	for range noticePartners {
 		t.peer.TellReports([]string{addrs[rand.IntN(len(addrs))]}, list)
 	}
@@ -127,10 +131,20 @@
 // upstreamTable is what datagrams about upstreams are taken by.
 type upstreamTable struct{ *VM }
 
+// knownMates are the addresses of all other VMs, as of a moment.
+type knownMates struct {
+	addrs map[string]bool
+	at    time.Time
+}
+
 // Knows implements peer.UpstreamTable.
-func (u upstreamTable) Knows(addr string) bool {
-	mates := u.mates.Load()
-	return mates != nil && (*mates)[addr]
+func (u upstreamTable) Knows(now time.Time, addr string) bool {
+	known := u.mates.Load()
+	if known == nil || now.Sub(known.at) >= noticeEvery {
+		known = &knownMates{u.peerAddrs(now), now}
+		u.mates.Store(known)
+	}
+	return known.addrs[addr]
 }
 
 // ToldReports implements peer.UpstreamTable.
--- a/io/peer/datagram.go
+++ b/io/peer/datagram.go
@@ -70,7 +70,7 @@
 type UpstreamTable interface {
 	// Knows reports whether the sender at an address, IP:port, is a VM. Others are not heard:
 	// they could keep all VMs from an upstream.
-	Knows(addr string) bool
+	Knows(now time.Time, addr string) bool
 	// ToldReports takes in what another VM knows.
 	ToldReports(now time.Time, list []balance.Report)
 }
@@ -139,8 +139,8 @@
 		if d.limits != nil && (m.GetDemand() != nil || m.GetTotal() != nil) {
 			d.takeDemand(from, &m)
 		}
-		if d.upstreams != nil && len(m.GetUpstreams()) > 0 && d.upstreams.Knows(from.String()) {
-			d.upstreams.ToldReports(time.Now(), wire.Reports(m.GetUpstreams()))
+		if now := time.Now(); d.upstreams != nil && len(m.GetUpstreams()) > 0 && d.upstreams.Knows(now, from.String()) {
+			d.upstreams.ToldReports(now, wire.Reports(m.GetUpstreams()))
 		}
 	}
 }
