auburnlatchd leaves an upstream alone that asks for it, too

The same cause as in the entry process: what an upstream that sheds says in Retry-After was not read, and the next request went to it at once. The header is parsed in one place for both.

--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -67,12 +67,17 @@
 	Err error
 	// Shed says that the upstream refused for lack of capacity.
 	Shed bool
-	Took time.Duration
+	// Pause is for how long the upstream wants nothing of this VM; 0: it does not say.
+	Pause time.Duration
+	Took  time.Duration
 }
 
 // observe takes in the outcome of a real request, which outranks what probes
 // say: an upstream that answers requests is up.
 func (h *holding) observe(now time.Time, s Sample) {
+	if until := now.Add(s.Pause); s.Pause > 0 && until.After(h.pausedUntil) {
+		h.pausedUntil = until
+	}
 	switch {
 	case s.Err == nil && !s.Shed:
 		h.failures = 0
@@ -112,7 +117,7 @@
 // usable reports whether the upstream may get new work; trusting says whether
 // the evidence that it is down counts.
 func (h *holding) usable(now time.Time, trusting bool) bool {
-	if h.drained || h.state == Leaving {
+	if h.drained || h.state == Leaving || now.Before(h.pausedUntil) {
 		return false
 	}
 	if h.state != Down || !trusting {
--- a/core/dispatch/holding.go
+++ b/core/dispatch/holding.go
@@ -51,6 +51,8 @@
 	failures  int
 	latency   time.Duration
 	drained   bool
+	// pausedUntil is until when the upstream wants nothing of this VM.
+	pausedUntil time.Time
 }
 
 // resize moves the slots in force towards want.
--- a/core/dispatch/pool_test.go
+++ b/core/dispatch/pool_test.go
@@ -235,3 +235,25 @@
 		t.Errorf("%d retries of %d requests, want at most %v and not far below", retries, requests, requests*share)
 	}
 }
+
+// An upstream turns a request away and asks for a pause: it gets nothing until that is over,
+// also where it is the only one, and then its part again.
+func TestPausedUpstreamGetsNothing(t *testing.T) {
+	p := newPool(four)
+	if _, ok := p.Offer(at(1), "istoric"); !ok {
+		t.Fatal("no slot")
+	}
+	shed := verdict.New(verdict.NotRun, verdict.ReasonShed, time.Second)
+	p.Done(at(1.1), "t4", Sample{Err: shed, Shed: true, Pause: 3 * time.Second})
+	p.Probed(at(2), "t4", Up)
+	for _, seconds := range []float64{1.2, 2.5, 4} {
+		p.Tick(at(seconds), alone(3, four))
+		if got := offers(p, at(seconds)); len(got) > 0 {
+			t.Errorf("%d requests %v s after the start, in the pause", len(got), seconds)
+		}
+	}
+	p.Tick(at(4.2), alone(4, four))
+	if got := offers(p, at(4.2)); len(got) == 0 {
+		t.Error("nothing after the pause")
+	}
+}
--- a/io/entry/notice.go
+++ b/io/entry/notice.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -17,6 +15,7 @@
 	"auburnlatch/core/throttle"
 	"auburnlatch/io/lifecycle"
 	"auburnlatch/io/peer"
+	"auburnlatch/io/upstream"
 )
 
 const (
@@ -26,14 +25,11 @@
 	noticePartners = 2
 )
 
-// maxPause bounds for how long an upstream is left alone at its own word.
-const maxPause = 24 * time.Hour
-
 // notice returns what an upstream says of itself in the status and the header of an answer.
 func (v *VM) notice(status int, h http.Header) balance.Notice {
 	var n balance.Notice
 	if status == http.StatusServiceUnavailable {
-		n.RetryAfter = retryAfter(h.Values("Retry-After"))
+		n.RetryAfter = upstream.RetryAfter(h)
 	}
 	if name := v.protocol.Limit; name != "" {
 		n.Limit = limitOf(h.Values(name))
@@ -48,7 +44,7 @@
 func limitOf(values []string) throttle.Notice {
 	n := throttle.Notice{}
 	for _, text := range values {
-		perSecond, ok := decimal(text)
+		perSecond, ok := upstream.Decimal(text)
 		switch {
 		case !ok && n.Kind == throttle.None:
 			n.Kind = throttle.Unreadable
@@ -59,31 +55,6 @@
 	return n
 }
 
-// retryAfter parses how many seconds the values of a field name; 0: none. Of several the
-// longest time holds. A date is none: an upstream's time of day is not this VM's.
-func retryAfter(values []string) time.Duration {
-	longest := 0.0
-	for _, text := range values {
-		if seconds, ok := decimal(text); ok {
-			longest = max(longest, seconds)
-		}
-	}
-	return time.Duration(min(longest, maxPause.Seconds()) * float64(time.Second))
-}
-
-// decimal parses a decimal number that is not negative, without an exponent.
-func decimal(text string) (float64, bool) {
-	text = strings.TrimSpace(text)
-	if text == "" || strings.Trim(text, "0123456789.") != "" {
-		return 0, false
-	}
-	x, err := strconv.ParseFloat(text, 64)
-	if err != nil || math.IsInf(x, 0) {
-		return 0, false
-	}
-	return x, true
-}
-
 // heard logs what an upstream says of itself, where that is new.
 func (l *requestLog) heard(lease balance.Lease, n balance.Notice) {
 	if !l.failures.take() {
--- a/io/entry/notice_test.go
+++ b/io/entry/notice_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"auburnlatch/core/throttle"
+	"auburnlatch/io/upstream"
 )
 
 func TestLimitOf(t *testing.T) {
@@ -80,7 +81,7 @@
 		{"no time", 503, []string{"0"}, 0},
 		{"two times", 503, []string{"1", "3"}, 3 * time.Second},
 		{"one of two unreadable", 503, []string{"x", "3"}, 3 * time.Second},
-		{"longer than anybody waits", 503, []string{"99999999999999999999"}, maxPause},
+		{"longer than anybody waits", 503, []string{"99999999999999999999"}, upstream.MaxPause},
 		{"another status", 429, []string{"3"}, 0},
 		{"an answer", 200, []string{"3"}, 0},
 		{"empty", 503, []string{""}, 0},
@@ -105,7 +106,7 @@
 		if x := n.Limit.PerSecond; !(x >= 0) {
 			t.Errorf("a limit of %v", x)
 		}
-		if n.RetryAfter < 0 || n.RetryAfter > maxPause {
+		if n.RetryAfter < 0 || n.RetryAfter > upstream.MaxPause {
 			t.Errorf("a pause of %v", n.RetryAfter)
 		}
 	})
--- a/io/route/router.go
+++ b/io/route/router.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"auburnlatch/core/claim"
 	"auburnlatch/core/dispatch"
 	"auburnlatch/core/inventory"
@@ -14,6 +16,7 @@
 	"auburnlatch/core/steer"
 	"auburnlatch/core/verdict"
 	"auburnlatch/io/forward"
+	"auburnlatch/io/upstream"
 )
 
 // How often one request may go to another VM or upstream.
@@ -300,6 +303,15 @@
 	return nil, verdict.New(verdict.NotRun, verdict.ReasonQueueFull, retryAfter)
 }
 
+// sampleOf returns the outcome of a request that took a time.
+func sampleOf(err error, took time.Duration) dispatch.Sample {
+	s := dispatch.Sample{Err: err, Took: took, Shed: err != nil && verdict.As(err).Reason == verdict.ReasonShed}
+	if shed := (*upstream.ShedError)(nil); errors.As(err, &shed) {
+		s.Pause = shed.Pause
+	}
+	return s
+}
+
 // send sends a request on a slot that is held, and gives the slot back when
 // the answer has been read.
 func (r *Router) send(ctx context.Context, t *inventory.Target, req *Request) (*http.Response, error) {
@@ -321,8 +333,7 @@
 			run(now, verdict.As(err))
 		}
 		r.Meter.Leave(now, req.Service, req.Origin)
-		shed := err != nil && verdict.As(err).Reason == verdict.ReasonShed
-		r.Pool.Done(now, t.Name, dispatch.Sample{Err: err, Shed: shed, Took: now.Sub(started)})
+		r.Pool.Done(now, t.Name, sampleOf(err, now.Sub(started)))
 	}
 	hr := req.http(ctx)
 	forward.StripOwn(hr.Header)
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -81,11 +81,21 @@
 	if slices.Contains(shed, resp.StatusCode) {
 		_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBody)
 		resp.Body.Close()
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonShed, retryShed)
+		pause := RetryAfter(resp.Header)
+		return nil, verdict.Wrap(&ShedError{pause}, verdict.NotRun, verdict.ReasonShed, max(retryShed, pause))
 	}
 	return resp, nil
 }
 
+// ShedError is the cause of a refusal by an upstream.
+type ShedError struct {
+	// Pause is for how long the upstream wants nothing; 0: it does not say.
+	Pause time.Duration
+}
+
+// Error implements error.
+func (e *ShedError) Error() string { return "shed, pause " + e.Pause.String() }
+
 // RoundTrip sends one request to an address, once, and returns its answer.
 func (c *Client) RoundTrip(ctx context.Context, addr string, req *http.Request) (*http.Response, error) {
 	var sent sentWatch
--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -168,3 +168,20 @@
 		t.Errorf("err = %v, want context.Canceled", err)
 	}
 }
+
+// An upstream that sheds asks for a pause: the refusal says so, and tells the caller no sooner.
+func TestShedSaysForHowLong(t *testing.T) {
+	addr, stop := serving(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "2.5")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	defer stop()
+	_, err := NewClient().Send(t.Context(), target(addr), []int{503}, request(t, http.MethodGet, ""))
+	var shed *ShedError
+	if !errors.As(err, &shed) || shed.Pause != 2500*time.Millisecond {
+		t.Errorf("err = %v, want a pause of 2.5 s", err)
+	}
+	if after := verdict.As(err).RetryAfter; after != 2500*time.Millisecond {
+		t.Errorf("come back after %v", after)
+	}
+}
