--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -157,6 +157,7 @@
 				seed: xxhash.Sum64String(t.ID), weight: float64(t.Slots), usual: b.statsOf(t.Service), others: b.crowdOf(t), off: &b.off,
 				signals: b.recall(t),
 			}
+			s.weighSignals()
 			if t.Zone == b.zone && !b.off[ZonePull] {
 				s.weight *= zonePull
 			}
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -82,7 +82,9 @@
 	if s.Cold(now) {
 		s.lastCold = now
 	}
-	s.signals.probedAt = now
+	if s.signalled {
+		s.signals.probedAt = now
+	}
 	if s.inFlight == 0 {
 		s.quietSince = now
 	}
@@ -172,7 +174,7 @@
 	if req.Allowed != nil && !req.Allowed(s.Region) {
 		return false
 	}
-	if !s.signals.ready(now) || s.limited() && !s.signals.limit.Ready(now, b.placeAt(s)) {
+	if !b.mayTake(now, s) {
 		return false
 	}
 	return !s.Cold(now) || b.coldTurn(now, s, req.ColdPerSecond)
--- a/core/balance/limit.go
+++ b/core/balance/limit.go
@@ -8,6 +8,9 @@
 
 // limited reports whether the target names a limit.
 func (s *state) limited() bool {
+	if !s.signalled {
+		return false
+	}
 	_, ok := s.signals.limit.PerSecond()
 	return ok
 }
--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -182,7 +182,7 @@
 	var first [placeAmong]*state
 	var costs [placeAmong]float64
 	for _, s := range p.states {
-		if !s.usable() || s.Cold(now) || s.limited() || !s.signals.ready(now) || req.Allowed != nil && !req.Allowed(s.Region) || slices.Contains(req.Tried, s.ID) ||
+		if !s.usable() || s.Cold(now) || s.limited() || s.signalled && !s.signals.ready(now) || req.Allowed != nil && !req.Allowed(s.Region) || slices.Contains(req.Tried, s.ID) ||
 			!p.distrust && s.suspect(now, p.usual) {
 			continue
 		}
--- a/core/balance/report.go
+++ b/core/balance/report.go
@@ -47,5 +47,6 @@
 			s.signals.limit.Told(now, *r.Limit)
 		}
 		s.signals.leaving = s.signals.leaving || r.Leaving
+		s.weighSignals()
 	}
 }
--- a/core/balance/signals.go
+++ b/core/balance/signals.go
@@ -111,17 +111,19 @@
 func (b *Balancer) Heard(now time.Time, l Lease, n Notice) (changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	sig := l.state.signals
+	s := l.state
+	sig := s.signals
 	changed = sig.limit.Answered(now, l.sentAt, n.Limit)
 	if n.Leaving && !sig.leaving {
 		sig.leaving, changed = true, true
 	}
-	if n.RetryAfter <= 0 {
+	if n.RetryAfter > 0 {
+		changed = changed || !now.Before(sig.pausedUntil)
+		sig.pause(now.Add(n.RetryAfter + b.spread(s, n.RetryAfter)))
+	} else {
 		sig.answered(l.sentAt)
-		return changed
 	}
-	changed = changed || !now.Before(sig.pausedUntil)
-	sig.pause(now.Add(n.RetryAfter + b.spread(l.state, n.RetryAfter)))
+	s.weighSignals()
 	return changed
 }
 
@@ -131,9 +133,21 @@
 	return time.Duration(unit(xxhash.Sum64String(b.self), s.seed) * float64(most))
 }
 
+// weighSignals notes whether anything that the target said may keep requests from it. Most
+// targets have said nothing, and the choice looks at many.
+func (s *state) weighSignals() { s.signalled = s.signals.matters() }
+
 // usable reports whether the target may be sent requests, by the register and by its own word.
 // That it leaves is final: a row that says otherwise is older.
-func (s *state) usable() bool { return s.Usable && !s.signals.leaving }
+func (s *state) usable() bool { return s.Usable && !(s.signalled && s.signals.leaving) }
+
+// mayTake reports whether the target takes a request now by its own word.
+func (b *Balancer) mayTake(now time.Time, s *state) bool {
+	if !s.signalled {
+		return true
+	}
+	return !s.signals.leaving && s.signals.ready(now) && s.signals.limit.Ready(now, b.placeAt(s))
+}
 
 // Wait returns for how long all targets that could serve a request are kept from this VM by
 // their own word, 0 where one is not.
@@ -176,8 +190,9 @@
 func (b *Balancer) Admit(now time.Time, l Lease) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if l.state.signals.leaving || now.Before(l.state.signals.pausedUntil) {
+	s := l.state
+	if s.signals.leaving || now.Before(s.signals.pausedUntil) {
 		return false
 	}
-	return l.limited || l.state.signals.limit.Take(now, b.placeAt(l.state))
+	return l.limited || s.signals.limit.Take(now, b.placeAt(s))
 }
--- a/core/balance/state.go
+++ b/core/balance/state.go
@@ -27,8 +27,10 @@
 	region int
 	// gone says that the target is not registered any more.
 	gone bool
-	// signals are what the target said of itself in answers.
-	signals *signals
+	// signals are what the target said of itself in answers, and signalled says that they may
+	// keep requests from it.
+	signals   *signals
+	signalled bool
 	// place is this VM's in the order of those that may send to the target while it names a
 	// limit.
 	place throttle.Place
