A word that comes while the upstream's row lapses is not lost

What callers would see: an upstream whose row lapses while a request is under way says in the answer that it leaves, and is sent requests when its row is there again. Cause: the word was noted at the state of the target as it was when the request was sent. One that is registered again has another state, and what was kept for it was looked at when the row went, before the answer came. Why this works: the word goes to the state by which the incarnation is registered now, and is kept for it where it is not registered. TestLeavingHeardWhileTheRowLapses failed before in both orders. Found by reading.

--- a/core/balance/leaving_test.go
+++ b/core/balance/leaving_test.go
@@ -123,3 +123,29 @@
 		other.Done(at(30+i), next, balance.Outcome{Answered: true})
 	}
 }
+
+// The row of an upstream lapses while a request is under way, and its answer says that it
+// leaves, before the row is there again or after.
+func TestLeavingHeardWhileTheRowLapses(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first bool // The word comes before the row is there again.
+	}{{"before the row is back", true}, {"after the row is back", false}} {
+		b, targets, l := leavingPair(t)
+		b.SetTargets(nil)
+		if c.first {
+			b.Heard(at(10), l, balance.Notice{Leaving: true})
+		}
+		b.SetTargets(targets)
+		if !c.first {
+			b.Heard(at(10), l, balance.Notice{Leaving: true})
+		}
+		for i := range 20 {
+			next := leased(t, b, 30+i)
+			if next.Target.ID == l.Target.ID {
+				t.Fatalf("%s: it is sent a request", c.name)
+			}
+			b.Done(at(30+i), next, balance.Outcome{Answered: true})
+		}
+	}
+}
--- a/core/balance/signals.go
+++ b/core/balance/signals.go
@@ -111,7 +111,7 @@
 func (b *Balancer) Heard(now time.Time, l Lease, n Notice) (changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := l.state
+	s := b.current(l.state)
 	sig := s.signals
 	changed = sig.limit.Answered(now, l.sentAt, n.Limit)
 	if n.Leaving && !sig.leaving {
@@ -124,9 +124,21 @@
 		sig.answered(l.sentAt)
 	}
 	s.weighSignals()
+	if s.gone {
+		b.keep(s)
+	}
 	return changed
 }
 
+// current returns the state by which an incarnation is registered now. Its row may have lapsed
+// and come back while a request was under way.
+func (b *Balancer) current(s *state) *state {
+	if now := b.states[s.ID]; now != nil && now.Born == s.Born {
+		return now
+	}
+	return s
+}
+
 // spread is how much longer than asked for this VM leaves a target alone.
 func (b *Balancer) spread(s *state, pause time.Duration) time.Duration {
 	most := min(maxSpread, time.Duration(pauseSpread*float64(pause)))
@@ -190,7 +202,7 @@
 func (b *Balancer) Admit(now time.Time, l Lease) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := l.state
+	s := b.current(l.state)
 	if s.signals.leaving || now.Before(s.signals.pausedUntil) {
 		return false
 	}
