--- a/tools/soak/ledger.go
+++ b/tools/soak/ledger.go
@@ -110,8 +110,8 @@
 	defer l.mu.Unlock()
 	switch what {
 	case "Got":
-		id, upstream, _ := strings.Cut(id, " ")
-		l.took(id, upstream)
+		id, rest, _ := strings.Cut(id, " ")
+		l.took(id, rest)
 		e := l.entry(id)
 		if e.got++; e.got > 1 {
 			l.repeats = append(l.repeats, time.Now())
--- a/tools/soak/notices.go
+++ b/tools/soak/notices.go
@@ -160,25 +160,32 @@
 	return h
 }
 
-// took notes that a request arrived at an incarnation of an upstream.
-func (l *ledger) took(id, upstream string) {
+// took notes that a request arrived at an incarnation of an upstream: the upstream and when, by
+// the upstream's clock. Lines may be read later than they are written.
+func (l *ledger) took(id, line string) {
+	var upstream string
+	var nanos int64
+	if _, err := fmt.Sscan(line, &upstream, &nanos); err != nil {
+		l.other = append(l.other, line)
+		return
+	}
 	h := l.upstream(upstream)
-	h.arrivals = append(h.arrivals, arrival{time.Now(), l.entry(id)})
+	h.arrivals = append(h.arrivals, arrival{time.Unix(0, nanos), l.entry(id)})
 }
 
-// tell takes in what an upstream said in its answer to a request: its ID, the upstream, what
-// and a value.
+// tell takes in what an upstream said in its answer to a request: its ID, the upstream, what, a
+// value and when.
 func (l *ledger) tell(line string) {
-	f := strings.Fields(line)
-	if len(f) != 4 {
-		return
-	}
-	value, err := strconv.ParseFloat(f[3], 64)
-	if err != nil {
+	var id, upstream string
+	var s said
+	var nanos int64
+	if _, err := fmt.Sscan(line, &id, &upstream, &s.what, &s.value, &nanos); err != nil {
+		l.other = append(l.other, line)
 		return
 	}
-	h, vm := l.upstream(f[1]), l.entry(f[0]).process
-	h.said[vm] = append(h.said[vm], said{f[2], value, time.Now()})
+	s.at = time.Unix(0, nanos)
+	h, vm := l.upstream(upstream), l.entry(id).process
+	h.said[vm] = append(h.said[vm], s)
 }
 
 // judgeNotices checks what reached upstreams that said something of themselves.
@@ -189,8 +196,9 @@
 		if n := h.overLimit(x, upstreamOf(name)); n > 0 {
 			broken = append(broken, fmt.Sprintf("upstream %s named a limit of %d a second and got %d requests in %v", name, limitNamed, n, limitWindow))
 		}
-		if n := h.inPause(x, upstreamOf(name)); n > 0 {
-			broken = append(broken, fmt.Sprintf("upstream %s asked a VM for a pause of %v and got %d requests of it", name, pauseFor, n))
+		if n, vm, at := h.inPause(x, upstreamOf(name)); n > 0 {
+			broken = append(broken, fmt.Sprintf("upstream %s asked %s for a pause of %v at %s and got %d requests of it",
+				name, vm, pauseFor, at.Format("15:04:05.000"), n))
 		}
 		if n := h.afterLeaving(x); n > 0 {
 			broken = append(broken, fmt.Sprintf("upstream %s said that it leaves and got %d requests of VMs that it had told", name, n))
@@ -260,9 +268,9 @@
 	return n
 }
 
-// inPause returns the most requests of one VM in a pause that it was asked for, 0 if none are
-// more than it may send.
-func (h *heard) inPause(x *excuses, upstream string) (most int) {
+// inPause returns the most requests of one VM's process in a pause that it was asked for at a
+// moment, 0 if none are more than it may send.
+func (h *heard) inPause(x *excuses, upstream string) (most int, vm string, at time.Time) {
 	for process, list := range h.said {
 		for _, s := range list {
 			if s.what != "pause" {
@@ -275,13 +283,12 @@
 					n++
 				}
 			}
-			most = max(most, n)
+			if n > max(most, maxInPause) {
+				most, vm, at = n, process, s.at
+			}
 		}
 	}
-	if most <= maxInPause {
-		return 0
-	}
-	return most
+	return most, vm, at
 }
 
 // told reports whether the VM that sent a request had heard of a limit long enough before.
