--- a/io/entry/leaving_test.go
+++ b/io/entry/leaving_test.go
@@ -1,7 +1,6 @@
 package entry_test
 
 import (
-	"context"
 	"net/http"
 	"strings"
 	"sync"
@@ -10,7 +9,6 @@
 
 	"auburnlatch/core/target"
 	"auburnlatch/io/entry"
-	"auburnlatch/io/settings"
 )
 
 // leavingUpstream says in each answer that it leaves, once it is told to.
@@ -65,14 +63,7 @@
 	register(p, "leaves", u.addr())
 	other := startUpstream(t, func(http.ResponseWriter, *http.Request) {})
 	register(p, "stays", other.addr())
-	a := startVM(t, "a", p, nil)
-	b := startVM(t, "b", p, func(cfg *settings.Entry) { cfg.Seeds = []string{a.cfg.PeerAddr} })
-	ready(t, a)
-	ready(t, b)
-
-	ctx, stop := context.WithCancel(t.Context())
-	callers := callVMs(ctx, t, []*runningVM{a, b}, 25*time.Millisecond)
-	defer callers.Wait()
+	vms, stop := callTwoVMs(t, p)
 	defer stop()
 	<-time.After(300 * time.Millisecond)
 	p.setAway(true)
@@ -90,7 +81,7 @@
 	if _, late := u.seen(); len(late) > 0 {
 		t.Errorf("%d requests after its row was there again", len(late))
 	}
-	if status := a.object(t, "a/last", "1"); status != 200 {
+	if status := vms[0].object(t, "a/last", "1"); status != 200 {
 		t.Errorf("the upstream that stays: %d", status)
 	}
 	if other.runs("a/last") != 1 {
--- a/io/entry/pause_test.go
+++ b/io/entry/pause_test.go
@@ -1,14 +1,11 @@
 package entry_test
 
 import (
-	"context"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
 	"time"
-
-	"auburnlatch/io/settings"
 )
 
 // pausingUpstream turns all requests away and asks for a pause, for as long as it is told to.
@@ -72,14 +69,7 @@
 	register(p, "pauses", u.addr())
 	other := startUpstream(t, func(http.ResponseWriter, *http.Request) {})
 	register(p, "serves", other.addr())
-	a := startVM(t, "a", p, nil)
-	b := startVM(t, "b", p, func(cfg *settings.Entry) { cfg.Seeds = []string{a.cfg.PeerAddr} })
-	ready(t, a)
-	ready(t, b)
-
-	ctx, stop := context.WithCancel(t.Context())
-	callers := callVMs(ctx, t, []*runningVM{a, b}, 25*time.Millisecond)
-	defer callers.Wait()
+	_, stop := callTwoVMs(t, p)
 	defer stop()
 	<-time.After(5 * time.Second)
 	if early, arrived := u.seen(); early > 2 || arrived == 0 {
--- a/io/entry/throttle_test.go
+++ b/io/entry/throttle_test.go
@@ -99,6 +99,19 @@
 	return &callers
 }
 
+// callTwoVMs starts two VMs, "a" and "b", and sends requests to both until stop is called.
+func callTwoVMs(t *testing.T, p *fakePlatform) (vms []*runningVM, stop func()) {
+	t.Helper()
+	a := startVM(t, "a", p, nil)
+	b := startVM(t, "b", p, func(cfg *settings.Entry) { cfg.Seeds = []string{a.cfg.PeerAddr} })
+	ready(t, a)
+	ready(t, b)
+	vms = []*runningVM{a, b}
+	ctx, cancel := context.WithCancel(t.Context())
+	callers := callVMs(ctx, t, vms, 25*time.Millisecond)
+	return vms, func() { cancel(); callers.Wait() }
+}
+
 // object asks for an object and returns the status; 0: there was no answer.
 func (v *runningVM) object(t *testing.T, id, object string) int {
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+v.cfg.FrontAddr+"/get/", nil)
