--- a/core/balance/doc.go
+++ b/core/balance/doc.go
@@ -11,6 +11,10 @@
 // makes all slower, which spreads more. What has no room there goes to an upstream
 // that is clearly idle, or is refused at once.
 //
+// What upstreams say of themselves in answers goes before all of that: one that leaves gets
+// nothing new, one that asks for a pause nothing until it is over, and one that names a limit
+// no more than that of all VMs together, see package throttle.
+//
 // # Usage
 //
 //	b := balance.New(self, region, zone, balance.WithNews(signal))
@@ -18,7 +22,10 @@
 //	b.Told(now, placements)      // What another VM tells; Join once all is told.
 //	b.Join()
 //	lease, err := b.Choose(now, balance.Request{Service: "a", Route: "r", Key: key})
-//	...                          // send to lease.Target
+//	if b.Admit(now, lease) {     // Right before the request is written.
+//		...                  // Send it to lease.Target.
+//		b.Heard(now, lease, balance.Notice{...}) // What the answer's header says.
+//	}
 //	b.Done(now, lease, balance.Outcome{...})
 //	tell(b.News())               // What was placed here.
 package balance
