A request that was to find out whether a pause is over and brought no answer counts as another pause

Cause: the VM sent one request after a pause; its caller left in the millisecond in which the upstream turned it away and asked for another pause (lines of that VM: Canceled at 00.822, the upstream's word at 00.822), so nobody read that. The upstream served again 0.2 s later, which the VM took for the end. Why this works: the answer may have asked for a pause; the VM waits for as long as the last one was. TestPauseWhileCallerLeaves failed before (sent after 250 ms).

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -236,8 +236,13 @@
 	defer b.mu.Unlock()
 	s := l.state
 	s.inFlight--
-	if l.limited && (o.Unreachable || o.NotSent) {
-		s.signals.limit.Return()
+	switch {
+	case o.Unreachable || o.NotSent:
+		if l.limited {
+			s.signals.limit.Return()
+		}
+	case !o.Answered:
+		s.signals.unanswered(now, l.sentAt)
 	}
 	if o.Answered {
 		l.traffic.carried(o.Bytes)
--- a/core/balance/pause_test.go
+++ b/core/balance/pause_test.go
@@ -83,3 +83,20 @@
 		t.Errorf("%d of %d VMs are back within 250 ms", n, vms)
 	}
 }
+
+// The caller of the request that finds out whether a pause is over leaves before the upstream's
+// answer is there: that may have asked for another pause.
+func TestPauseWhileCallerLeaves(t *testing.T) {
+	b := pausing("vm")
+	b.Heard(at(0), leased(t, b, 0), balance.Notice{RetryAfter: time.Second})
+	probe := leased(t, b, 1300)
+	b.Done(at(1310), probe, balance.Outcome{})
+	for ms := 1310; ms < 2300; ms += 50 {
+		if may(b, ms) {
+			t.Fatalf("sent after %d ms, in what may be a pause", ms)
+		}
+	}
+	if !may(b, 2600) {
+		t.Error("nothing is sent afterwards")
+	}
+}
--- a/core/balance/signals.go
+++ b/core/balance/signals.go
@@ -17,8 +17,10 @@
 type signals struct {
 	limit   throttle.Limit
 	leaving bool
-	// pausedUntil is until when it wants nothing of this VM.
+	// pausedUntil is until when it wants nothing of this VM, and pausedFor how long the last
+	// pause was.
 	pausedUntil time.Time
+	pausedFor   time.Duration
 	// probing says that nothing has shown since that it takes requests again, and probedAt
 	// when it was last sent one to find out.
 	probing  bool
@@ -35,10 +37,18 @@
 	maxSpread   = time.Second
 )
 
-// pause has nothing sent until a moment.
-func (s *signals) pause(until time.Time) {
-	if until.After(s.pausedUntil) {
-		s.pausedUntil, s.probing = until, true
+// pause has nothing sent for a time.
+func (s *signals) pause(now time.Time, d time.Duration) {
+	if until := now.Add(d); until.After(s.pausedUntil) {
+		s.pausedUntil, s.pausedFor, s.probing = until, d, true
+	}
+}
+
+// unanswered notes a request that brought no answer. Where it was to find out whether a pause is
+// over, its answer may have asked for another one, which nobody was there to read.
+func (s *signals) unanswered(now, sentAt time.Time) {
+	if s.probing && !sentAt.Before(s.pausedUntil) {
+		s.pause(now, s.pausedFor)
 	}
 }
 
@@ -119,7 +129,7 @@
 	}
 	if n.RetryAfter > 0 {
 		changed = changed || !now.Before(sig.pausedUntil)
-		sig.pause(now.Add(n.RetryAfter + b.spread(s, n.RetryAfter)))
+		sig.pause(now, n.RetryAfter+b.spread(s, n.RetryAfter))
 	} else {
 		sig.answered(l.sentAt)
 	}
