--- a/core/balance/limit_test.go
+++ b/core/balance/limit_test.go
@@ -1,7 +1,6 @@
 package balance_test
 
 import (
-	"container/heap"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -10,39 +9,17 @@
 	"time"
 
 	"auburnlatch/core/balance"
+	"auburnlatch/core/internal/eventqueue"
 	"auburnlatch/core/target"
 	"auburnlatch/core/throttle"
 	"auburnlatch/core/verdict"
 )
 
-// event is something that happens in a simulated fleet.
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // limitFleet is VMs and the upstreams of one service in three regions, in simulated time.
 type limitFleet struct {
 	rng     *rand.Rand
 	now     time.Duration
-	queue   events
-	seq     int
+	queue   eventqueue.Queue
 	vms     []*limitVM
 	targets []*target.Target
 	limits  map[string]*float64
@@ -104,8 +81,10 @@
 
 // after has something happen later.
 func (f *limitFleet) after(wait time.Duration, do func()) {
-	f.seq++
-	heap.Push(&f.queue, event{f.now + wait, f.seq, do})
+	f.queue.Add(f.clock().Add(wait), func(now time.Time) {
+		f.now = now.Sub(start)
+		do()
+	})
 }
 
 // every has something happen again and again, first within one interval.
@@ -116,11 +95,7 @@
 }
 
 func (f *limitFleet) run(until time.Duration) {
-	for len(f.queue) > 0 && f.queue[0].at <= until {
-		e := heap.Pop(&f.queue).(event)
-		f.now = e.at
-		e.do()
-	}
+	f.queue.Run(start.Add(until))
 	f.now = until
 }
 
--- a/core/model/play.go
+++ b/core/model/play.go
@@ -1,13 +1,13 @@
 package model
 
 import (
-	"container/heap"
 	"container/list"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"auburnlatch/core/balance"
+	"auburnlatch/core/internal/eventqueue"
 )
 
 // Start is when every play begins.
@@ -93,35 +93,12 @@
 // busy is how many requests are there, running and waiting.
 func (u *upstream) busy() int { return u.running + len(u.queue) }
 
-type event struct {
-	at  time.Time
-	seq int
-	run func(now time.Time)
-}
-
-// events is a heap by time.
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // game is one play.
 type game struct {
 	shape     Shape
 	policy    Policy
 	rnd       *rand.Rand
-	events    events
-	seq       int
+	events    eventqueue.Queue
 	upstreams []*upstream
 	seconds   []Second
 }
@@ -134,10 +111,7 @@
 	}
 	end := g.schedule(phases)
 	g.seconds = make([]Second, int(end.Sub(Start)/time.Second)+1)
-	for g.events.Len() > 0 {
-		e := heap.Pop(&g.events).(event)
-		e.run(e.at)
-	}
+	g.events.RunAll()
 	return Result{Seconds: g.seconds}
 }
 
@@ -146,12 +120,12 @@
 	now := Start
 	for _, ph := range phases {
 		end := now.Add(ph.Length)
-		g.at(now, func(time.Time) { g.policy.Targets(ph.Down) })
+		g.events.Add(now, func(time.Time) { g.policy.Targets(ph.Down) })
 		for now.Before(end) {
 			now = now.Add(time.Duration(g.rnd.ExpFloat64() / ph.PerSecond * float64(time.Second)))
 			r := &request{key: fmt.Sprint("object", g.rnd.IntN(g.shape.Objects)), made: now}
 			r.vm = g.vmFor(r.key)
-			g.at(now, func(now time.Time) { g.arrive(now, r) })
+			g.events.Add(now, func(now time.Time) { g.arrive(now, r) })
 		}
 	}
 	return now
@@ -166,11 +140,6 @@
 	return g.rnd.IntN(perRegion)*g.shape.Regions + object%g.shape.Regions
 }
 
-func (g *game) at(t time.Time, run func(time.Time)) {
-	g.seq++
-	heap.Push(&g.events, event{at: t, seq: g.seq, run: run})
-}
-
 // second counts by when the request was made.
 func (g *game) second(r *request) *Second { return &g.seconds[r.made.Sub(Start)/time.Second] }
 
@@ -183,7 +152,7 @@
 		return
 	}
 	r.lease = lease
-	g.at(now.Add(g.trip(r.vm, i)/2), func(now time.Time) { g.reach(now, r, i) })
+	g.events.Add(now.Add(g.trip(r.vm, i)/2), func(now time.Time) { g.reach(now, r, i) })
 }
 
 // trip is the round trip between a VM and a target.
@@ -216,7 +185,7 @@
 		g.second(r).Known++
 	}
 	work = time.Duration(float64(work) * (1 - workSpread + 2*workSpread*g.rnd.Float64()))
-	g.at(now.Add(work), func(now time.Time) { g.finish(now, r, i) })
+	g.events.Add(now.Add(work), func(now time.Time) { g.finish(now, r, i) })
 }
 
 func (g *game) finish(now time.Time, r *request, i int) {
@@ -237,7 +206,7 @@
 // back takes an answer to the VM and the caller.
 func (g *game) back(now time.Time, r *request, i int, refused bool) {
 	busy := g.upstreams[i].busy()
-	g.at(now.Add(g.trip(r.vm, i)/2), func(now time.Time) {
+	g.events.Add(now.Add(g.trip(r.vm, i)/2), func(now time.Time) {
 		took := now.Sub(r.made)
 		switch {
 		case refused:
