--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -64,8 +64,8 @@
 	retries   balance.RetryBudget
 	limits    ratelimit.Limiter
 	collector ratelimit.Collector
-	others    atomic.Pointer[others]
-	mates     atomic.Pointer[knownMates]
+	used      atomic.Pointer[[]string] // See usedAddrs.
+	mates     atomic.Pointer[mateAddrs]
 	upstreams *upstream.Pool
 	picks     route.Picks
 	guard     *quarantine.Guard
--- a/io/entry/limits.go
+++ b/io/entry/limits.go
@@ -63,7 +63,7 @@
 		n = max(n, leastUsed)
 	}
 	v.limits.SetVMs(n)
-	v.others.Store(&others{peers: v.peerAddrs(now), used: used})
+	v.used.Store(&used)
 	demand := v.limits.Demand(now)
 	for i, name := range dispatch.First("limits", v.members.Live(now), collectors) {
 		ask := i == 0 || v.limits.Age(now) > secondAfter
@@ -83,15 +83,6 @@
 	}
 }
 
-// others is what this VM knows of the VMs that share the limits. It is worked out on each
-// telling of its own: done for each that a collector gets, it took a whole core with 300 VMs.
-type others struct {
-	// peers are the addresses of the VMs whose datagrams are heard.
-	peers map[string]bool
-	// used are those of the VMs that callers use.
-	used []string
-}
-
 // usedAddrs are the addresses of the VMs that callers use, by which datagrams tell who they
 // are from.
 func (v *VM) usedAddrs(now time.Time) []string {
@@ -107,29 +98,19 @@
 	return addrs
 }
 
-// peerAddrs are the addresses of all other VMs.
-func (v *VM) peerAddrs(now time.Time) map[string]bool {
-	known := make(map[string]bool)
-	for _, m := range v.members.Mates(now) {
-		known[m.VM.Address.Peer] = true
-	}
-	return known
-}
-
 // limitTable is what datagrams about limits are taken by.
 type limitTable struct{ *VM }
 
 // Knows implements peer.LimitTable.
-func (l limitTable) Knows(addr string) bool {
-	o := l.others.Load()
-	return o != nil && o.peers[addr]
+func (l limitTable) Knows(now time.Time, addr string) bool {
+	return l.used.Load() != nil && l.isMate(now, addr)
 }
 
 // Told implements peer.LimitTable. A VM that has just started, or has not heard of any
 // other yet, cannot tell totals.
 func (l limitTable) Told(now time.Time, addr string, list []ratelimit.Demand, first bool) (ratelimit.Total, bool) {
-	table, o := l.table.Load(), l.others.Load()
-	if table == nil || o == nil {
+	table, used := l.table.Load(), l.used.Load()
+	if table == nil || used == nil {
 		return ratelimit.Total{}, false
 	}
 	l.collector.Told(now, addr, list, first)
@@ -138,7 +119,7 @@
 		return ratelimit.Total{}, false
 	}
 	l.collector.Look(now, table.Teams.Teams(), l.limits.Hot)
-	return l.collector.Total(now, list, o.used), true
+	return l.collector.Total(now, list, *used), true
 }
 
 // Heard implements peer.LimitTable.
--- a/io/entry/limits_bench_test.go
+++ b/io/entry/limits_bench_test.go
@@ -29,7 +29,8 @@
 	}
 	v.table.Store(table)
 	v.Configure(&settings.Entry{Name: "self", Zone: "z0", Region: "r0", Regions: v.cfg.Load().Regions, Limits: ratelimit.Bounds{Window: 5 * time.Second}})
-	v.others.Store(&others{peers: v.peerAddrs(now), used: v.usedAddrs(now)})
+	used := v.usedAddrs(now)
+	v.used.Store(&used)
 	b.ReportAllocs()
 	i := 0
 	for b.Loop() {
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -107,6 +107,35 @@
 	return names
 }
 
+// mateAddrs are the addresses of all other VMs, as of a moment.
+type mateAddrs struct {
+	addrs map[string]bool
+	at    time.Time
+}
+
+// refreshMates is how old the list may be by which an address is taken for a stranger's.
+const refreshMates = 100 * time.Millisecond
+
+// isMate reports whether an address is that of another VM. The list is kept for a heartbeat:
+// made for each datagram that a collector gets, it takes a whole core with 300 VMs.
+func (v *VM) isMate(now time.Time, addr string) bool {
+	mates := v.mates.Load()
+	if mates == nil || now.Sub(mates.at) >= heartbeat || !mates.addrs[addr] && now.Sub(mates.at) >= refreshMates {
+		mates = &mateAddrs{v.peerAddrs(now), now}
+		v.mates.Store(mates)
+	}
+	return mates.addrs[addr]
+}
+
+// peerAddrs are the addresses of all other VMs.
+func (v *VM) peerAddrs(now time.Time) map[string]bool {
+	known := make(map[string]bool)
+	for _, m := range v.members.Mates(now) {
+		known[m.VM.Address.Peer] = true
+	}
+	return known
+}
+
 // joinHold is how long a VM that has started takes nothing of what all VMs have
 // in common: six heartbeats, as many as silence takes to count.
 const joinHold = 3 * time.Second
--- a/io/entry/notice.go
+++ b/io/entry/notice.go
@@ -102,21 +102,8 @@
 // upstreamTable is what datagrams about upstreams are taken by.
 type upstreamTable struct{ *VM }
 
-// knownMates are the addresses of all other VMs, as of a moment.
-type knownMates struct {
-	addrs map[string]bool
-	at    time.Time
-}
-
 // Knows implements peer.UpstreamTable.
-func (u upstreamTable) Knows(now time.Time, addr string) bool {
-	known := u.mates.Load()
-	if known == nil || now.Sub(known.at) >= noticeEvery {
-		known = &knownMates{u.peerAddrs(now), now}
-		u.mates.Store(known)
-	}
-	return known.addrs[addr]
-}
+func (u upstreamTable) Knows(now time.Time, addr string) bool { return u.isMate(now, addr) }
 
 // ToldReports implements peer.UpstreamTable.
 func (u upstreamTable) ToldReports(now time.Time, list []balance.Report) {
--- a/io/peer/datagram.go
+++ b/io/peer/datagram.go
@@ -58,7 +58,7 @@
 type LimitTable interface {
 	// Knows reports whether the sender at an address, IP:port, is a VM. Others are not
 	// heard: they could take all VMs' parts away, or hand out more than there is.
-	Knows(addr string) bool
+	Knows(now time.Time, addr string) bool
 	// Told takes in what is asked of the VM at an address, and returns the totals; false:
 	// this VM cannot tell.
 	Told(now time.Time, addr string, list []ratelimit.Demand, first bool) (ratelimit.Total, bool)
@@ -146,7 +146,7 @@
 }
 
 func (d *Datagrams) takeDemand(from netip.AddrPort, m *schema.Datagram) {
-	if !d.limits.Knows(from.String()) {
+	if !d.limits.Knows(time.Now(), from.String()) {
 		return
 	}
 	if told := m.GetDemand(); told != nil {
