--- a/core/balance/signals.go
+++ b/core/balance/signals.go
@@ -29,10 +29,10 @@
 
 const (
 	// probeEvery is the least time between two requests that find out whether an upstream
-	// takes requests again after a pause: about a round trip and an answer.
+	// takes requests again after a pause.
 	probeEvery = 250 * time.Millisecond
-	// pauseSpread is the part of a pause by which VMs wait longer, each another part of it, and
-	// maxSpread the longest: those that were turned away at once would all be back at once.
+	// pauseSpread is the part of a pause, and maxSpread the time, by which VMs wait longer at
+	// most, each by another time: those refused at once would all return at once.
 	pauseSpread = 0.25
 	maxSpread   = time.Second
 )
@@ -159,11 +159,11 @@
 // targets have said nothing, and the choice looks at many.
 func (s *state) weighSignals() { s.signalled = s.signals.matters() }
 
-// usable reports whether the target may be sent requests, by the register and by its own word.
+// usable reports whether the target may be sent requests, by the register and its own notices.
 // That it leaves is final: a row that says otherwise is older.
 func (s *state) usable() bool { return s.Usable && !(s.signalled && s.signals.leaving) }
 
-// mayTake reports whether the target takes a request now by its own word.
+// mayTake reports whether the target's notices let a request be sent now.
 func (b *Balancer) mayTake(now time.Time, s *state) bool {
 	if !s.signalled {
 		return true
@@ -171,8 +171,8 @@
 	return !s.signals.leaving && s.signals.ready(now) && s.signals.limit.Ready(now, b.placeAt(s))
 }
 
-// Wait returns for how long all targets that could serve a request are kept from this VM by
-// their own word, 0 where one is not.
+// Wait returns for how long the notices of all targets that could serve a request keep this VM
+// from sending, 0 where those of one do not.
 func (b *Balancer) Wait(now time.Time, req Request) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/core/throttle/throttle.go
+++ b/core/throttle/throttle.go
@@ -1,24 +1,24 @@
 // Package throttle keeps what all VMs together send to an upstream within the request
-// rate that the upstream names in its answers, without asking anybody before a request is
+// rate that the upstream names in its answers. No message is exchanged before a request is
 // sent.
 //
-// # The parts
+// # Senders
 //
 // A few VMs, the senders, have equal parts of the rate, each in a token bucket; the others
 // send nothing to the upstream. Senders are the first in the upstream's order of the VMs that
-// callers use, so VMs that know the same members agree without a word. There are as many as
-// the upstream bears requests beyond its rate at once: a part of a small rate for each of
-// some hundred VMs is a request that comes too late for everybody, or too many at once.
+// callers use, so VMs that know the same members choose the same senders. A token bucket lets
+// at least one request pass at once, so there are no more senders than the upstream takes
+// requests at once beyond its rate.
 //
-// # What pays for not knowing
+// # Incomplete knowledge
 //
 //   - A VM that knows fewer members may take itself for a sender. Half of what the upstream
-//     bears beyond its rate is left for that, and for requests that travel unequally long.
+//     takes beyond its rate is reserved for that, and for unequal delays on the way.
 //   - A VM that has just started knows no members and sends nothing.
-//   - A VM that sends nothing hears nothing. Senders hear with each answer whether the limit
-//     still holds, and VMs pass on what they heard, see Report.
-//   - Where nobody has heard of the upstream for quietAfter, as no sender has a request for
-//     it, one more VM after the other may send.
+//   - A VM that sends nothing gets no answers. Senders learn from each answer whether the limit
+//     still holds, and VMs relay what they know, see Report.
+//   - Where no VM has had an answer of the upstream for quietAfter, as no sender has a request
+//     for it, one more VM after the other may send.
 //
 // # Usage
 //
@@ -28,17 +28,17 @@
 //		...
 //	}
 //	if r, ok := l.Report(now); ok { tell(r) }              // What other VMs should know,
-//	changed = l.Told(now, r)                               // and what they tell.
+//	l.Told(now, r)                                         // and what they tell.
 package throttle
 
 import "time"
 
-// What an upstream bears beyond the rate that it names: half of it over a few seconds, and a
-// few requests.
+// What an upstream takes beyond the rate that it names: excess of it within a window, and slack
+// requests.
 const (
-	excess  = 0.5
-	window  = 4 * time.Second
-	atLeast = 5
+	excess = 0.5
+	window = 4 * time.Second
+	slack  = 5
 )
 
 const (
@@ -57,8 +57,8 @@
 	quietStep  = window
 	// reportFor is how long the end of a limit is told to other VMs.
 	reportFor = 15 * time.Second
-	// relayMargin is how much newer than what this VM heard itself another VM's word has to
-	// be that a limit is over: the time it travelled is not known.
+	// relayMargin is how much newer than this VM's own last notice a relayed end of a limit has
+	// to be: the time that it travelled is not known.
 	relayMargin = 500 * time.Millisecond
 )
 
@@ -95,9 +95,9 @@
 type Limit struct {
 	perSecond float64
 	limited   bool
-	// heardAt is when the newest word of the upstream was heard, by whichever VM.
+	// heardAt is when any VM had the newest notice that is known here.
 	heardAt time.Time
-	// ownAt is when this VM heard it.
+	// ownAt is when this VM had its newest notice.
 	ownAt    time.Time
 	tokens   float64
 	filledAt time.Time
@@ -105,7 +105,7 @@
 
 // Answered takes in what an answer says, and returns whether that is new. An answer without
 // a limit ends the one that was named before only if its request was sent later than that
-// was heard: answers on different connections overtake each other.
+// notice came: answers on different connections overtake each other.
 func (l *Limit) Answered(now, sentAt time.Time, n Notice) (changed bool) {
 	switch {
 	case n.Kind == Named:
@@ -177,18 +177,18 @@
 	if p.VMs == 0 {
 		return false
 	}
-	more := 0
+	extra := 0
 	if quiet := now.Sub(l.heardAt); quiet > quietAfter {
-		more = 1 + int((quiet-quietAfter)/quietStep)
+		extra = 1 + int((quiet-quietAfter)/quietStep)
 	}
-	return p.Rank < l.senders(p)+more
+	return p.Rank < l.senders(p)+extra
 }
 
 // burst is how many requests the senders together may send at once.
-func (l *Limit) burst() float64 { return burstUsed * (excess*l.perSecond*window.Seconds() + atLeast) }
+func (l *Limit) burst() float64 { return burstUsed * (excess*l.perSecond*window.Seconds() + slack) }
 
 // senders is how many VMs may send.
-func (l *Limit) senders(p Place) int { return max(1, min(p.VMs, int(min(l.burst(), float64(p.VMs))))) }
+func (l *Limit) senders(p Place) int { return int(max(1, min(l.burst(), float64(p.VMs)))) }
 
 // rate is a sender's part in requests a second.
 func (l *Limit) rate(p Place) float64 {
@@ -224,18 +224,17 @@
 	return r, r.Limited || r.Age < reportFor
 }
 
-// Told takes in what another VM tells, and returns whether that is new.
-func (l *Limit) Told(now time.Time, r Report) (changed bool) {
+// Told takes in what another VM tells.
+func (l *Limit) Told(now time.Time, r Report) {
 	heardAt := now.Add(-max(0, r.Age))
+	// The comparison is false for NaN too.
 	if !heardAt.After(l.heardAt) || !(r.PerSecond >= 0) {
-		return false
-	}
-	if r.Limited {
-		return l.set(now, heardAt, r.PerSecond)
+		return
 	}
-	if !l.limited || heardAt.Before(l.ownAt.Add(relayMargin)) {
-		return false
+	switch {
+	case r.Limited:
+		l.set(now, heardAt, r.PerSecond)
+	case l.limited && !heardAt.Before(l.ownAt.Add(relayMargin)):
+		l.lift(heardAt)
 	}
-	l.lift(heardAt)
-	return true
 }
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -87,8 +87,9 @@
 		return last, nil
 	}
 	if lastErr.Reason == verdict.ReasonShed {
-		// Where all that could serve have asked for a pause, sooner would be in vain.
-		lastErr.RetryAfter = max(lastErr.RetryAfter, v.balancer.Wait(time.Now(), v.wanted(req, time.Now())))
+		now := time.Now()
+		// Where all that could serve have asked for a pause, the caller would be refused before.
+		lastErr.RetryAfter = max(lastErr.RetryAfter, v.balancer.Wait(now, v.wanted(req, now)))
 	}
 	return nil, lastErr
 }
--- a/io/entry/notice.go
+++ b/io/entry/notice.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// noticeEvery is how often VMs pass on what upstreams say of themselves, each to
-	// noticePartners others: a word is with 300 VMs after about six rounds.
+	// noticeEvery is how often VMs relay what upstreams say of themselves, each to
+	// noticePartners others.
 	noticeEvery    = 500 * time.Millisecond
 	noticePartners = 2
 )
