--- a/core/balance/leaving_test.go
+++ b/core/balance/leaving_test.go
@@ -32,9 +32,7 @@
 
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
-// An upstream said in an answer that it leaves. Neither a later answer without that, nor a row
-// that says ready, nor a row that has lapsed and is back brings requests to it; another
-// incarnation under its ID is another upstream.
+// Guards against new requests to an upstream that has said it leaves, whatever is heard later.
 func TestLeavingIsFinal(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -100,8 +98,7 @@
 	return list
 }
 
-// A request was given to an upstream that says it leaves before the request is written: it is
-// not sent. Other VMs are told and send nothing either.
+// Guards against a request written to an upstream that has said it leaves since it was chosen.
 func TestLeavingBeforeTheRequestIsSent(t *testing.T) {
 	b, targets, first := leavingPair(t)
 	second := leased(t, b, 5)
@@ -124,8 +121,7 @@
 	}
 }
 
-// The row of an upstream lapses while a request is under way, and its answer says that it
-// leaves, before the row is there again or after.
+// Guards against a notice that is lost because the upstream's row lapses before the answer.
 func TestLeavingHeardWhileTheRowLapses(t *testing.T) {
 	for _, c := range []struct {
 		name  string
--- a/core/balance/limit_test.go
+++ b/core/balance/limit_test.go
@@ -288,8 +288,7 @@
 	t.Logf("%+v: %.2f a second, %d of %d refused", p, sum/float64(p.limited), f.refused, f.asked)
 }
 
-// Upstreams name limits for all VMs together. VMs that each keep to a limit by themselves, or
-// know different members, send more than it all the same.
+// Guards against VMs that together send an upstream more than the limit that it names.
 func TestLimitsOverAllVMs(t *testing.T) {
 	for _, size := range []limitPlay{
 		{vms: 1, targets: 4, perSecond: 60},
@@ -310,8 +309,7 @@
 	}
 }
 
-// The limit of an upstream is over: VMs that send it nothing because of the limit hear that
-// from the others, else it would go on getting little.
+// Guards against VMs that send nothing after a limit has ended, as they get no answers.
 func TestUpstreamGetsItsPartBackAfterALimit(t *testing.T) {
 	for _, size := range []limitPlay{{vms: 10, targets: 16, perSecond: 300}, {vms: 195, targets: 30, perSecond: 1000}} {
 		f := newLimitFleet(1, size.vms, size.targets)
@@ -330,7 +328,7 @@
 	}
 }
 
-// The row of an upstream that names a limit lapses and is there again: what it said holds on.
+// Guards against a limit that is forgotten when the upstream's row lapses.
 func TestLimitOutlivesTheRow(t *testing.T) {
 	b := balance.New("vm", "north", "north-0")
 	b.SetVMs(vmsNamed("vm"))
@@ -356,8 +354,7 @@
 	}
 }
 
-// An upstream names a limit after it was chosen for a request and before that is sent, as a
-// connection takes time to open: such a request is taken out of the limit as well.
+// Guards against requests past a limit that is named while their connections are opened.
 func TestLimitNamedBeforeTheRequestIsSent(t *testing.T) {
 	b := balance.New("vm", "north", "north-0")
 	b.SetVMs(vmsNamed("vm"))
--- a/core/balance/pause_test.go
+++ b/core/balance/pause_test.go
@@ -28,8 +28,7 @@
 	return true
 }
 
-// An upstream turns requests away and asks for a pause. Nothing is sent in it, not even to find
-// out whether it is well, and after it one request at a time until one is answered.
+// Guards against requests in a pause that an upstream asked for, and a burst after it.
 func TestPause(t *testing.T) {
 	b := pausing("vm")
 	early, first := leased(t, b, 0), leased(t, b, 0)
@@ -61,7 +60,7 @@
 	}
 }
 
-// An upstream turns many VMs away at once: they are not all back at once when the pause ends.
+// Guards against many VMs that send again at the same moment after a pause.
 func TestVMsDoNotComeBackAtOnce(t *testing.T) {
 	const vms = 40
 	var back []time.Duration
@@ -84,8 +83,7 @@
 	}
 }
 
-// The caller of the request that finds out whether a pause is over leaves before the upstream's
-// answer is there: that may have asked for another pause.
+// Guards against a pause that is missed because the caller left before the answer came.
 func TestPauseWhileCallerLeaves(t *testing.T) {
 	b := pausing("vm")
 	b.Heard(at(0), leased(t, b, 0), balance.Notice{RetryAfter: time.Second})
--- a/core/dispatch/pool_test.go
+++ b/core/dispatch/pool_test.go
@@ -236,8 +236,7 @@
 	}
 }
 
-// An upstream turns a request away and asks for a pause: it gets nothing until that is over,
-// also where it is the only one, and then its part again.
+// Guards against requests to an upstream that has asked for a pause.
 func TestPausedUpstreamGetsNothing(t *testing.T) {
 	p := newPool(four)
 	if _, ok := p.Offer(at(1), "istoric"); !ok {
--- a/io/entry/leaving_test.go
+++ b/io/entry/leaving_test.go
@@ -53,8 +53,7 @@
 	return len(u.told), u.late
 }
 
-// An upstream that leaves says so in its answers, while the platform is away or has a row of
-// it that lapses and is there again: VMs that go by the register alone go on sending to it.
+// Guards against requests to an upstream whose answers say that it leaves, the register being silent.
 func TestUpstreamThatSaysItLeavesGetsNothing(t *testing.T) {
 	p := newPlatform()
 	p.set(entry.TableRules, "config", config(1))
--- a/io/entry/pause_test.go
+++ b/io/entry/pause_test.go
@@ -60,8 +60,7 @@
 	return early, u.arrived
 }
 
-// An upstream turns requests away and asks to be left alone for a while: VMs that go on
-// sending to it keep it from recovering, and their callers' tries are lost.
+// Guards against requests to an upstream that has asked for a pause with Retry-After.
 func TestUpstreamIsLeftAloneForRetryAfter(t *testing.T) {
 	p := newPlatform()
 	p.set("Rules", "config", config(1))
@@ -84,8 +83,7 @@
 	})
 }
 
-// All upstreams of a service ask to be left alone: callers are told at once when the first of
-// them may be sent requests again.
+// Guards against a time to come back that is before the end of every upstream's pause.
 func TestAllUpstreamsPause(t *testing.T) {
 	p := newPlatform()
 	p.set("Rules", "config", config(1))
--- a/io/entry/throttle_test.go
+++ b/io/entry/throttle_test.go
@@ -162,8 +162,7 @@
 	return limited, vms
 }
 
-// An upstream names a limit for all VMs together: each VM that was told goes on as before, or
-// takes the whole limit for itself, and the upstream gets several times what it takes.
+// Guards against VMs that together send an upstream several times the limit that it names.
 func TestUpstreamLimitHoldsOverAllVMs(t *testing.T) {
 	const limit, window = 5.0, 4 * time.Second
 	u, vms := startThrottled(t, 6)
--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -169,7 +169,7 @@
 	}
 }
 
-// An upstream that sheds asks for a pause: the refusal says so, and tells the caller no sooner.
+// Guards against a refusal that loses the pause which the upstream asked for.
 func TestShedSaysForHowLong(t *testing.T) {
 	addr, stop := serving(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Retry-After", "2.5")
