Members by zone: beats stay within a zone, two VMs report who is silent there

Cause: the daemon of the users' platform kept all VMs as one flat group, whose digest has a stamp for each VM.

Change: entries of VMs still travel to all zones, so that all that asks for mates goes on as before, but a digest has the stamps of the own zone alone and a sum for each other. Where sums differ those zones are compared. That a VM of another zone is alive is told by two VMs of that zone, named by rendezvous hashing, whose reports list whom they do not hear; one that hears a VM outweighs those that do not.

--- a/core/member/exchange.go
+++ b/core/member/exchange.go
@@ -1,13 +1,19 @@
 package member
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // has reports whether an entry belongs into an exchange.
 func (t *Table) has(scope Scope, e *Entry) bool {
-	if e.zonal() {
-		return t.flat || scope.Zone == t.zone
+	switch {
+	case !e.zonal():
+		return scope.Global
+	case !t.reports || e.VM == nil || e.VM.Zone == t.zone:
+		return scope.Zone == t.zone || slices.Contains(scope.Zones, t.zone)
 	}
-	return scope.Global
+	return slices.Contains(scope.Zones, e.VM.Zone)
 }
 
 // Digest lists the stamps of all entries that belong into an exchange.
@@ -70,6 +76,9 @@
 		}
 		r.Stamp.Beat = s.Beat
 		r.heard = latest(r.heard, now.Add(-s.Age))
+		if r.Report != nil {
+			t.believe(now, r)
+		}
 	}
 }
 
@@ -80,6 +89,13 @@
 	return a
 }
 
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // Get returns the entries under the given keys, as far as they belong into an
 // exchange.
 func (t *Table) Get(now time.Time, scope Scope, keys []Key) []Entry {
@@ -108,13 +124,16 @@
 }
 
 func (t *Table) mergeOne(now time.Time, e Entry) bool {
-	if !e.zonal() && e.Roster == nil && e.Load == nil {
+	if !e.zonal() && e.Roster == nil && e.Load == nil && e.Report == nil {
+		return false
+	}
+	if e.Stamp.Key == vmKey(t.self) || e.Stamp.Key == usageKey(t.self) || e.Stamp.Key == reportKey(t.zone, t.self) {
 		return false
 	}
-	if e.Stamp.Key == vmKey(t.self) || e.Stamp.Key == usageKey(t.self) {
+	if e.VM != nil && e.VM.Zone != t.zone && !t.reports {
 		return false
 	}
-	if e.VM != nil && e.VM.Zone != t.zone && !t.flat {
+	if e.Report != nil && t.outdated(e.Stamp.Age) {
 		return false
 	}
 	heard := now.Add(-e.Stamp.Age)
@@ -131,6 +150,10 @@
 		}
 		heard = latest(heard, r.heard)
 	}
-	t.put(&record{Entry: e, heard: heard})
+	r = &record{Entry: e, heard: heard}
+	t.put(r)
+	if r.Report != nil {
+		t.believe(now, r)
+	}
 	return true
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -10,6 +10,12 @@
 // travel within its zone; rosters and loads of a zone travel everywhere,
 // published by the VM that rendezvous hashing names.
 //
+// A table made WithReports has the VMs of all zones, for fleets in which any VM may have
+// work for any other. What VMs tell each other must not grow with all of them: their
+// entries travel to all zones, but their beats only within their own. For the other zones
+// two VMs report whom of their zone they do not hear, and a digest has one sum in place of
+// the stamps of another zone's VMs, which are compared only where the sums differ.
+//
 // An entry is renewed in number only when its content changes. That its writer
 // is alive is told by a beat that rises on every heartbeat and travels in the
 // digests, at a few bytes: passing whole entries on for it cost 32 KB/s a VM at
@@ -28,6 +34,12 @@
 //	delta := t.Answer(now, scope, digest)  // Where a digest arrives.
 //	t.Take(now, delta)                     // Back at the sender.
 //	live := t.Live(now)
+//
+// and WithReports:
+//
+//	t.PublishReport(now)                   // On two VMs of each zone.
+//	zones := t.Differing(sums)             // Where another's Sums arrive.
+//	t.Digest(now, Scope{Zones: zones})     // To compare those.
 package member
 
 import (
@@ -77,6 +89,7 @@
 	Usage  *Usage
 	Roster *Roster
 	Load   *Load
+	Report *Report
 }
 
 // zonal reports whether the entry stays within its zone.
@@ -88,6 +101,8 @@
 	Zone string
 	// Global exchanges include the entries of all zones.
 	Global bool
+	// Zones are those whose VMs are compared one by one.
+	Zones []string
 }
 
 // Delta is the answer to a digest.
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -20,7 +20,7 @@
 	zone        string
 	incarnation uint64
 	failAfter   time.Duration
-	flat        bool
+	reports     bool
 
 	mu      sync.Mutex
 	entries map[Key]*record
@@ -28,6 +28,7 @@
 	vms []*record
 	// accusers is how many VMs tell of others that the platform has taken away.
 	accusers int
+	zones    map[string]*zoneRecords
 	seq      uint64
 	beat     uint64
 	lastTick time.Time
@@ -56,16 +57,11 @@
 // WithFailAfter sets the silence after which a VM is not Live any more.
 func WithFailAfter(d time.Duration) Option { return func(t *Table) { t.failAfter = d } }
 
-// WithFlat makes VMs' entries travel to all zones rather than stay within their
-// own. It suits a fleet of up to some hundred VMs, in which each has to know all
-// others: a digest then has 30 bytes a VM.
-func WithFlat() Option { return func(t *Table) { t.flat = true } }
-
 // NewTable returns the table of a VM that knows only itself.
 func NewTable(self, zone string, incarnation uint64, now time.Time, opts ...Option) *Table {
 	t := &Table{
 		self: self, zone: zone, incarnation: incarnation, failAfter: FailAfter,
-		entries: map[Key]*record{}, lastTick: now, resumed: now,
+		entries: map[Key]*record{}, zones: map[string]*zoneRecords{}, lastTick: now, resumed: now,
 		listed: map[string]bool{}, listHas: map[string]Listed{},
 	}
 	for _, opt := range opts {
@@ -158,6 +154,7 @@
 func (t *Table) put(r *record) {
 	t.drop(r.Stamp.Key)
 	t.entries[r.Stamp.Key] = r
+	t.enter(r)
 	if r.VM == nil {
 		return
 	}
@@ -171,7 +168,11 @@
 func (t *Table) drop(key Key) {
 	r := t.entries[key]
 	delete(t.entries, key)
-	if r == nil || r.VM == nil {
+	if r == nil {
+		return
+	}
+	t.leave(r)
+	if r.VM == nil {
 		return
 	}
 	i := t.place(r.VM.Name)
@@ -192,7 +193,8 @@
 
 func (e *Entry) sameBody(other *Entry) bool {
 	return reflect.DeepEqual(e.VM, other.VM) && reflect.DeepEqual(e.Usage, other.Usage) &&
-		reflect.DeepEqual(e.Roster, other.Roster) && reflect.DeepEqual(e.Load, other.Load)
+		reflect.DeepEqual(e.Roster, other.Roster) && reflect.DeepEqual(e.Load, other.Load) &&
+		reflect.DeepEqual(e.Report, other.Report)
 }
 
 // Own returns the VM's own entry, or nil before the first Publish.
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -307,7 +307,7 @@
 // what a look through all entries gives.
 func TestMatesAreInOrder(t *testing.T) {
 	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
-	tab := NewTable("m", "z", 1, now, WithFlat())
+	tab := NewTable("m", "z", 1, now, WithReports())
 	entry := func(name string, seq uint64, gone map[string]uint64) Entry {
 		return Entry{
 			Stamp: Stamp{Key: KeyOf("vm/" + name), Incarnation: 1, Seq: seq, Beat: seq},
@@ -351,7 +351,7 @@
 // fifty a second.
 func BenchmarkMates(b *testing.B) {
 	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
-	tab := NewTable("vm0", "z", 1, now, WithFlat())
+	tab := NewTable("vm0", "z", 1, now, WithReports())
 	for i := range 300 {
 		name := fmt.Sprint("vm", i)
 		age := time.Duration(i%2) * 2 * FailAfter
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -93,7 +93,7 @@
 	now := time.Now()
 	v := &VM{
 		platform: p, protocol: protocol, log: log, started: now,
-		members:   member.NewTable(cfg.Name, cfg.Zone, uint64(now.UnixNano()), now, member.WithFlat(), member.WithFailAfter(failAfter)),
+		members:   member.NewTable(cfg.Name, cfg.Zone, uint64(now.UnixNano()), now, member.WithReports(), member.WithFailAfter(failAfter)),
 		replicas:  peer.Replicas{},
 		upstreams: upstream.NewPool(), tripKnown: make(chan struct{}),
 		loaded:  make(chan struct{}),
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -11,26 +11,56 @@
 	"auburnlatch/core/member"
 )
 
-// exchangeWith starts exchanges with n of the VMs at the given addresses.
-func (v *VM) exchangeWith(ctx context.Context, addrs []string, n int) {
-	v.startExchanges(ctx, addrs, n, v.members)
-}
-
-// startExchanges is exchangeWith; without members (nil) only the copies of tables are
-// brought level.
+// startExchanges starts exchanges with n of the VMs at the given addresses; without members
+// (nil) only the copies of tables are brought level.
 func (v *VM) startExchanges(ctx context.Context, addrs []string, n int, members *member.Table) {
 	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
 	for _, addr := range addrs {
 		if n == 0 {
 			return
 		}
-		if _, busy := v.exchanging.LoadOrStore(addr, true); busy {
-			continue
+		if v.startExchange(ctx, &exchange{vm: v, addr: addr, members: members}) {
+			n--
+		}
+	}
+}
+
+// startExchange starts an exchange, unless one with the same VM is under way.
+func (v *VM) startExchange(ctx context.Context, e *exchange) bool {
+	if _, busy := v.exchanging.LoadOrStore(e.addr, true); busy {
+		return false
+	}
+	v.background.Add(1)
+	go e.run(ctx)
+	return true
+}
+
+// exchangeMembers starts this heartbeat's exchanges of members: always one within the
+// zone, where alone beats are told, and one with a VM that partners names.
+func (v *VM) exchangeMembers(ctx context.Context, now time.Time) {
+	zone := v.cfg.Load().Zone
+	mates := v.zoneMates(now)
+	if len(mates) > 0 {
+		v.startExchange(ctx, &exchange{vm: v, addr: mates[rand.IntN(len(mates))], zone: zone, members: v.members})
+	}
+	partners := v.partners(now)
+	if len(partners) == 0 {
+		return
+	}
+	if addr := partners[rand.IntN(len(partners))]; !slices.Contains(mates, addr) {
+		v.startExchange(ctx, &exchange{vm: v, addr: addr, members: v.members})
+	}
+}
+
+// zoneMates returns the addresses of the other live VMs of this VM's zone.
+func (v *VM) zoneMates(now time.Time) []string {
+	var addrs []string
+	for _, vm := range v.regionMates(now) {
+		if vm.Zone == v.cfg.Load().Zone {
+			addrs = append(addrs, vm.Address.Peer)
 		}
-		n--
-		v.background.Add(1)
-		go (&exchange{vm: v, addr: addr, members: members}).run(ctx)
 	}
+	return addrs
 }
 
 // partners are the addresses of the VMs with which this one may exchange what it knows:
@@ -116,8 +146,10 @@
 
 // exchange is one exchange with another VM.
 type exchange struct {
-	vm      *VM
-	addr    string
+	vm   *VM
+	addr string
+	// zone is that of both VMs; "": they are of different ones, or it is not known.
+	zone    string
 	members *member.Table
 }
 
@@ -127,7 +159,7 @@
 	defer v.background.Done()
 	defer v.exchanging.Delete(e.addr)
 	// An exchange that fails halfway may have changed a copy all the same.
-	changed, err := v.peers.Sync(ctx, e.addr, e.members, v.replicas)
+	changed, err := v.peers.Sync(ctx, e.addr, e.zone, e.members, v.replicas)
 	if changed {
 		v.signalChange()
 	}
--- a/io/entry/exchange_test.go
+++ b/io/entry/exchange_test.go
@@ -23,6 +23,10 @@
 	return &schema.SyncReply{Tables: p.tables, Delta: &schema.Delta{Want: m.GetStamps().GetKeys()}}, nil
 }
 
+func (p *halfPeer) Compare(context.Context, *schema.CompareRequest) (*schema.Delta, error) {
+	return nil, errors.New("cut off")
+}
+
 func (p *halfPeer) Hand(context.Context, *schema.SyncReply) (*schema.Ack, error) {
 	return nil, errors.New("cut off")
 }
--- a/io/entry/leave.go
+++ b/io/entry/leave.go
@@ -45,7 +45,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), grace-margin)
 	defer cancel()
 	v.publish(started)
-	v.exchangeWith(ctx, v.partners(started), leavePartners)
+	v.startExchanges(ctx, v.partners(started), leavePartners, v.members)
 	withdrawn := make(chan struct{})
 	w := &withdrawal{vm: v, done: withdrawn}
 	go w.run(ctx)
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -8,6 +8,7 @@
 
 	"auburnlatch/core/balance"
 	"auburnlatch/core/callers"
+	"auburnlatch/core/dispatch"
 	"auburnlatch/core/member"
 	"auburnlatch/io/lifecycle"
 )
@@ -31,7 +32,7 @@
 	lifecycle.Every(ctx, heartbeat, func(now time.Time) {
 		v.members.Tick(now)
 		v.publish(now)
-		v.exchangeWith(ctx, v.partners(now), 1)
+		v.exchangeMembers(ctx, now)
 		if v.behind(now) {
 			v.startExchanges(ctx, v.copyPartners(now), behindPartners, nil)
 		}
@@ -56,8 +57,20 @@
 	return defaultIdle
 }
 
-// publish renews what others are told of this VM.
-func (v *VM) publish(now time.Time) { v.members.Publish(now, *v.self(now)) }
+// reporters is how many VMs of a zone tell the other zones who is alive there.
+const reporters = 2
+
+// publish renews what others are told of this VM, and of its zone.
+func (v *VM) publish(now time.Time) {
+	v.members.Publish(now, *v.self(now))
+	if v.settling(now) {
+		return // It cannot have heard of its mates yet.
+	}
+	names := fleet{v}.ZoneLive(now)
+	if slices.Contains(dispatch.First("report", names, reporters), v.cfg.Load().Name) {
+		v.members.PublishReport(now)
+	}
+}
 
 // self is what others are told of this VM.
 func (v *VM) self(now time.Time) *member.VM {
--- a/io/entry/push_test.go
+++ b/io/entry/push_test.go
@@ -46,6 +46,10 @@
 	}, nil
 }
 
+func (p *quietPeer) Compare(context.Context, *schema.CompareRequest) (*schema.Delta, error) {
+	return &schema.Delta{}, nil
+}
+
 func (p *quietPeer) Hand(_ context.Context, m *schema.SyncReply) (*schema.Ack, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/peer/replica.go
+++ b/io/peer/replica.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -24,8 +26,9 @@
 // its own.
 const freshBy = 200 * time.Millisecond
 
-// everything is the scope of exchanges in a flat fleet.
-var everything = member.Scope{Global: true}
+// scope is that of exchanges with a VM of a zone, "" where its zone is not that of the
+// members or is not known.
+func scope(zone string) member.Scope { return member.Scope{Zone: zone, Global: true} }
 
 // heads returns how far the copies are.
 func (r Replicas) heads(now time.Time) map[string]replica.Head {
@@ -82,26 +85,23 @@
 }
 
 // Sync brings the members and copies of this VM and of that at addr level. It
-// reports whether a copy of this VM changed. Without members (nil) only the copies
-// are: a digest has some 25 bytes for each VM, 5 KB for 200 of them in each
-// direction, and copies are asked about more often than members.
-func (c *Client) Sync(ctx context.Context, addr string, members *member.Table, replicas Replicas) (changed bool, err error) {
+// reports whether a copy of this VM changed. zone is that of both VMs, or "". Without
+// members (nil) only the copies are brought level: these are asked about more often than
+// members.
+func (c *Client) Sync(ctx context.Context, addr, zone string, members *member.Table, replicas Replicas) (changed bool, err error) {
 	err = c.callConn(ctx, addr, func(ctx context.Context, conn drpc.Conn) error {
 		client := schema.NewDRPCReplicaClient(conn)
 		now, asked := time.Now(), clock.Boot()
 		ask := &schema.SyncRequest{Heads: wire.FromHeads(replicas.heads(now)), TablesOnly: members == nil}
 		if members != nil {
-			ask.Stamps = wire.FromStamps(members.Digest(now, everything))
+			ask.Zone, ask.Sums = zone, wire.FromZoneSums(members.Sums())
+			ask.Stamps = wire.FromStamps(members.Digest(now, scope(zone)))
 		}
 		c.countAsk(ask)
 		reply, err := client.Sync(ctx, ask)
 		if err != nil {
 			return err
 		}
-		delta, err := wire.Delta(reply.GetDelta())
-		if err != nil {
-			return err
-		}
 		tables, err := wire.ReplicaDeltas(reply.GetTables())
 		if err != nil {
 			return err
@@ -114,8 +114,10 @@
 			Tables: c.packer.FromReplicaDeltas(replicas.deltas(now, wire.Heads(reply.GetHeads()))),
 		}
 		if members != nil {
-			members.Take(now, delta)
-			back.Delta.Entries = wire.FromEntries(members.Get(now, everything, delta.Want))
+			back.Delta.Entries, err = c.takeMembers(ctx, client, members, zone, reply)
+			if err != nil {
+				return err
+			}
 		}
 		if len(back.Delta.Entries) == 0 && len(back.Tables) == 0 {
 			return nil
@@ -127,6 +129,32 @@
 	return changed, err
 }
 
+// takeMembers takes in what an answer tells of members, asks for what differs in other
+// zones, and returns what the answering VM lacks.
+func (c *Client) takeMembers(ctx context.Context, client schema.DRPCReplicaClient, members *member.Table, zone string, reply *schema.SyncReply) ([]*schema.Entry, error) {
+	delta, err := wire.Delta(reply.GetDelta())
+	if err != nil {
+		return nil, err
+	}
+	members.Take(time.Now(), delta)
+	wanted := members.Get(time.Now(), scope(zone), delta.Want)
+	if zones := reply.GetDiffering(); len(zones) > 0 {
+		differing := member.Scope{Zones: zones}
+		ask := &schema.CompareRequest{Zones: zones, Stamps: wire.FromStamps(members.Digest(time.Now(), differing))}
+		c.sent.Members.Add(int64(proto.Size(ask)))
+		answer, err := client.Compare(ctx, ask)
+		if err != nil {
+			return nil, err
+		}
+		if delta, err = wire.Delta(answer); err != nil {
+			return nil, err
+		}
+		members.Take(time.Now(), delta)
+		wanted = append(wanted, members.Get(time.Now(), differing, delta.Want)...)
+	}
+	return wire.FromEntries(wanted), nil
+}
+
 // HandTables hands changes of tables to the VM at addr, which takes those that
 // join on to its copies.
 func (c *Client) HandTables(ctx context.Context, addr string, deltas []replica.Delta) error {
@@ -174,12 +202,26 @@
 		Tables: s.packer.FromReplicaDeltas(s.replicas.deltas(now, wire.Heads(m.GetHeads()))),
 	}
 	if !m.GetTablesOnly() {
-		reply.Delta = wire.FromDelta(s.members.Answer(now, everything, stamps))
+		reply.Delta = wire.FromDelta(s.members.Answer(now, scope(m.GetZone()), stamps))
+		reply.Differing = slices.DeleteFunc(s.members.Differing(wire.ZoneSums(m.GetSums())), func(zone string) bool {
+			return zone == m.GetZone() // Its VMs were compared one by one.
+		})
 	}
 	s.sent.count(reply)
 	return reply, nil
 }
 
+// Compare implements schema.DRPCReplicaServer.
+func (s *ReplicaServer) Compare(_ context.Context, m *schema.CompareRequest) (*schema.Delta, error) {
+	stamps, err := wire.Stamps(m.GetStamps())
+	if err != nil {
+		return nil, err
+	}
+	answer := wire.FromDelta(s.members.Answer(time.Now(), member.Scope{Zones: m.GetZones()}, stamps))
+	s.sent.Members.Add(int64(proto.Size(answer)))
+	return answer, nil
+}
+
 // Hand implements schema.DRPCReplicaServer.
 func (s *ReplicaServer) Hand(_ context.Context, m *schema.SyncReply) (*schema.Ack, error) {
 	delta, err := wire.Delta(m.GetDelta())
--- a/io/peer/replica_test.go
+++ b/io/peer/replica_test.go
@@ -20,7 +20,7 @@
 func newNode(name string) node {
 	now := time.Now()
 	n := node{
-		members:  member.NewTable(name, "z", 1, now, member.WithFlat()),
+		members:  member.NewTable(name, "z", 1, now, member.WithReports()),
 		replicas: peer.Replicas{"t": replica.NewTable("t", func(_ string, a, b []byte) bool { return string(a) == string(b) })},
 	}
 	n.members.Publish(now, member.VM{Name: name, Zone: "z"})
@@ -66,7 +66,7 @@
 			if !tc.members {
 				members = nil
 			}
-			if _, err := peer.NewClient().Sync(t.Context(), b.serve(t), members, a.replicas); err != nil {
+			if _, err := peer.NewClient().Sync(t.Context(), b.serve(t), "z", members, a.replicas); err != nil {
 				t.Fatal(err)
 			}
 			if rows, _ := older.replicas["t"].Rows(); len(rows) != 1 || string(rows[0].Value) != "v" {
--- a/io/peer/sent.go
+++ b/io/peer/sent.go
@@ -34,7 +34,7 @@
 
 // countAsk counts a question.
 func (c *Client) countAsk(m *schema.SyncRequest) {
-	members := proto.Size(m.GetStamps())
+	members := proto.Size(m.GetStamps()) + proto.Size(&schema.SyncRequest{Zone: m.GetZone(), Sums: m.GetSums()})
 	c.sent.Members.Add(int64(members))
 	c.sent.Tables.Add(int64(proto.Size(m) - members))
 }
--- a/io/wire/fuzz_test.go
+++ b/io/wire/fuzz_test.go
@@ -16,11 +16,11 @@
 func exchanged(t testing.TB) []byte {
 	t.Helper()
 	now := start
-	members := member.NewTable("a", "z", 1, now, member.WithFlat())
+	members := member.NewTable("a", "z", 1, now, member.WithReports())
 	members.Publish(now, member.VM{Name: "a", Zone: "z", Capacity: member.Capacity{LinkMbps: 20, Cores: 0.16}, Traffic: member.Traffic{Requests: 80, Bytes: 1e6}})
 	var packer wire.TablePacker
 	data, err := proto.Marshal(&schema.SyncReply{
-		Delta:  wire.FromDelta(members.Answer(now, member.Scope{Global: true}, nil)),
+		Delta:  wire.FromDelta(members.Answer(now, member.Scope{Zone: "z", Global: true}, nil)),
 		Tables: packer.FromReplicaDeltas([]replica.Delta{registrations(40).Since(now, 0), registrations(2).Since(now, 0)}),
 		Heads:  wire.FromHeads(map[string]replica.Head{"targets": {Table: "targets", Version: 7}}),
 	})
@@ -44,12 +44,12 @@
 			return
 		}
 		now := start
-		members := member.NewTable("self", "z", 1, now, member.WithFlat())
+		members := member.NewTable("self", "z", 1, now, member.WithReports())
 		members.Publish(now, member.VM{Name: "self", Zone: "z"})
 		if d, err := wire.Delta(m.GetDelta()); err == nil {
 			members.Take(now, d)
 			members.Mates(now)
-			members.Answer(now, member.Scope{Global: true}, d.Beats)
+			members.Answer(now, member.Scope{Zone: "z", Global: true}, d.Beats)
 		}
 		if list, err := wire.ReplicaDeltas(m.GetTables()); err == nil {
 			copied := registrations(3)
--- a/io/wire/member.go
+++ b/io/wire/member.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,6 +52,14 @@
 	return out
 }
 
+func fromKeys(list []member.Key) []uint64 {
+	var out []uint64
+	for _, key := range list {
+		out = append(out, uint64(key))
+	}
+	return out
+}
+
 // Delta maps the answer to a digest.
 func Delta(m *schema.Delta) (member.Delta, error) {
 	entries, err := Entries(m.GetEntries())
@@ -63,11 +72,7 @@
 
 // FromDelta maps the answer to a digest.
 func FromDelta(d member.Delta) *schema.Delta {
-	m := &schema.Delta{Entries: FromEntries(d.Entries), Beats: FromStamps(d.Beats)}
-	for _, key := range d.Want {
-		m.Want = append(m.Want, uint64(key))
-	}
-	return m
+	return &schema.Delta{Entries: FromEntries(d.Entries), Beats: FromStamps(d.Beats), Want: fromKeys(d.Want)}
 }
 
 // Entries maps entries; one of a kind this version does not know is left out.
@@ -90,6 +95,8 @@
 			e.Roster = roster(body.Roster)
 		case *schema.Entry_Load:
 			e.Load = load(body.Load)
+		case *schema.Entry_Report:
+			e.Report = report(body.Report)
 		default:
 			continue
 		}
@@ -114,6 +121,8 @@
 			m.Body = &schema.Entry_Roster{Roster: fromRoster(e.Roster)}
 		case e.Load != nil:
 			m.Body = &schema.Entry_Load{Load: fromLoad(e.Load)}
+		case e.Report != nil:
+			m.Body = &schema.Entry_Report{Report: fromReport(e.Report)}
 		}
 		out = append(out, m)
 	}
@@ -248,6 +257,35 @@
 	}
 }
 
+// report maps a report, its keys put in order.
+func report(m *schema.ZoneReport) *member.Report {
+	silent := Keys(m.GetSilent())
+	slices.Sort(silent)
+	return &member.Report{Zone: m.GetZone(), VM: m.GetVm(), Silent: silent}
+}
+
+func fromReport(r *member.Report) *schema.ZoneReport {
+	return &schema.ZoneReport{Zone: r.Zone, Vm: r.VM, Silent: fromKeys(r.Silent)}
+}
+
+// ZoneSums maps what stands for zones' VMs.
+func ZoneSums(list []*schema.ZoneSum) []member.ZoneSum {
+	out := make([]member.ZoneSum, 0, len(list))
+	for _, m := range list {
+		out = append(out, member.ZoneSum{Zone: m.GetZone(), Sum: m.GetSum()})
+	}
+	return out
+}
+
+// FromZoneSums maps what stands for zones' VMs.
+func FromZoneSums(list []member.ZoneSum) []*schema.ZoneSum {
+	out := make([]*schema.ZoneSum, 0, len(list))
+	for _, s := range list {
+		out = append(out, &schema.ZoneSum{Zone: s.Zone, Sum: s.Sum})
+	}
+	return out
+}
+
 // FromTarget maps one upstream's state for people.
 func FromTarget(t dispatch.TargetState) *schema.TargetDump {
 	return &schema.TargetDump{
