Relays ask for their zone; partners of exchanges are few

Seen: with 986 VMs each asks one of two for its copies 1.7 times a second, 800 exchanges a second for each of the two, and opens a connection to nearly every VM it exchanges members with: each meets a zone's 110 once a minute, as long as an unused connection is kept. The most loaded VM of the fleet had 120 MB where the median had 28.

Change: in a zone of 17 VMs or more two of them, the strongest first, ask those who read, when their copies are 0.3 s old, and the others ask the two. A VM whose copy is 1.2 s old takes them for lost and asks past them; where upstreams that leave are given less than 4 s there are none, as a step takes up to 0.6 s. Members are exchanged with as many mates as the logarithm of their number, at distances of powers of two; unused connections are kept for 10 s.

Beats go round zones of 2 to 124 VMs in time (TestPartnersAreFewAndBeatsGoRound, simulated).

--- a/core/member/report.go
+++ b/core/member/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -165,3 +166,17 @@
 
 // outdated reports whether a report is too old to say anything.
 func (t *Table) outdated(age time.Duration) bool { return age > 2*t.failAfter }
+
+// Partner returns the VM to exchange with of those of a zone, which are in order of name and
+// without self, "" where there are none. pick is any number; each VM has as many partners as
+// the logarithm of the VMs' number, at distances of powers of two, so that it keeps its
+// connections to them and a beat takes no more exchanges to go round than between any two.
+func Partner(mates []string, self string, pick int) string {
+	if len(mates) == 0 {
+		return ""
+	}
+	steps := bits.Len(uint(len(mates)))
+	place, _ := slices.BinarySearch(mates, self)
+	// The VM's own place is left out: the next one stands there.
+	return mates[(place+1<<(pick%steps)-1)%len(mates)]
+}
--- a/core/member/report_test.go
+++ b/core/member/report_test.go
@@ -81,11 +81,11 @@
 	if reporter < 2 {
 		t.PublishReport(f.now)
 	}
-	if len(t.Mates(f.now)) == 0 || f.rand.IntN(8) == 0 {
-		others = append(others, f.names[f.rand.IntN(len(f.names))]) // As by a seed.
+	if seeds := f.names[:min(3, len(f.names))]; len(t.Mates(f.now)) == 0 || f.rand.IntN(4) == 0 {
+		others = []string{seeds[f.rand.IntN(len(seeds))]}
 	}
-	if len(mates) > 0 {
-		f.exchange(name, mates[f.rand.IntN(len(mates))])
+	if partner := Partner(mates, name, f.rand.IntN(64)); partner != "" {
+		f.exchange(name, partner)
 	}
 	if len(others) > 0 && f.rand.IntN(len(mates)+1) < 4 {
 		f.exchange(name, others[f.rand.IntN(len(others))])
@@ -258,3 +258,31 @@
 	f.run(20)
 	f.expect(t, "z1/004", Live, func(vm string) bool { return zoneName(vm) != "z1" })
 }
+
+// A VM that exchanged with any of 110 others opened a connection for nearly each exchange.
+// With few partners beats must still be there before their VM is taken for silent.
+func TestPartnersAreFewAndBeatsGoRound(t *testing.T) {
+	for _, n := range []int{2, 3, 8, 33, 124} {
+		f := newZonedFleet(uint64(n), 1, n)
+		f.run(40)
+		for range 20 {
+			f.run(1)
+			for _, name := range f.names {
+				if got := len(f.tables[name].Live(f.now)); got != n {
+					t.Fatalf("of %d VMs %s takes %d for live", n, name, got)
+				}
+			}
+		}
+		partners := make(map[string]bool)
+		for pick := range 64 {
+			partner := Partner(f.tables[f.names[0]].Live(f.now)[1:], f.names[0], pick)
+			if partner == f.names[0] {
+				t.Errorf("of %d VMs one exchanges with itself", n)
+			}
+			partners[partner] = true
+		}
+		if most := 7; len(partners) > most {
+			t.Errorf("a VM of %d has %d partners, want at most %d", n, len(partners), most)
+		}
+	}
+}
--- a/io/entry/copies.go
+++ b/io/entry/copies.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// watchers read the tables from the platform; the others ask a watcher
-	// whenever their copies are askAge old, and read for themselves only when
+	// watchers read the tables from the platform; the others ask a watcher, or a
+	// relay, whenever their copies are askAge old, and read for themselves only when
 	// these are staleShare of the bound on leaving upstreams old. So whoever the
 	// platform turns away, freezes or dies is replaced without a word, and the
 	// platform is asked as often whether there are 10 VMs or 300.
@@ -145,9 +145,9 @@
 		maxAge := v.staleAge()
 		if len(watchers) == 0 && !v.settling(now) {
 			maxAge = watchAge
-		} else if len(watchers) > 0 && age >= askAge && !now.Before(askNotBefore) {
-			askNotBefore = now.Add(askAge / 2)
-			v.startExchanges(ctx, watchers, 1, nil)
+		} else if sources, due := v.sources(now, age, watchers); len(sources) > 0 && age >= due && !now.Before(askNotBefore) {
+			askNotBefore = now.Add(due / 2)
+			v.startExchanges(ctx, sources, 1, nil)
 		}
 		if now.Before(notBefore) || age < maxAge {
 			return
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -38,31 +38,27 @@
 // exchangeMembers starts this heartbeat's exchanges of members: always one within the
 // zone, where alone beats are told, and one with a VM that partners names.
 func (v *VM) exchangeMembers(ctx context.Context, now time.Time) {
-	zone := v.cfg.Load().Zone
-	mates := v.zoneMates(now)
-	if len(mates) > 0 {
-		v.startExchange(ctx, &exchange{vm: v, addr: mates[rand.IntN(len(mates))], zone: zone, members: v.members})
+	cfg := v.cfg.Load()
+	var names []string
+	near := make(map[string]bool)
+	for _, vm := range v.regionMates(now) {
+		if vm.Zone == cfg.Zone {
+			names = append(names, vm.Name)
+			near[vm.Address.Peer] = true
+		}
+	}
+	if m, ok := v.members.Mate(now, member.Partner(names, cfg.Name, rand.Int())); ok {
+		v.startExchange(ctx, &exchange{vm: v, addr: m.VM.Address.Peer, zone: cfg.Zone, members: v.members})
 	}
 	partners := v.partners(now)
 	if len(partners) == 0 {
 		return
 	}
-	if addr := partners[rand.IntN(len(partners))]; !slices.Contains(mates, addr) {
+	if addr := partners[rand.IntN(len(partners))]; !near[addr] {
 		v.startExchange(ctx, &exchange{vm: v, addr: addr, members: v.members})
 	}
 }
 
-// zoneMates returns the addresses of the other live VMs of this VM's zone.
-func (v *VM) zoneMates(now time.Time) []string {
-	var addrs []string
-	for _, vm := range v.regionMates(now) {
-		if vm.Zone == v.cfg.Load().Zone {
-			addrs = append(addrs, vm.Address.Peer)
-		}
-	}
-	return addrs
-}
-
 // partners are the addresses of the VMs with which this one may exchange what it knows:
 // those heard lately, or where there are none all that were ever told, which may be stale.
 func (v *VM) partners(now time.Time) []string {
--- a/io/entry/partners_test.go
+++ b/io/entry/partners_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"auburnlatch/core/member"
 	"auburnlatch/core/target"
+	"auburnlatch/core/watch"
 )
 
 // Each of 195 VMs told any other of all VMs on each heartbeat. Two of three exchanges
@@ -112,3 +114,44 @@
 		}
 	}
 }
+
+// All of 986 VMs asked one of two for their copies, 800 exchanges a second each. Two VMs of a
+// zone ask for the rest of it. Without them, or where a step more takes too long for the bound
+// on upstreams that leave, the others ask as before.
+func TestRelaysAskForTheirZone(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		perZone  int
+		leave    time.Duration
+		age      time.Duration
+		byRelays bool
+	}{
+		{"a large zone", 40, 5 * time.Second, askAge, true},
+		{"a small zone", 4, 5 * time.Second, askAge, false},
+		{"little time", 40, 2500 * time.Millisecond, askAge, false},
+		{"the relays do not answer", 40, 5 * time.Second, directAge, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			v, now := vmAmong(tc.perZone, func(vm *member.VM) { vm.Address.Peer = vm.Zone + "/" + vm.Name })
+			cfg := *v.cfg.Load()
+			cfg.LeaveWithin = tc.leave
+			v.Configure(&cfg)
+			readers := []string{"z5/reader"}
+			first := watch.First(v.zoneVMs(now), relays)
+			sources, due := v.sources(now, tc.age, readers)
+			switch {
+			case slices.Contains(first, "self"):
+				t.Fatal("the VM is a relay itself")
+			case !tc.byRelays && !slices.Equal(sources, readers):
+				t.Errorf("asks %v, want those who read", sources)
+			case tc.byRelays && (len(sources) != relays || slices.ContainsFunc(sources, func(a string) bool { return !strings.HasPrefix(a, "z0/") })):
+				t.Errorf("asks %v, want %d of its zone", sources, relays)
+			case due != askAge:
+				t.Errorf("asks when its copy is %v old, want %v", due, askAge)
+			}
+			if sources, _ := v.sources(now, tc.age, nil); len(sources) > 0 {
+				t.Errorf("one that reads for all asks %v", sources)
+			}
+		})
+	}
+}
--- a/io/entry/watchers.go
+++ b/io/entry/watchers.go
@@ -17,8 +17,60 @@
 	if slices.Contains(first, v.cfg.Load().Name) {
 		return nil
 	}
+	return v.peerAddrsOf(now, first)
+}
+
+// Relays spare the watchers most of the fleet: they ask the watchers, and the others of their
+// zone ask them.
+const (
+	// relays is how many VMs of a zone they are.
+	relays = 2
+	// relayFrom is the least number of VMs of a zone that has them. Each step takes time,
+	// and where fewer ask the watchers, these can answer them all.
+	relayFrom = 17
+	// relayAge is the age at which a relay asks for newer copies than its own.
+	relayAge = askAge / 2
+	// relayWithin is the least age that copies may have where relays are used: about twice
+	// what they have after two steps.
+	relayWithin = 3 * askAge
+	// directAge is the age at which a VM takes its relays for lost and asks the watchers.
+	directAge = 2 * askAge
+)
+
+// sources returns the addresses of the VMs whose copies this VM asks for, and the age at
+// which its own are due; age is that of its own. watchers are the addresses of the VMs that
+// read the platform.
+func (v *VM) sources(now time.Time, age time.Duration, watchers []string) (addrs []string, due time.Duration) {
+	zone := v.zoneVMs(now)
+	if len(watchers) == 0 || len(zone) < relayFrom || v.staleAge() < relayWithin {
+		return watchers, askAge
+	}
+	first := watch.First(zone, relays)
+	switch {
+	case slices.Contains(first, v.cfg.Load().Name):
+		return watchers, relayAge
+	case age >= directAge:
+		return watchers, askAge
+	}
+	return v.peerAddrsOf(now, first), askAge
+}
+
+// zoneVMs are the live VMs of this VM's zone, itself included, all as near to the platform.
+func (v *VM) zoneVMs(now time.Time) []watch.VM {
+	cfg := v.cfg.Load()
+	list := []watch.VM{{Name: cfg.Name, Trip: 1, Cores: cfg.Capacity.Cores}}
+	for _, vm := range v.regionMates(now) {
+		if vm.Zone == cfg.Zone {
+			list = append(list, watch.VM{Name: vm.Name, Trip: 1, Cores: vm.Capacity.Cores})
+		}
+	}
+	return list
+}
+
+// peerAddrsOf returns the addresses of other VMs, by their names.
+func (v *VM) peerAddrsOf(now time.Time, names []string) []string {
 	var addrs []string
-	for _, name := range first {
+	for _, name := range names {
 		if m, ok := v.members.Mate(now, name); ok {
 			addrs = append(addrs, m.VM.Address.Peer)
 		}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -21,7 +21,9 @@
 // Bounds of the client.
 const (
 	callTimeout = time.Second
-	idleLimit   = time.Minute
+	// idleLimit is how long an unused connection is kept. VMs that are called all the time
+	// are called again within a few seconds; of the others a VM meets some hundred.
+	idleLimit = 10 * time.Second
 )
 
 // Client calls other VMs. It keeps one connection to each. It is safe for
