Placements are told to the VMs that use them

Seen: each placement of an object went to each VM of the region, 328 in the whole fleet, of which look-ups name four; 20 ms apart at the least, up to 16,400 datagrams a second from a VM while objects are new, worked out. It grows with VMs times objects.

Change: in a region of 25 VMs or more those are told that callers use, as heartbeats tell it, and six standbys by rendezvous hashing, of which the first keeps the copy at the platform. A VM that callers begin to use asks them for 3 s, as one that has started does.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -64,6 +64,7 @@
 	limits    ratelimit.Limiter
 	collector ratelimit.Collector
 	used      atomic.Pointer[[]string] // See usedAddrs.
+	senders   atomic.Pointer[senders]
 	mates     atomic.Pointer[mateAddrs]
 	upstreams *upstream.Pool
 	picks     route.Picks
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -37,7 +37,9 @@
 			v.startExchanges(ctx, v.copyPartners(now), behindPartners, nil)
 		}
 		if now.Sub(v.started) >= joinHold {
-			v.balancer.SetVMs(v.sendingVMs(now))
+			s := v.findSenders(now)
+			v.senders.Store(&s)
+			v.balancer.SetVMs(s.vms)
 			v.retries.SetVMs(len(v.knownNames(now)))
 		}
 		v.peers.CloseIdle(now)
@@ -81,13 +83,21 @@
 	}
 }
 
-// sendingVMs returns the VMs that share what a cold upstream bears: those that may
+// senders are the VMs that callers use.
+type senders struct {
+	vms []balance.VM // This one included.
+	// self says that callers use this one.
+	self bool
+}
+
+// findSenders returns the VMs that share what a cold upstream bears: those that may
 // be running and have callers or are named to them. Were the others among them,
 // upstreams whose turns fall to those would get nothing for as long as they are cold.
 // This VM always is one. One that gets callers may not be known to the others for two
 // heartbeats, and takes a turn of its own then.
-func (v *VM) sendingVMs(now time.Time) []balance.VM {
+func (v *VM) findSenders(now time.Time) senders {
 	cfg := v.cfg.Load()
+	s := senders{self: v.traffic.Traffic(now).Requests > 0}
 	sending := map[string]string{cfg.Name: cfg.Region}
 	mates := v.members.Mates(now)
 	for _, m := range mates {
@@ -98,13 +108,21 @@
 	for region, near := range v.takersByRegion(now, mates) {
 		for _, vm := range callers.Named(near) {
 			sending[vm.Name] = region
+			s.self = s.self || vm.Name == cfg.Name
 		}
 	}
-	vms := make([]balance.VM, 0, len(sending))
 	for _, name := range slices.Sorted(maps.Keys(sending)) {
-		vms = append(vms, balance.VM{Name: name, Region: sending[name]})
+		s.vms = append(s.vms, balance.VM{Name: name, Region: sending[name]})
+	}
+	return s
+}
+
+// sending is what findSenders found on the last heartbeat.
+func (v *VM) sending(now time.Time) senders {
+	if s := v.senders.Load(); s != nil {
+		return *s
 	}
-	return vms
+	return v.findSenders(now)
 }
 
 // knownNames returns all VMs that may be running, silent ones included: shares
--- a/io/entry/naming_test.go
+++ b/io/entry/naming_test.go
@@ -68,7 +68,7 @@
 	v, now := vmAmong(22, sizes)
 	for _, at := range []time.Time{now, now.Add(failAfter + time.Second)} {
 		var names []string
-		for _, vm := range v.sendingVMs(at) {
+		for _, vm := range v.findSenders(at).vms {
 			names = append(names, vm.Name)
 		}
 		if len(names) < 20 || len(names) > 24 {
--- a/io/entry/placement.go
+++ b/io/entry/placement.go
@@ -26,8 +26,16 @@
 	// platform: all VMs of a region that lose power at once find them again as of
 	// then. At ten bytes an object the 300 of a small region are 1.5 KB/s.
 	keepEvery = 2 * time.Second
-	// askVMsFor is how long a VM that has started asks others for placements.
+	// askVMsFor is how long a VM asks others for placements that has started or that
+	// callers begin to use.
 	askVMsFor = 3 * time.Second
+	// keepDuty is what VMs are ranked for that keep placements whether callers use them or
+	// not: standbys of them, of which the first writes them to the platform.
+	keepDuty = "placements"
+	standbys = 6
+	// tellAllBelow is the number of other VMs of a region below which all are told of
+	// placements: any of them may be the next that callers use.
+	tellAllBelow = 24
 )
 
 // placementTeller tells the VMs of the region where this VM has placed objects, and
@@ -38,6 +46,9 @@
 
 	kept   uint64 // The changes up to which the platform has a copy.
 	keptAt time.Time
+	// used says that callers use this VM, and usedSince for how long that has been so.
+	used      bool
+	usedSince time.Time
 }
 
 // loop tells of what is new.
@@ -50,7 +61,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.vm.placed:
-			t.peer.Tell(t.vm.neighbors(time.Now()), t.vm.balancer.News())
+			t.peer.Tell(t.vm.holders(time.Now()), t.vm.balancer.News())
 			if !lifecycle.Pause(ctx, tellEvery) {
 				return
 			}
@@ -63,9 +74,10 @@
 // look does what is due now and then.
 func (t *placementTeller) look(ctx context.Context, now time.Time) {
 	since := now.Sub(t.vm.started)
-	addrs := t.vm.neighbors(now)
-	if len(addrs) > 0 && since < askVMsFor {
-		t.peer.Ask(addrs[rand.IntN(len(addrs))])
+	if t.asks(now) {
+		if addrs := t.vm.holders(now); len(addrs) > 0 {
+			t.peer.Ask(addrs[rand.IntN(len(addrs))])
+		}
 	}
 	if since >= joinWithin {
 		t.vm.balancer.Join()
@@ -76,6 +88,15 @@
 	}
 }
 
+// asks reports whether this VM is to ask others for placements: it has just started, or
+// callers have just begun to use it.
+func (t *placementTeller) asks(now time.Time) bool {
+	if used := t.vm.sending(now).self; used != t.used {
+		t.used, t.usedSince = used, now
+	}
+	return now.Sub(t.vm.started) < askVMsFor || t.used && now.Sub(t.usedSince) < askVMsFor
+}
+
 // keep writes the region's placements to the platform, if they have changed. One
 // write that fails is made good by the next.
 func (t *placementTeller) keep(ctx context.Context, now time.Time) {
@@ -131,11 +152,29 @@
 	}
 }
 
-// neighbors returns the addresses of the other VMs of the region.
-func (v *VM) neighbors(now time.Time) []string {
+// holders returns the addresses of the other VMs that know the region's placements: in a
+// large region those that callers use, and the standbys.
+func (v *VM) holders(now time.Time) []string {
+	mates := v.regionMates(now)
+	var holds map[string]bool
+	if len(mates) >= tellAllBelow {
+		holds = make(map[string]bool)
+		names := make([]string, len(mates))
+		for i, vm := range mates {
+			names[i] = vm.Name
+		}
+		for _, name := range dispatch.First(keepDuty, append(names, v.cfg.Load().Name), standbys) {
+			holds[name] = true
+		}
+		for _, vm := range v.sending(now).vms {
+			holds[vm.Name] = true
+		}
+	}
 	var addrs []string
-	for _, vm := range v.regionMates(now) {
-		addrs = append(addrs, vm.Address.Peer)
+	for _, vm := range mates {
+		if holds == nil || holds[vm.Name] {
+			addrs = append(addrs, vm.Address.Peer)
+		}
 	}
 	return addrs
 }
@@ -163,5 +202,5 @@
 	for _, vm := range v.regionMates(now) {
 		names = append(names, vm.Name)
 	}
-	return dispatch.First("placements", names, 1)[0] == self
+	return dispatch.First(keepDuty, names, 1)[0] == self
 }
