SIGHUP is asked for when the process is initialized

Cause: the signal was asked for by the loop that reads settings again, after all packages were initialized, flags parsed and settings read; until then its default action ends the process.

The loop finds a signal from before it.

--- a/cmd/auburnlatch-entry/main.go
+++ b/cmd/auburnlatch-entry/main.go
@@ -25,6 +25,7 @@
 	"github.com/sirupsen/logrus"
 
 	"auburnlatch/io/entry"
+	"auburnlatch/io/hangup"
 	"auburnlatch/io/logline"
 	"auburnlatch/io/settings"
 	"auburnlatch/platform"
@@ -95,8 +96,6 @@
 
 // run rereads the file on SIGHUP and now and then.
 func (r *reloader) run(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	t := time.NewTicker(rereadEvery)
 	defer t.Stop()
 	for {
@@ -104,7 +103,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-hangup.Signals():
 		case <-t.C:
 		}
 	}
