A target that leaves as its zone is emptied is not taken in again

Found by a property test of the slots counted by change, written after the change: the registry names targets of a zone that is emptied or taken back as set; one that left in the same look was named as gone as well, and the balancer, which takes the gone ones out first, had it back for good: requests would have gone to an upstream off the register.

Change: of the targets set those are named that are still the registry's.

--- a/core/target/target.go
+++ b/core/target/target.go
@@ -145,6 +145,8 @@
 			r.drop(id, &c)
 		}
 	}
+	// One whose zone was emptied or taken back may have changed, or gone, as well.
+	c.Set = slices.DeleteFunc(c.Set, func(t *Target) bool { return r.targets[t.ID] != t })
 	return c, len(r.lapsed) > 0
 }
 
