--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/bits"
 	"slices"
 	"time"
 
@@ -116,7 +115,7 @@
 	for _, m := range v.members.Mates(now) {
 		x := m.Stamp.Content() + uint64(m.State)
 		if now.Sub(m.Heard) < forgetAfter {
-			x = bits.Reverse64(x)
+			x = ^x
 		}
 		sum += x
 	}
