--- a/core/member/report_test.go
+++ b/core/member/report_test.go
@@ -146,9 +146,7 @@
 	}
 }
 
-// Each of 986 VMs had the beats of all others pass through it twice a second: 57 KB/s for a
-// VM that serves nobody. All must know all of a fleet as before, while a digest has the stamps
-// of one zone alone.
+// Guards against digests that grow with all VMs of a fleet.
 func TestBeatsStayInTheirZone(t *testing.T) {
 	const perZone = 12
 	perExchange := func(zones int) float64 {
@@ -170,8 +168,7 @@
 	}
 }
 
-// A VM dies, both that report for a zone die, or a whole zone: all others must take them for
-// silent soon, and none of the rest.
+// Guards against dead VMs that stay live in other zones, and against live ones taken for dead.
 func TestDeadVMsAreSilentEverywhere(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
@@ -204,8 +201,7 @@
 	}
 }
 
-// VMs that die and start again are live everywhere, and so is a zone all of whose VMs lost
-// power.
+// Guards against VMs that start again and stay silent elsewhere.
 func TestVMsThatComeBackAreLive(t *testing.T) {
 	for seed := range uint64(3) {
 		f := newZonedFleet(seed, 4, 8)
@@ -227,7 +223,7 @@
 	}
 }
 
-// A zone is cut off: each side goes on with its own, and all are live again soon after.
+// Guards against a zone that loses its own VMs while it is cut off, or the others afterwards.
 func TestZoneThatIsCutOffKeepsItsOwn(t *testing.T) {
 	for seed := range uint64(3) {
 		f := newZonedFleet(seed, 4, 8)
@@ -247,8 +243,7 @@
 	}
 }
 
-// One that reports for its zone is cut off from its mates alone, and takes them for silent.
-// The other's word counts.
+// Guards against one reporter that is cut off and declares its whole zone silent.
 func TestOneReportOfSilenceIsNotEnough(t *testing.T) {
 	f := newZonedFleet(3, 4, 8)
 	f.run(30)
@@ -259,8 +254,7 @@
 	f.expect(t, "z1/004", Live, func(vm string) bool { return zoneName(vm) != "z1" })
 }
 
-// A VM that exchanged with any of 110 others opened a connection for nearly each exchange.
-// With few partners beats must still be there before their VM is taken for silent.
+// Guards against a connection for each exchange, and against beats that arrive too late.
 func TestPartnersAreFewAndBeatsGoRound(t *testing.T) {
 	for _, n := range []int{2, 3, 8, 33, 124} {
 		f := newZonedFleet(uint64(n), 1, n)
--- a/core/replica/since_test.go
+++ b/core/replica/since_test.go
@@ -9,9 +9,7 @@
 	"auburnlatch/core/replica"
 )
 
-// What a copy lacks was found by a walk through all rows, at each exchange. Found by version,
-// it must be the same, whatever was written twice, removed and forgotten before: a row that is
-// left out is missing for good at the VM that asks.
+// Guards against rows that an exchange leaves out, which are missing for good at who asked.
 func TestCopiesThatAskNowAndThenAreComplete(t *testing.T) {
 	for seed := range uint64(30) {
 		r := rand.New(rand.NewPCG(seed, 1))
@@ -69,7 +67,7 @@
 	}
 }
 
-// Whoever takes rows into use by what changed has all of them.
+// Guards against changes that are never taken into use.
 func TestChangedNamesAllThatChanged(t *testing.T) {
 	tbl := replica.NewTable("t", sameBeforeBar)
 	tbl.Apply(start, whole(5, row("a", "1", 3), row("b", "1", 4)))
--- a/core/target/target_test.go
+++ b/core/target/target_test.go
@@ -87,8 +87,7 @@
 	}
 }
 
-// With 10,000 upstreams that register at 340 a second, each change cost a look at all of them:
-// a tenth of a core. What changes is named, and nothing else.
+// Guards against targets that are named without a change, or that come back after they left.
 func TestUpdateNamesWhatChanged(t *testing.T) {
 	r := registry()
 	at := func(id, addr string, change func(*target.Registration)) target.Registration {
--- a/io/entry/partners_test.go
+++ b/io/entry/partners_test.go
@@ -115,9 +115,7 @@
 	}
 }
 
-// All of 986 VMs asked one of two for their copies, 800 exchanges a second each. Two VMs of a
-// zone ask for the rest of it. Without them, or where a step more takes too long for the bound
-// on upstreams that leave, the others ask as before.
+// Guards against watchers asked by a whole fleet, and against copies that relays keep too old.
 func TestRelaysAskForTheirZone(t *testing.T) {
 	for _, tc := range []struct {
 		name     string
--- a/io/entry/placement_among_test.go
+++ b/io/entry/placement_among_test.go
@@ -8,9 +8,7 @@
 	"auburnlatch/core/member"
 )
 
-// Each placement was told to each VM of its region: with 328 of them, of which callers use
-// four, 16,000 datagrams a second while objects are new. Those that callers use are told, and
-// a few that keep placements for the next.
+// Guards against datagrams that grow with the VMs of a region.
 func TestPlacementsAreToldToThoseThatUseThem(t *testing.T) {
 	named := func(vm *member.VM) bool { return vm.Name == "vm3" || vm.Name == "vm6" }
 	for _, tc := range []struct {
@@ -43,8 +41,7 @@
 	}
 }
 
-// Callers begin to use a VM of a large region that was told of no placements: it asks those
-// that know them, as one that has started does.
+// Guards against callers sent to a VM that does not know where their objects are.
 func TestVMThatCallersBeginToUseIsAskingForPlacements(t *testing.T) {
 	v, now := vmAmong(100, nil)
 	teller := &placementTeller{vm: v}
