Second reading: names, one zone filter, slots of regions derived, one lock

The filter of a zone's live VMs stood in three places and the ranking of those that keep placements in two; regions' slots were kept beside the counts they come from; SetTargets let go of its lock between finding the targets that are gone and taking them out. Plainer names: reports are taken and hear, rows are replaced, watchers are watchers.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -86,11 +86,10 @@
 
 // pool is the targets of one service.
 type pool struct {
-	states   []*state
-	off      *[mechanisms]bool
-	counts   []regionCount // By region's name.
-	moved    bool          // Regions have other places in counts than states have noted.
-	byRegion []regionSlots // In the order of counts.
+	states  []*state
+	off     *[mechanisms]bool
+	regions []regionCount // By name.
+	reindex bool          // Regions have other indexes than states have noted.
 	// factors are the regions' by exponent, see Balancer.factors.
 	factors map[float64][]float64
 	// What follows is worked out anew every refreshEvery.
@@ -152,26 +151,30 @@
 	for _, t := range targets {
 		there[t.ID] = true
 	}
-	var gone []*target.Target
 	b.mu.Lock()
+	defer b.mu.Unlock()
+	var gone []*target.Target
 	for id, s := range b.states {
 		if !there[id] {
 			gone = append(gone, s.Target)
 		}
 	}
-	b.mu.Unlock()
-	b.ChangeTargets(targets, gone)
+	b.changeTargets(targets, gone)
 }
 
 // ChangeTargets takes in targets that are new or have changed, and that others are gone.
 func (b *Balancer) ChangeTargets(set, gone []*target.Target) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.changeTargets(set, gone)
+}
+
+func (b *Balancer) changeTargets(set, gone []*target.Target) {
 	changed := make(map[string]bool) // Services.
 	for _, t := range gone {
 		if s := b.states[t.ID]; s != nil && s.Born == t.Born {
 			b.removeTarget(s)
-			changed[t.Service] = true
+			changed[s.Service] = true
 		}
 	}
 	for _, t := range set {
@@ -194,12 +197,9 @@
 		b.services[t.Service].count(s)
 	}
 	for service := range changed {
-		p := b.services[service]
-		if p == nil {
-			continue
-		}
-		p.index()
-		if len(p.states) == 0 {
+		if p := b.services[service]; len(p.states) > 0 {
+			p.renew()
+		} else {
 			delete(b.services, service)
 		}
 	}
--- a/core/balance/change_test.go
+++ b/core/balance/change_test.go
@@ -9,9 +9,7 @@
 	"auburnlatch/core/target"
 )
 
-// Regions' slots, by which all VMs weigh targets, are counted by difference. They must be what
-// a VM counts that has just started and takes all targets in at once: the two would send an
-// object to different targets.
+// Guards against VMs that weigh regions differently by how they came to know the same targets.
 func TestSlotsCountedByChangeAreThoseOfAStart(t *testing.T) {
 	regions := []string{"east", "north", "south"}
 	for seed := range uint64(20) {
@@ -52,13 +50,13 @@
 func slots(b *Balancer) map[string]any {
 	out := make(map[string]any)
 	for service, p := range b.services {
-		out[service] = p.byRegion
+		out[service] = p.slots()
 		noted := make(map[string]int)
 		for i, s := range p.states {
 			if s.index != i {
 				noted["misplaced"]++
 			}
-			noted[p.byRegion[s.region].region+" for "+s.Region]++
+			noted[p.regions[s.region].region+" for "+s.Region]++
 		}
 		out[service+" noted"] = noted
 	}
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -79,7 +79,7 @@
 	if s == nil {
 		return Lease{}, verdict.New(verdict.NotRun, verdict.ReasonNoCapacity, max(comeBack, b.wait(now, p, req)))
 	}
-	s.use()
+	s.ownHistory()
 	if s.Cold(now) {
 		s.lastCold = now
 	}
@@ -139,7 +139,7 @@
 // taken notes that a suspect target is being tried.
 func (b *Balancer) taken(now time.Time, p *pool, s *state) *state {
 	if s != nil && s.suspect(now, p.usual) {
-		s.use()
+		s.ownHistory()
 		s.lastTrial = now
 	}
 	return s
--- a/core/balance/state.go
+++ b/core/balance/state.go
@@ -67,8 +67,8 @@
 // thousands. It is only read.
 var noHistory history
 
-// use gives the target a history of its own.
-func (s *state) use() {
+// ownHistory gives the target a history of its own, to be changed.
+func (s *state) ownHistory() {
 	if s.history == &noHistory {
 		s.history = &history{}
 	}
--- a/core/balance/weigh.go
+++ b/core/balance/weigh.go
@@ -112,7 +112,7 @@
 		return known
 	}
 	far := math.Exp(-exponent)
-	list := slices.Clone(p.byRegion)
+	list := p.slots()
 	if !b.off[RegionFit] {
 		fit(list, far)
 	}
@@ -150,27 +150,27 @@
 
 // count enters a target into its region.
 func (p *pool) count(s *state) {
-	i, ok := slices.BinarySearchFunc(p.counts, s.Region, regionCount.compare)
+	i, ok := slices.BinarySearchFunc(p.regions, s.Region, regionCount.compare)
 	if !ok {
-		p.counts = slices.Insert(p.counts, i, regionCount{region: s.Region})
-		p.moved = true
+		p.regions = slices.Insert(p.regions, i, regionCount{region: s.Region})
+		p.reindex = true
 	}
 	s.region, s.counted = i, 0
 	if s.usable() {
 		s.counted = s.Slots
 	}
-	p.counts[i].targets++
-	p.counts[i].slots += s.counted
+	p.regions[i].targets++
+	p.regions[i].slots += s.counted
 }
 
 // uncount takes a target out of its region.
 func (p *pool) uncount(s *state) {
-	i, _ := slices.BinarySearchFunc(p.counts, s.Region, regionCount.compare)
-	r := &p.counts[i]
+	i, _ := slices.BinarySearchFunc(p.regions, s.Region, regionCount.compare)
+	r := &p.regions[i]
 	r.slots -= s.counted
 	if r.targets--; r.targets == 0 {
-		p.counts = slices.Delete(p.counts, i, i+1)
-		p.moved = true
+		p.regions = slices.Delete(p.regions, i, i+1)
+		p.reindex = true
 	}
 }
 
@@ -178,20 +178,25 @@
 // nothing could be divided.
 const leastSlots = 1e-6
 
-// index renews what depends on the regions' targets.
-func (p *pool) index() {
+// slots returns the regions' slots, in the order of regions.
+func (p *pool) slots() []regionSlots {
+	list := make([]regionSlots, len(p.regions))
+	for i, r := range p.regions {
+		list[i] = regionSlots{region: r.region, slots: leastSlots + float64(r.slots), weight: 1}
+	}
+	return list
+}
+
+// renew has what depends on the targets worked out anew.
+func (p *pool) renew() {
 	p.refreshed = time.Time{}
 	p.factors = make(map[float64][]float64)
-	p.byRegion = make([]regionSlots, len(p.counts))
-	for i, r := range p.counts {
-		p.byRegion[i] = regionSlots{region: r.region, slots: leastSlots + float64(r.slots), weight: 1}
-	}
-	if !p.moved {
+	if !p.reindex {
 		return
 	}
-	p.moved = false
+	p.reindex = false
 	for _, s := range p.states {
-		s.region, _ = slices.BinarySearchFunc(p.counts, s.Region, regionCount.compare)
+		s.region, _ = slices.BinarySearchFunc(p.regions, s.Region, regionCount.compare)
 	}
 }
 
--- a/core/member/exchange.go
+++ b/core/member/exchange.go
@@ -77,7 +77,7 @@
 		r.Stamp.Beat = s.Beat
 		r.heard = latest(r.heard, now.Add(-s.Age))
 		if r.Report != nil {
-			t.believe(now, r)
+			t.takeReport(now, r)
 		}
 	}
 }
@@ -133,7 +133,7 @@
 	if e.VM != nil && e.VM.Zone != t.zone && !t.reports {
 		return false
 	}
-	if e.Report != nil && t.outdated(e.Stamp.Age) {
+	if e.Report != nil && t.isStale(e.Stamp.Age) {
 		return false
 	}
 	heard := now.Add(-e.Stamp.Age)
@@ -153,7 +153,7 @@
 	r = &record{Entry: e, heard: heard}
 	t.put(r)
 	if r.Report != nil {
-		t.believe(now, r)
+		t.takeReport(now, r)
 	}
 	return true
 }
--- a/core/member/life.go
+++ b/core/member/life.go
@@ -100,7 +100,7 @@
 func (t *Table) outlived(now time.Time, key Key, r *record, newest map[string]time.Time) bool {
 	switch {
 	case r.Report != nil:
-		return t.outdated(now.Sub(r.heard))
+		return t.isStale(now.Sub(r.heard))
 	case now.Sub(r.heard) <= MaxListLag || key == vmKey(t.self):
 		return false
 	case r.VM != nil:
--- a/core/member/report.go
+++ b/core/member/report.go
@@ -96,8 +96,8 @@
 	return z
 }
 
-// enter and leave keep the records of zones in step with the entries.
-func (t *Table) enter(r *record) {
+// addToZone and removeFromZone keep the records of zones in step with the entries.
+func (t *Table) addToZone(r *record) {
 	switch {
 	case r.VM != nil:
 		z := t.zoneOf(r.VM.Zone)
@@ -108,7 +108,7 @@
 	}
 }
 
-func (t *Table) leave(r *record) {
+func (t *Table) removeFromZone(r *record) {
 	switch {
 	case r.VM != nil:
 		z := t.zoneOf(r.VM.Zone)
@@ -128,44 +128,46 @@
 	return xxhash.Sum64(b[:])
 }
 
-// believe takes over when the VMs of another zone were last heard there. One VM of that
+// takeReport renews when the VMs of another zone were last heard there. One VM of that
 // zone that hears a mate outweighs any number that do not: these may be cut off.
-func (t *Table) believe(now time.Time, report *record) {
+func (t *Table) takeReport(now time.Time, report *record) {
 	if report.Report.Zone == t.zone {
 		return // Its beats are heard here.
 	}
 	z := t.zoneOf(report.Report.Zone)
+	// A VM that is reported silent counts as that at once, not only after as long again.
+	silentSince := report.heard.Add(-t.failAfter - 1)
 	for _, r := range z.vms {
 		switch {
-		case t.tells(report.Report, r):
+		case report.Report.hears(r):
 			r.heard = latest(r.heard, report.heard)
-		case report.heard.After(r.heard) && !t.told(now, z, r):
-			r.heard = earliest(r.heard, report.heard.Add(-t.failAfter-1))
+		case report.heard.After(r.heard) && !t.heardThere(now, z, r):
+			r.heard = earliest(r.heard, silentSince)
 		}
 	}
 }
 
-// tells reports whether a report says that a VM is alive.
-func (t *Table) tells(report *Report, r *record) bool {
-	if report.VM == r.VM.Name {
+// hears reports whether a report says that a VM of its zone is alive.
+func (r *Report) hears(vm *record) bool {
+	if r.VM == vm.VM.Name {
 		return true
 	}
-	_, silent := slices.BinarySearch(report.Silent, r.Stamp.Key)
+	_, silent := slices.BinarySearch(r.Silent, vm.Stamp.Key)
 	return !silent
 }
 
-// told reports whether any report that still counts says that a VM is alive.
-func (t *Table) told(now time.Time, z *zoneRecords, r *record) bool {
+// heardThere reports whether any report of a zone that still counts says that a VM is alive.
+func (t *Table) heardThere(now time.Time, z *zoneRecords, vm *record) bool {
 	for _, report := range z.reports {
-		if now.Sub(report.heard) <= t.failAfter && t.tells(report.Report, r) {
+		if now.Sub(report.heard) <= t.failAfter && report.Report.hears(vm) {
 			return true
 		}
 	}
 	return false
 }
 
-// outdated reports whether a report is too old to say anything.
-func (t *Table) outdated(age time.Duration) bool { return age > 2*t.failAfter }
+// isStale reports whether a report of an age says nothing any more.
+func (t *Table) isStale(age time.Duration) bool { return age > 2*t.failAfter }
 
 // Partner returns the VM to exchange with of those of a zone, which are in order of name and
 // without self, "" where there are none. pick is any number; each VM has as many partners as
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -154,7 +154,7 @@
 func (t *Table) put(r *record) {
 	t.drop(r.Stamp.Key)
 	t.entries[r.Stamp.Key] = r
-	t.enter(r)
+	t.addToZone(r)
 	if r.VM == nil {
 		return
 	}
@@ -171,7 +171,7 @@
 	if r == nil {
 		return
 	}
-	t.leave(r)
+	t.removeFromZone(r)
 	if r.VM == nil {
 		return
 	}
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -96,10 +96,10 @@
 	mu    sync.Mutex
 	epoch time.Time // When the copy was first changed.
 	rows  map[string]*stored
-	// log has all rows by version, and outdated ones of rows that have a newer one.
+	// log has all rows by version. Rows that were replaced stay in it for a while.
 	log      []*stored
-	outdated int // Of log.
-	// removals are removed rows by the time of their removal, and outdated ones.
+	replaced int // Of log.
+	// removals are removed rows by the time of their removal, replaced ones among them.
 	removals []*stored
 	// fresh are the keys of the rows that changed since the last call of Changed.
 	fresh     map[string]struct{}
@@ -121,8 +121,8 @@
 	packed  *[]byte       // nil: Row.Packed is.
 	at      time.Duration // Since the table's epoch.
 	removed *removal
-	// outdated says that the table has a newer row of the key, or none.
-	outdated bool
+	// replaced says that the table has a newer row of the key, or none.
+	replaced bool
 }
 
 // removal is what is known of the removal of a row.
@@ -256,17 +256,17 @@
 	}
 	if old != nil {
 		n.key = old.key
-		t.outdate(old)
+		t.markReplaced(old)
 	}
 	t.rows[n.key] = n
-	t.append(n)
+	t.addToLog(n)
 	t.fresh[n.key] = struct{}{}
 	t.newest = max(t.newest, r.Version)
 	return true
 }
 
-// append enters a row into the log, mostly at its end.
-func (t *Table) append(r *stored) {
+// addToLog enters a row into the log, mostly at its end.
+func (t *Table) addToLog(r *stored) {
 	i := len(t.log)
 	if i > 0 && t.log[i-1].version > r.version {
 		i = t.after(r.version)
@@ -285,28 +285,28 @@
 	return i
 }
 
-// outdate marks a row that the table has no more. The log is cleaned once half of it is
-// outdated, so that each change pays for a constant part of that.
-func (t *Table) outdate(r *stored) {
-	r.outdated = true
-	if t.outdated++; t.outdated <= len(t.log)/2 {
+// markReplaced marks a row that the table has no more. The log is cleaned once half of it is
+// replaced, so that each change pays for a constant part of that.
+func (t *Table) markReplaced(r *stored) {
+	r.replaced = true
+	if t.replaced++; t.replaced <= len(t.log)/2 {
 		return
 	}
-	t.log = slices.DeleteFunc(t.log, func(r *stored) bool { return r.outdated })
-	t.outdated = 0
+	t.log = slices.DeleteFunc(t.log, func(r *stored) bool { return r.replaced })
+	t.replaced = 0
 }
 
 func (t *Table) forget(now time.Time) {
 	n := 0
 	for _, r := range t.removals {
-		if !r.outdated && now.Sub(r.removed.at) <= keepRemoved {
+		if !r.replaced && now.Sub(r.removed.at) <= keepRemoved {
 			break
 		}
 		n++
-		if !r.outdated {
+		if !r.replaced {
 			t.forgotten = max(t.forgotten, r.version)
 			delete(t.rows, r.key)
-			t.outdate(r)
+			t.markReplaced(r)
 		}
 	}
 	t.removals = slices.Delete(t.removals, 0, n)
@@ -336,7 +336,7 @@
 		log = log[t.after(version):]
 	}
 	for _, r := range log {
-		if !r.outdated && !(d.Whole && r.removed != nil) {
+		if !r.replaced && !(d.Whole && r.removed != nil) {
 			d.Rows = append(d.Rows, t.row(r))
 		}
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -65,15 +65,16 @@
 	collector ratelimit.Collector
 	used      atomic.Pointer[[]string] // See usedAddrs.
 	senders   atomic.Pointer[senders]
-	sendersOf sendersBasis // Of heartbeatLoop alone.
-	readers   atomic.Pointer[readers]
-	mates     atomic.Pointer[mateAddrs]
-	upstreams *upstream.Pool
-	picks     route.Picks
-	guard     *quarantine.Guard
-	table     atomic.Pointer[route.Table]
-	ruled     atomic.Pointer[ruledCopy]
-	targets   registered
+	basis     sendersBasis // Of heartbeatLoop alone: what senders were worked out from.
+	// lastWatchers is for currentWatchers.
+	lastWatchers atomic.Pointer[watchersAt]
+	mates        atomic.Pointer[mateAddrs]
+	upstreams    *upstream.Pool
+	picks        route.Picks
+	guard        *quarantine.Guard
+	table        atomic.Pointer[route.Table]
+	ruled        atomic.Pointer[ruledCopy]
+	targets      registered
 
 	leaving    atomic.Bool
 	announced  atomic.Bool     // The platform may have this VM's address.
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -39,15 +39,12 @@
 // zone, where alone beats are told, and one with a VM that partners names.
 func (v *VM) exchangeMembers(ctx context.Context, now time.Time) {
 	cfg := v.cfg.Load()
-	var names []string
-	near := make(map[string]bool)
-	for _, vm := range v.regionMates(now) {
-		if vm.Zone == cfg.Zone {
-			names = append(names, vm.Name)
-			near[vm.Address.Peer] = true
-		}
+	mates := v.zoneMates(now)
+	near := make(map[string]bool, len(mates))
+	for _, vm := range mates {
+		near[vm.Address.Peer] = true
 	}
-	if m, ok := v.members.Mate(now, member.Partner(names, cfg.Name, rand.Int())); ok {
+	if m, ok := v.members.Mate(now, member.Partner(namesOf(mates), cfg.Name, rand.Int())); ok {
 		v.startExchange(ctx, &exchange{vm: v, addr: m.VM.Address.Peer, zone: cfg.Zone, members: v.members})
 	}
 	partners := v.partners(now)
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -92,10 +92,10 @@
 func (v *VM) renewSenders(now time.Time) {
 	self := v.self(now)
 	basis := sendersBasis{ready: self.Dispatches, traffic: self.Traffic, mates: v.matesSum(now)}
-	if v.senders.Load() != nil && v.sendersOf == basis {
+	if v.senders.Load() != nil && v.basis == basis {
 		return
 	}
-	v.sendersOf = basis
+	v.basis = basis
 	s := v.findSenders(now)
 	v.senders.Store(&s)
 	v.balancer.SetVMs(s.vms)
--- a/io/entry/placement.go
+++ b/io/entry/placement.go
@@ -159,11 +159,7 @@
 	var holds map[string]bool
 	if len(mates) >= tellAllBelow {
 		holds = make(map[string]bool)
-		names := make([]string, len(mates))
-		for i, vm := range mates {
-			names[i] = vm.Name
-		}
-		for _, name := range dispatch.First(keepDuty, append(names, v.cfg.Load().Name), standbys) {
+		for _, name := range v.keepers(mates, standbys) {
 			holds[name] = true
 		}
 		for _, vm := range v.sending(now).vms {
@@ -182,6 +178,26 @@
 // regionMates returns the other live VMs of this VM's region.
 func (v *VM) regionMates(now time.Time) []*member.VM { return v.liveIn(now, v.cfg.Load().Region) }
 
+// zoneMates returns the other live VMs of this VM's zone, in order of name.
+func (v *VM) zoneMates(now time.Time) []*member.VM {
+	zone := v.cfg.Load().Zone
+	var list []*member.VM
+	for _, m := range v.members.Mates(now) {
+		if m.State == member.Live && m.VM.Zone == zone {
+			list = append(list, m.VM)
+		}
+	}
+	return list
+}
+
+func namesOf(vms []*member.VM) []string {
+	names := make([]string, 0, len(vms)+1)
+	for _, vm := range vms {
+		names = append(names, vm.Name)
+	}
+	return names
+}
+
 // liveIn returns the other live VMs of a region.
 func (v *VM) liveIn(now time.Time, region string) []*member.VM {
 	regions := v.cfg.Load().Regions
@@ -197,10 +213,11 @@
 // keepsPlacements reports whether this VM writes the region's placements to the
 // platform. Two that both think so overwrite each other with the same.
 func (v *VM) keepsPlacements(now time.Time) bool {
-	self := v.cfg.Load().Name
-	names := []string{self}
-	for _, vm := range v.regionMates(now) {
-		names = append(names, vm.Name)
-	}
-	return dispatch.First(keepDuty, names, 1)[0] == self
+	return v.keepers(v.regionMates(now), 1)[0] == v.cfg.Load().Name
+}
+
+// keepers returns the names of the first n VMs that keep the region's placements. mates are
+// its other VMs.
+func (v *VM) keepers(mates []*member.VM, n int) []string {
+	return dispatch.First(keepDuty, append(namesOf(mates), v.cfg.Load().Name), n)
 }
--- a/io/entry/quarantine.go
+++ b/io/entry/quarantine.go
@@ -106,14 +106,7 @@
 
 // ZoneLive implements quarantine.Fleet.
 func (f fleet) ZoneLive(now time.Time) []string {
-	cfg := f.cfg.Load()
-	names := []string{cfg.Name}
-	for _, m := range f.members.Mates(now) {
-		if m.State == member.Live && m.VM.Zone == cfg.Zone {
-			names = append(names, m.VM.Name)
-		}
-	}
-	return names
+	return append(namesOf(f.zoneMates(now)), f.cfg.Load().Name)
 }
 
 // HearsAllZones implements quarantine.Fleet.
--- a/io/entry/watchers.go
+++ b/io/entry/watchers.go
@@ -10,24 +10,24 @@
 	"auburnlatch/io/lifecycle"
 )
 
-// readers is who reads the platform for all, as of a moment.
-type readers struct {
-	at       time.Time
-	watchers []string // As watchers returns them.
+// watchersAt is what watchers returned at a moment.
+type watchersAt struct {
+	at    time.Time
+	addrs []string
 }
 
-// readersFor is how long loops go by the same readers: these change as VMs are heard or fall
-// silent, which takes heartbeats, and to work them out takes a look at all VMs.
-const readersFor = heartbeat / 2
+// watchersFor is how long loops go by the same watchers: these change as VMs are heard or
+// fall silent, which takes heartbeats, and to work them out takes a look at all VMs.
+const watchersFor = heartbeat / 2
 
-// currentWatchers is watchers, as of readersFor ago at most.
+// currentWatchers is watchers, as of watchersFor ago at most.
 func (v *VM) currentWatchers(now time.Time) []string {
-	if r := v.readers.Load(); r != nil && now.Sub(r.at) < readersFor {
-		return slices.Clone(r.watchers)
+	w := v.lastWatchers.Load()
+	if w == nil || now.Sub(w.at) >= watchersFor {
+		w = &watchersAt{now, v.watchers(now)}
+		v.lastWatchers.Store(w)
 	}
-	r := &readers{now, v.watchers(now)}
-	v.readers.Store(r)
-	return slices.Clone(r.watchers)
+	return slices.Clone(w.addrs)
 }
 
 // watchers returns the addresses of the VMs that read the platform for all, none
@@ -79,10 +79,8 @@
 func (v *VM) zoneVMs(now time.Time) []watch.VM {
 	cfg := v.cfg.Load()
 	list := []watch.VM{{Name: cfg.Name, Trip: 1, Cores: cfg.Capacity.Cores}}
-	for _, vm := range v.regionMates(now) {
-		if vm.Zone == cfg.Zone {
-			list = append(list, watch.VM{Name: vm.Name, Trip: 1, Cores: vm.Capacity.Cores})
-		}
+	for _, vm := range v.zoneMates(now) {
+		list = append(list, watch.VM{Name: vm.Name, Trip: 1, Cores: vm.Capacity.Cores})
 	}
 	return list
 }
--- a/io/peer/replica.go
+++ b/io/peer/replica.go
@@ -114,7 +114,7 @@
 			Tables: c.packer.FromReplicaDeltas(replicas.deltas(now, wire.Heads(reply.GetHeads()))),
 		}
 		if members != nil {
-			back.Delta.Entries, err = c.takeMembers(ctx, client, members, zone, reply)
+			back.Delta.Entries, err = c.levelMembers(ctx, client, members, zone, reply)
 			if err != nil {
 				return err
 			}
@@ -129,9 +129,9 @@
 	return changed, err
 }
 
-// takeMembers takes in what an answer tells of members, asks for what differs in other
+// levelMembers takes in what an answer tells of members, asks for what differs in other
 // zones, and returns what the answering VM lacks.
-func (c *Client) takeMembers(ctx context.Context, client schema.DRPCReplicaClient, members *member.Table, zone string, reply *schema.SyncReply) ([]*schema.Entry, error) {
+func (c *Client) levelMembers(ctx context.Context, client schema.DRPCReplicaClient, members *member.Table, zone string, reply *schema.SyncReply) ([]*schema.Entry, error) {
 	delta, err := wire.Delta(reply.GetDelta())
 	if err != nil {
 		return nil, err
