An answer clears only of earlier ends, once its upstream outlived it

Callers saw: a request that ends the upstreams which run it was sent on as if nothing were known of it, by a VM that started a second after a burst 31 times at once (one trial is allowed); with each such upstream other callers lose what is under way there.

Cause: any answer cleared a request of all ends, on all VMs, and lifted its ban. Nobody asked whether the upstream lived on, nor whether the run had begun before the ends. Ruled out: that the VM that starts later is not told, and that two VMs try at once, since nothing was held against the request before it started.

Now an answer clears once its upstream takes connections 0.1 s later, of ends from before its run began; other VMs are told when that was. An upstream that has ended by then counts as ended under the request. The News message has a new field; of an older VM's clearances nothing is taken in.

Unit tests tell the upstream's life and the run's begin, as the ledger now asks for both; their checks are as they were.

--- /dev/null
+++ b/core/poison/answer_test.go
@@ -0,0 +1,148 @@
+package poison_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"auburnlatch/core/poison"
+)
+
+// Guards against a suspect that is cleared by an answer which says nothing of the ends held
+// against it.
+func TestWhichAnswersClear(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		began   int // Milliseconds; the upstreams end at 1000 and 1010, the answer comes at 1050.
+		then    func(l *poison.Ledger)
+		suspect bool
+	}{
+		{"began after the ends, upstream lives on", 1020, func(l *poison.Ledger) { l.NotEnded(at(1150), "i-9", true) }, false},
+		{"upstream ends as it answers", 1020, func(l *poison.Ledger) { l.Ended(at(1150), "i-9") }, true},
+		{"upstream had ended", 1020, func(l *poison.Ledger) { l.Ended(at(1040), "i-9") }, true},
+		{"upstream falls silent", 1020, func(l *poison.Ledger) { l.NotEnded(at(1150), "i-9", false) }, true},
+		{"upstream is asked too early", 1020, func(l *poison.Ledger) { l.NotEnded(at(1060), "i-9", true) }, true},
+		{"began before the ends", 900, func(l *poison.Ledger) { l.NotEnded(at(1150), "i-9", true) }, true},
+		{"began between the ends", 1005, func(l *poison.Ledger) { l.NotEnded(at(1150), "i-9", true) }, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			l := poison.NewLedger()
+			endUnder(l, 1000, "i-1", "a")
+			endUnder(l, 1010, "i-2", "a")
+			l.Served(at(1050), poison.Run{Print: printOf("a"), Target: "i-9", Began: at(tt.began), Ended: at(1050)})
+			tt.then(l)
+			if got := l.Knows(printOf("a").Head); got != tt.suspect {
+				t.Errorf("suspected: %t, want %t", got, tt.suspect)
+			}
+		})
+	}
+}
+
+// Guards against a request that ends each upstream in the moment of its answer, and is never
+// counted as a cause.
+func TestAnswersOfUpstreamsThatEndCountAsEnds(t *testing.T) {
+	l := poison.NewLedger()
+	endUnder(l, 100, "i-0", "killer")
+	for i := range 2 {
+		ms, target := 1000*(i+1), fmt.Sprint("i-", i+1)
+		trial, refused := l.Admit(at(ms), printOf("killer"))
+		if refused != nil {
+			t.Fatalf("run %d is refused: %v", i, refused)
+		}
+		l.Served(at(ms+30), poison.Run{Print: printOf("killer"), Target: target, Began: at(ms), Ended: at(ms + 30), Alone: trial.Alone})
+		trial.Done()
+		l.Ended(at(ms+130), target)
+	}
+	l.Tick(at(3000))
+	if !banned(l, 3000, "killer") {
+		t.Error("a request whose runs end their upstreams as they are answered is not banned")
+	}
+}
+
+// Guards against other VMs that clear a suspect by an answer from before ends of which they
+// know.
+func TestToldAnswersClearOfEarlierEndsOnly(t *testing.T) {
+	a, b := poison.NewLedger(), poison.NewLedger()
+	endUnder(a, 1000, "i-1", "a")
+	b.Told(at(1030), a.TakeNews())
+	endUnder(b, 1500, "i-2", "a")
+	served(a, 1300, "a") // Its run began at 1200.
+	if a.Knows(printOf("a").Head) {
+		t.Fatal("the VM that saw the answer suspects the request")
+	}
+	b.Told(at(1600), a.TakeNews())
+	if got := b.Counts().Suspects; got != 1 {
+		t.Errorf("%d are suspected by the other VM, want the one with an end after the answer", got)
+	}
+	trial, _ := b.Admit(at(1700), printOf("a"))
+	if trial == nil || trial.Alone {
+		t.Errorf("after the answer one end is left: %+v, want a trial beside others", trial)
+	}
+}
+
+// Guards against a ban that is lifted by an answer from before the ends that it rests on.
+func TestAnswersFromBeforeTheEndsLiftNoBan(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		began  int // Milliseconds; the last end is at 900.
+		banned bool
+	}{
+		{"began before the last end", 850, true},
+		{"began after the last end", 950, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			l := poison.NewLedger()
+			for i := range 3 {
+				endUnder(l, 300*(i+1), fmt.Sprint("i-", i), "a")
+			}
+			l.Tick(at(2000))
+			if !banned(l, 2000, "a") {
+				t.Fatal("not banned after three ends in a row")
+			}
+			l.Served(at(2100), poison.Run{Print: printOf("a"), Target: "i-9", Began: at(tt.began), Ended: at(2100)})
+			l.NotEnded(at(2200), "i-9", true)
+			if got := banned(l, 2300, "a"); got != tt.banned {
+				t.Errorf("banned: %t, want %t", got, tt.banned)
+			}
+		})
+	}
+}
+
+// Guards against answers of which nobody finds out whether their upstream lived on and that
+// are kept for ever.
+func TestAnswersAreForgotten(t *testing.T) {
+	l := poison.NewLedger()
+	endUnder(l, 1000, "i-1", "a")
+	run := poison.Run{Print: printOf("a"), Target: "i-9", Began: at(1010), Ended: at(1050)}
+	if !l.Served(at(1050), run) {
+		t.Error("it is not asked whether the upstream lives on")
+	}
+	if l.Served(at(1060), run) {
+		t.Error("it is asked twice at once")
+	}
+	later := at(1050).Add(time.Minute)
+	l.Tick(later)
+	run.Began, run.Ended = later, later
+	if !l.Served(later, run) {
+		t.Error("a minute later it is not asked again")
+	}
+}
+
+// Guards against a ban of a request whose upstream is just being asked whether it outlived
+// its answer.
+func TestNobodyIsBannedWhileAnAnswerIsConfirmed(t *testing.T) {
+	l := poison.NewLedger()
+	for i := range 3 {
+		endUnder(l, 300*(i+1), fmt.Sprint("i-", i), "a")
+	}
+	answered(l, 1290, "a") // Sent by a VM that did not know of the ends yet.
+	l.Tick(at(1400))
+	if banned(l, 1400, "a") {
+		t.Error("banned between an answer and the word that its upstream lives on")
+	}
+	l.NotEnded(at(1400), "lives", true)
+	l.Tick(at(1500))
+	if l.Knows(printOf("a").Head) {
+		t.Error("suspected though it was answered after all ends")
+	}
+}
--- a/core/poison/ban.go
+++ b/core/poison/ban.go
@@ -40,6 +40,9 @@
 type record struct {
 	Ban
 	kept bool // The platform has it.
+	// lastEnd is when the last of the ends came on which the ban rests, or the latest
+	// moment at which it may have.
+	lastEnd time.Time
 }
 
 // until returns how long it will hold from now on.
@@ -76,9 +79,13 @@
 	if old == nil {
 		l.heads[b.Print.Head]++
 	}
-	l.bans[b.Print] = &record{Ban: b}
+	own := &record{Ban: b, lastEnd: now.Add(-settleFor)}
+	l.bans[b.Print] = own
 	e := Event{Ban: b}
 	if s := l.suspects[b.Print]; s != nil {
+		if len(s.ends) > 0 {
+			own.lastEnd = s.lastEnd()
+		}
 		for _, r := range s.ends {
 			e.Ends = append(e.Ends, r.Target)
 			if !b.Lifted {
--- a/core/poison/fleet_test.go
+++ b/core/poison/fleet_test.go
@@ -85,6 +85,8 @@
 	served    int
 	refused   map[string]bool // Innocent requests that were given up.
 	platform  []poison.Ban
+	// answering says that every second run that ends an upstream is answered first.
+	answering bool
 }
 
 func (s *sim) after(d time.Duration, do func(time.Time)) {
@@ -124,7 +126,12 @@
 	u.under = append(u.under, r)
 	if k := s.killers[name]; k != nil {
 		k.sent = append(k.sent, s.now)
-		s.after(s.span(30*time.Millisecond, 200*time.Millisecond), func(time.Time) { s.end(u, name) })
+		s.after(s.span(30*time.Millisecond, 200*time.Millisecond), func(time.Time) {
+			if s.answering && s.rng.IntN(2) == 0 {
+				s.answer(u, r)
+			}
+			s.end(u, name)
+		})
 		return
 	}
 	s.after(s.span(50*time.Millisecond, 400*time.Millisecond), func(time.Time) { s.answer(u, r) })
@@ -165,11 +172,22 @@
 	r.over = true
 	u.under = slices.DeleteFunc(u.under, func(other *simRun) bool { return other == r })
 	r.vm.ledger.Answered(s.now, r.began, u.id)
-	r.vm.ledger.Served(s.now, printOf(r.name))
+	if r.vm.ledger.Served(s.now, poison.Run{Print: printOf(r.name), Target: u.id, Began: r.began, Ended: s.now, Alone: r.trial != nil && r.trial.Alone}) {
+		s.after(poison.Outlives, func(time.Time) { s.confirm(r.vm.ledger, u) })
+	}
 	r.trial.Done()
 	s.served++
 }
 
+// confirm finds out for a VM whether an upstream has ended.
+func (s *sim) confirm(l *poison.Ledger, u *simUpstream) {
+	if u.down {
+		l.Ended(s.now, u.id)
+	} else {
+		l.NotEnded(s.now, u.id, true)
+	}
+}
+
 // end ends an upstream, of itself (name is empty) or under a request.
 func (s *sim) end(u *simUpstream, name string) {
 	if u.down {
@@ -301,10 +319,16 @@
 // Some requests end each upstream that begins to run them, and come again at every VM;
 // upstreams also end of themselves and VMs are lost, one and all at once. Each such
 // request has to be stopped, and no other may be banned.
-func TestFleetStopsKillersAndServesTheOthers(t *testing.T) {
+func TestFleetStopsKillersAndServesTheOthers(t *testing.T) { playFleets(t, false) }
+
+// Guards against a request that ends upstreams and is cleared by answers that they gave in
+// that moment.
+func TestFleetStopsKillersThatAreAnswered(t *testing.T) { playFleets(t, true) }
+
+func playFleets(t *testing.T, answering bool) {
 	worst, ended := 0, 0
 	for seed := range *fleetSeeds {
-		s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 1)), killers: map[string]*fate{}, refused: map[string]bool{}}
+		s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 1)), killers: map[string]*fate{}, refused: map[string]bool{}, answering: answering}
 		s.play(4+int(seed%4)*6, 24, int(seed%4))
 		for name, f := range s.killers {
 			late := 0
--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -22,7 +22,7 @@
 }
 
 // candidates returns the requests with enough ends in a row, a trial by itself among the
-// last, of which all have settled. A look-up that many ask for is under way at any
+// last, of which all have settled and no run has been answered since. A look-up that many ask for is under way at any
 // upstream that ends, and looks like the cause of all until it is tried.
 func (l *Ledger) candidates(now time.Time) []candidate {
 	var list []candidate
@@ -30,7 +30,7 @@
 		if now.Sub(s.last) < settleFor {
 			continue
 		}
-		if t := l.tally(s.ends); t.proven {
+		if t := l.tally(s.ends); t.proven && !l.answeredSince(p, s.lastEnd()) {
 			list = append(list, candidate{p, s, t.inRow})
 		}
 	}
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -7,8 +7,9 @@
 // each request the runs that ended with their upstream, tells the others, and goes by
 // three rules:
 //
-//   - A run that brings an answer clears the request of all that was held against it, and
-//     of ends before it that are learned later.
+//   - An answer from an upstream that goes on to live clears the request of ends from before
+//     that run began, those that are learned later included. Of an upstream that ends in
+//     the moment of its answer, and of other upstreams that end meanwhile, it proves nothing.
 //   - A request that is suspected is sent on as a trial, at an upstream where no other
 //     suspect is, and after two ends in a row one run of it at a time. An innocent one is
 //     answered by the first.
@@ -30,13 +31,14 @@
 //	trial, refused := l.Admit(now, print)       // Before each run; refused: not sent.
 //	ask := l.Broke(now, run)                    // Its connection ended; ask whether the upstream did.
 //	l.Ended(now, target)                        // It did; NotEnded: it may not have.
-//	l.Served(now, print)                        // It was answered.
+//	ask = l.Served(now, run)                    // It was answered; ask whether the upstream lives on.
 //	trial.Done()
 //	l.Tick(now)                                 // Judges, and forgets what is old.
 //	send(l.TakeNews()); l.Told(now, received)   // Between VMs.
 package poison
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -54,6 +56,8 @@
 	// maxBans bounds the requests that are banned; beyond it the oldest goes. At 100
 	// bytes each all VMs exchange 100 KB at the most, after a cut.
 	maxBans = 1000
+	// maxAnswered bounds the answers whose upstreams may still turn out to have ended.
+	maxAnswered = 4 << 10
 	// maxNews bounds what is kept to be told.
 	maxNews = 4 << 10
 )
@@ -70,7 +74,10 @@
 	// explained are incarnations whose end a banned request caused, and when that was
 	// learned.
 	explained map[string]time.Time
-	// cleared is when a request that had been suspected was last answered.
+	// answered are runs of suspects whose upstreams are not known yet to have outlived the
+	// answer.
+	answered []Run
+	// cleared is when the last run began that cleared a request.
 	cleared map[Print]time.Time
 	news    News
 	events  []Event
@@ -83,10 +90,11 @@
 
 // Dropped counts what a Ledger had to forget for want of room.
 type Dropped struct {
-	// Runs are requests without an answer, Upstreams incarnations that may have ended,
+	// Runs are requests without an answer, Answered those with one that was to clear them,
+	// Upstreams incarnations that may have ended,
 	// Suspects requests that were suspected, Ends those that a ban explains; Bans
 	// and News are what they say.
-	Runs, Upstreams, Suspects, Ends, Bans, News int
+	Runs, Answered, Upstreams, Suspects, Ends, Bans, News int
 }
 
 // Option varies a Ledger.
@@ -144,6 +152,7 @@
 			delete(l.cleared, p)
 		}
 	}
+	l.answered = slices.DeleteFunc(l.answered, func(r Run) bool { return now.Sub(r.Ended) > endMemory })
 	for target, u := range l.upstreams {
 		if now.Sub(u.at) > endMemory && !u.asked {
 			delete(l.upstreams, target)
--- a/core/poison/ledger_test.go
+++ b/core/poison/ledger_test.go
@@ -29,6 +29,18 @@
 	l.Ended(at(ms+20), target)
 }
 
+// served has a request answered whose run began 100 ms before, by an upstream that lives on
+// to be asked 100 ms later.
+func served(l *poison.Ledger, ms int, name string) {
+	answered(l, ms, name)
+	l.NotEnded(at(ms+100), "lives", true)
+}
+
+// answered has the upstream "lives" answer a request whose run began 100 ms before.
+func answered(l *poison.Ledger, ms int, name string) {
+	l.Served(at(ms), poison.Run{Print: printOf(name), Target: "lives", Began: at(ms - 100), Ended: at(ms)})
+}
+
 // admitted reports whether a request may be sent on; its trial ends at once.
 func admitted(l *poison.Ledger, ms int, name string) bool {
 	trial, refused := l.Admit(at(ms), printOf(name))
@@ -107,7 +119,7 @@
 	if refused != nil || trial == nil || !trial.Alone {
 		t.Fatalf("after five ends it is not tried by itself: %v, %v", trial, refused)
 	}
-	l.Served(at(3200), printOf("popular"))
+	served(l, 3200, "popular")
 	trial.Done()
 	if l.Knows(printOf("popular").Head) {
 		t.Error("it was answered, and is suspected still")
@@ -153,7 +165,7 @@
 	l := poison.NewLedger()
 	for i := range 10 {
 		endUnder(l, 1000*i+200, fmt.Sprint("i-", i), "a")
-		l.Served(at(1000*i+500), printOf("a"))
+		served(l, 1000*i+500, "a")
 	}
 	l.Tick(at(20000))
 	if !admitted(l, 20000, "a") {
@@ -184,7 +196,7 @@
 	if admitted(l, 2000, "a") {
 		t.Error("a second run of a request that is being tried is sent on")
 	}
-	l.Served(at(2200), printOf("a"))
+	served(l, 2200, "a")
 	trial.Done()
 	l.Broke(at(2200), poison.Run{Print: printOf("killer"), Target: "i-8", Began: at(2100), Ended: at(2200), Alone: other.Alone})
 	l.Ended(at(2210), "i-8")
@@ -209,8 +221,8 @@
 	if !admitted(l, 2000, "a") || !admitted(l, 2000, "b") {
 		t.Fatal("a bystander of both is refused")
 	}
-	l.Served(at(2100), printOf("a"))
-	l.Served(at(2100), printOf("b"))
+	served(l, 2100, "a")
+	served(l, 2100, "b")
 	l.Tick(at(2100))
 	if !banned(l, 2000, "one") || !banned(l, 2000, "two") {
 		t.Error("one of two requests that each ended three upstreams is not banned")
@@ -338,7 +350,7 @@
 			t.Error("VMs that told each other of their bans differ")
 		}
 	}
-	vms[1].Served(at(2500), printOf("killer"))
+	served(vms[1], 2500, "killer")
 	tell(2500)
 	for i, l := range vms {
 		if !admitted(l, 2600, "killer") {
@@ -474,7 +486,7 @@
 	l := poison.NewLedger()
 	endUnder(l, 100, "i-1", "popular", "killer")
 	endUnder(l, 400, "i-2", "popular", "killer")
-	l.Served(at(1000), printOf("popular"))
+	served(l, 1000, "popular")
 	for i, ended := range []int{600, 800, 900} {
 		target := fmt.Sprint("late-", i)
 		for _, name := range []string{"popular", "killer"} {
--- a/core/poison/news.go
+++ b/core/poison/news.go
@@ -16,7 +16,7 @@
 	// Tried are requests that are being tried, of which no other run is to be sent on.
 	Tried []Try
 	// Served are suspected requests that were answered.
-	Served []Print
+	Served []Clearance
 	Bans   []Ban
 	// Kept are bans that the platform has.
 	Kept []Ban
@@ -75,8 +75,8 @@
 	for _, t := range n.Tried {
 		l.toldTried(now, t)
 	}
-	for _, p := range n.Served {
-		l.served(now, p)
+	for _, c := range n.Served {
+		l.clearedBy(now, c)
 	}
 	for _, b := range n.Bans {
 		l.merge(now, b)
--- a/core/poison/runs.go
+++ b/core/poison/runs.go
@@ -181,7 +181,8 @@
 
 // Ended takes in that an incarnation of an upstream is no more, and returns the runs
 // that were under way at its end, as far as this VM knows them and has not returned
-// them before. Those of which it hears later count as under way too.
+// them before. Those of which it hears later count as under way too, and so do runs of
+// suspects that were answered just before.
 func (l *Ledger) Ended(now time.Time, target string) []Run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -190,7 +191,8 @@
 		return nil
 	}
 	u.first = u.firstSign(now)
-	runs := slices.DeleteFunc(append(u.broken, u.left...), func(r Run) bool { return !u.cause(r) })
+	runs := slices.Concat(u.broken, u.left, l.takeAnswered(target))
+	runs = slices.DeleteFunc(runs, func(r Run) bool { return !u.cause(r) })
 	u.broken, u.left, u.asked, u.ended = nil, nil, false, true
 	l.endedUnder(now, runs)
 	return runs
@@ -206,10 +208,14 @@
 // NotEnded takes in that the upstream is not known to have ended: somebody keeps
 // connections open at its address (alive), or nobody answers there. What broke off is kept
 // as what was given up, until the upstream answers something: whoever keeps them open may
-// be another that has its address now.
+// be another that has its address now. Answers clear their requests where it is alive.
 func (l *Ledger) NotEnded(now time.Time, target string, alive bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if alive {
+		l.outlived(now, target)
+	}
+	l.takeAnswered(target)
 	u := l.upstreams[target]
 	if u == nil || u.ended {
 		return
--- a/core/poison/suspect.go
+++ b/core/poison/suspect.go
@@ -60,6 +60,14 @@
 	triedOn string
 }
 
+// lastEnd returns when the last of the ends came, zero where there is none.
+func (s *suspect) lastEnd() time.Time {
+	if len(s.ends) == 0 {
+		return time.Time{}
+	}
+	return s.ends[len(s.ends)-1].Ended
+}
+
 // tally is what the ends come to that no ban explains.
 type tally struct {
 	all int
@@ -218,33 +226,6 @@
 	}
 }
 
-// Served takes in that an upstream answered the request and lives: it is cleared. A ban
-// that it came too late for is lifted.
-func (l *Ledger) Served(now time.Time, p Print) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.served(now, p) {
-		l.addNews(func(n *News) { n.Served = append(n.Served, p) })
-	}
-}
-
-// served clears a request, and reports whether anything was held against it.
-func (l *Ledger) served(now time.Time, p Print) bool {
-	if b := l.active(now, p); b != nil {
-		lifted := Ban{Print: p, At: max(b.At+1, now.UnixMilli()), Lifted: true}
-		l.merge(now, lifted)
-		l.addNews(func(n *News) { n.Bans = append(n.Bans, lifted) })
-	}
-	if l.suspects[p] == nil {
-		return false
-	}
-	l.clear(p)
-	if len(l.cleared) < maxSuspects {
-		l.cleared[p] = now
-	}
-	return true
-}
-
 // clear forgets what was held against a request.
 func (l *Ledger) clear(p Print) {
 	if l.suspects[p] != nil {
@@ -314,7 +295,7 @@
 	}
 }
 
-// hold holds an end against a request, unless it was answered since. An end may show
+// hold holds an end against a request, unless a later run cleared it. An end may show
 // seconds later, where something takes connections for upstreams that have ended: a look-up
 // that many ask for was answered in each of its trials, suspected again of ends from before
 // them, and as it shares all ends with the request that causes them, neither was banned.
--- a/io/entry/carry.go
+++ b/io/entry/carry.go
@@ -12,6 +12,7 @@
 	"auburnlatch/core/balance"
 	"auburnlatch/core/verdict"
 	"auburnlatch/io/forward"
+	"auburnlatch/io/quarantine"
 	"auburnlatch/io/upstream"
 )
 
@@ -204,7 +205,7 @@
 		return nil, e
 	}
 	if a.rest == nil {
-		v.guard.Served(time.Now(), req.identity)
+		v.guard.Served(v.work, time.Now(), req.identity, quarantine.Attempt{Upstream: incarnation(lease.Target), Began: began})
 	} else {
 		a.rest = &longAnswer{ReadCloser: a.rest, vm: v, req: req, lease: lease, began: began}
 	}
--- a/io/entry/poison_test.go
+++ b/io/entry/poison_test.go
@@ -39,6 +39,9 @@
 	// silent upstreams end as a host does that loses power: no connection ends, and
 	// another incarnation is there later at the same address.
 	silent bool
+	// answers says that every second run is answered in the moment in which its upstream
+	// ends.
+	answers bool
 
 	mu     sync.Mutex
 	served int         // Upstreams started so far.
@@ -103,8 +106,14 @@
 	}
 	m.herd.mu.Lock()
 	m.herd.began = append(m.herd.began, time.Now())
+	n := len(m.herd.began)
 	m.herd.mu.Unlock()
 	<-time.After(poisonRuns)
+	if m.herd.answers && n%2 == 0 {
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+	}
 	if m.herd.silent {
 		m.once.Do(m.fallSilent)
 		<-r.Context().Done()
@@ -378,6 +387,20 @@
 	}
 }
 
+// Guards against a request that is cleared by the answers which its upstreams give as they
+// end.
+func TestPoisonRequestThatIsAnsweredIsStopped(t *testing.T) {
+	p := poisonPlatform()
+	h := startHerd(t, p, 8)
+	h.answers = true
+	vms := poisonFleet(t, p, 3)
+	storm(vms, 0, 5*time.Second)
+	h.mustStop("answered every second time")
+	if _, ended, _ := h.reached(); ended < 3 {
+		t.Fatalf("%d upstreams ended under the request, so this test says nothing", ended)
+	}
+}
+
 // Sixteen callers ask for one look-up all the time, so it is under way at every upstream
 // that ends, and a burst of another ends them all at once: both look like the cause of
 // all ends. The one that all ask for was banned, and the other went on.
--- a/io/entry/quarantine.go
+++ b/io/entry/quarantine.go
@@ -80,7 +80,7 @@
 	}
 	a.over = true
 	if err == io.EOF {
-		a.vm.guard.Served(time.Now(), a.req.identity)
+		a.vm.guard.Served(a.vm.work, time.Now(), a.req.identity, quarantine.Attempt{Upstream: incarnation(a.lease.Target), Began: a.began})
 	} else {
 		a.vm.unanswered(a.req, a.lease, a.began, broken(a.req.http.Context(), err))
 	}
--- a/io/quarantine/doc.go
+++ b/io/quarantine/doc.go
@@ -12,7 +12,7 @@
 //
 //	trial, refused := g.Admit(now, req)      // Before each run.
 //	g.Unanswered(ctx, now, req, sent, err)   // An upstream brought no answer.
-//	g.Served(now, req)                       // It brought one.
+//	g.Served(ctx, now, req, sent)            // It brought one.
 //	trial.Done()
 package quarantine
 
@@ -141,9 +141,14 @@
 	return trial, refused
 }
 
-// Served takes in that an upstream has answered a request whole.
-func (g *Guard) Served(now time.Time, req *poison.Request) {
-	if g.ledger.Knows(req.Head()) {
-		g.ledger.Served(now, req.Print())
+// Served takes in that an upstream has answered a request whole. Of a suspect it is asked
+// whether the upstream outlives its answer; ctx ends the question.
+func (g *Guard) Served(ctx context.Context, now time.Time, req *poison.Request, a Attempt) {
+	if !g.ledger.Knows(req.Head()) {
+		return
+	}
+	run := poison.Run{Print: req.Print(), Target: a.Upstream.ID, Began: a.Began, Ended: now, Alone: req.Alone}
+	if g.ledger.Served(now, run) {
+		g.probes.Start(ctx, (&endProbe{guard: g, upstream: a.Upstream, after: poison.Outlives}).run)
 	}
 }
--- a/io/quarantine/ends.go
+++ b/io/quarantine/ends.go
@@ -119,6 +119,8 @@
 	upstream Upstream
 	// lapsed says that the upstream is off the register: silence is its end too.
 	lapsed bool
+	// after is the wait before the first question.
+	after time.Duration
 }
 
 func (g *Guard) probe(ctx context.Context, u Upstream, lapsed bool) {
@@ -128,6 +130,9 @@
 // run asks until it is known.
 func (p *endProbe) run(ctx context.Context) {
 	g := p.guard
+	if !lifecycle.Pause(ctx, p.after) {
+		return
+	}
 	for range probeTries {
 		switch g.prober.Listens(ctx, p.upstream.Addr, probeWithin) {
 		case upstream.Refuses:
--- a/io/quarantine/teller.go
+++ b/io/quarantine/teller.go
@@ -64,7 +64,7 @@
 	if d := g.ledger.Counts().Dropped; d != t.dropped {
 		t.dropped = d
 		g.log.WithFields(logrus.Fields{
-			"Runs": d.Runs, "Upstreams": d.Upstreams, "Suspects": d.Suspects, "Ends": d.Ends, "Bans": d.Bans, "News": d.News,
+			"Runs": d.Runs, "Answered": d.Answered, "Upstreams": d.Upstreams, "Suspects": d.Suspects, "Ends": d.Ends, "Bans": d.Bans, "News": d.News,
 		}).Warn("PoisonForgotten")
 	}
 	asks := !g.firstStart && now.Sub(g.started) < askFor && now.Sub(t.askedAt) >= askEvery
--- a/io/vm/quarantine.go
+++ b/io/vm/quarantine.go
@@ -55,7 +55,7 @@
 			return
 		}
 		g.Answered(now, began, sent.Upstream.ID)
-		g.Served(now, req)
+		g.Served(g.work, now, req, sent)
 	}
 }
 
--- a/io/wire/poison.go
+++ b/io/wire/poison.go
@@ -28,9 +28,9 @@
 			n.Tried = append(n.Tried, poison.Try{Print: p, Target: t.GetTarget()})
 		}
 	}
-	for _, data := range m.GetServed() {
-		if p, ok := poison.PrintOf(data); ok {
-			n.Served = append(n.Served, p)
+	for _, c := range m.GetServed() {
+		if p, ok := poison.PrintOf(c.GetPrint()); ok {
+			n.Served = append(n.Served, poison.Clearance{Print: p, Began: now.Add(-ago(c.GetBeganAgoMillis()))})
 		}
 	}
 	return n
@@ -62,8 +62,8 @@
 	for _, t := range n.Tried {
 		m.Tried = append(m.Tried, &schema.PoisonTry{Print: t.Print.Bytes(), Target: t.Target})
 	}
-	for _, p := range n.Served {
-		m.Served = append(m.Served, p.Bytes())
+	for _, c := range n.Served {
+		m.Served = append(m.Served, &schema.PoisonClearance{Print: c.Print.Bytes(), BeganAgoMillis: now.Sub(c.Began).Milliseconds()})
 	}
 	return m
 }
