Settings that change while a VM starts are taken into use

Callers of a VM whose bounds were changed as it started were served by the old ones until the file changed again, however often it was signalled. Found by reading, when the claim that nothing is lost by a signal at the start was looked at.

Cause: the file was read for the settings, and again by the loop that rereads it, which took its first read for what the VM has. Now one read serves both.

--- a/cmd/auburnlatch-entry/main.go
+++ b/cmd/auburnlatch-entry/main.go
@@ -57,7 +57,11 @@
 	if f.Settings == "" {
 		return errors.Newf("no settings: pass --settings FILE or set %s", platform.SettingsFile)
 	}
-	cfg, err := settings.LoadEntry(f.Settings)
+	data, err := os.ReadFile(f.Settings)
+	if err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	cfg, err := settings.ParseEntry(f.Settings, data)
 	if err != nil {
 		return err
 	}
@@ -73,7 +77,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	v := entry.New(cfg, platform.NewStore(cfg.PlatformAddr), platform.Protocol(), log)
-	r := &reloader{path: f.Settings, vm: v, log: log}
+	r := &reloader{path: f.Settings, vm: v, log: log, last: data}
 	go r.run(ctx)
 	return v.Run(ctx, handlers(cfg, v))
 }
@@ -89,11 +93,14 @@
 // reloader takes changed settings into use.
 type reloader struct {
 	path string
-	vm   *entry.VM
+	vm   configurer
 	log  *logrus.Entry
-	last []byte
+	last []byte // The file as the VM has it.
 }
 
+// configurer takes settings into use.
+type configurer interface{ Configure(*settings.Entry) }
+
 // run rereads the file on SIGHUP and now and then.
 func (r *reloader) run(ctx context.Context) {
 	t := time.NewTicker(rereadEvery)
@@ -120,11 +127,7 @@
 	if bytes.Equal(data, r.last) {
 		return
 	}
-	first := r.last == nil
 	r.last = data
-	if first {
-		return
-	}
 	cfg, err := settings.ParseEntry(r.path, data)
 	if err != nil {
 		r.log.WithField("Err", err).Error("SettingsRefused")
--- a/io/settings/entry.go
+++ b/io/settings/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"time"
 
@@ -64,15 +63,6 @@
 	leastRevoke        = 2500 * time.Millisecond
 )
 
-// LoadEntry reads and checks the settings file of an entry process.
-func LoadEntry(path string) (*Entry, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, errors.Wrap(err, "settings")
-	}
-	return ParseEntry(path, data)
-}
-
 // ParseEntry reads and checks settings; name stands for the file in errors.
 func ParseEntry(name string, data []byte) (*Entry, error) {
 	standard, err := hujson.Standardize(data)
