auburnlatchd goes on after SIGHUP, and checks its settings

Callers whose requests were in flight at a VM of the own inventory lost them all when the VM got SIGHUP, as from a terminal that closes or a log rotation: the daemon never asked for the signal, and its default ends the process.

It now checks its settings file and logs what it finds; settings are in force from a start on, as before.

--- a/cmd/auburnlatchd/main.go
+++ b/cmd/auburnlatchd/main.go
@@ -4,7 +4,8 @@
 //
 //	auburnlatchd --settings vm.jsonc [--check]
 //
-// On SIGTERM or SIGINT it leaves gracefully: it cuts off no request in flight.
+// On SIGTERM or SIGINT it leaves gracefully: it cuts off no request in flight. On SIGHUP it
+// checks its settings file and logs what it finds; settings are in force from a start on.
 package main
 
 import (
@@ -17,6 +18,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/sirupsen/logrus"
 
+	"auburnlatch/io/hangup"
 	"auburnlatch/io/settings"
 	"auburnlatch/io/vm"
 )
@@ -57,9 +59,36 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	go (&checker{path: f.Settings, log: log.WithField("VM", cfg.Name)}).run(ctx)
 	return v.Run(ctx)
 }
 
+// checker checks the settings file for operators.
+type checker struct {
+	path string
+	log  *logrus.Entry
+}
+
+// run checks the file on each SIGHUP.
+func (c *checker) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup.Signals():
+			c.check()
+		}
+	}
+}
+
+func (c *checker) check() {
+	if _, err := settings.Load(c.path); err != nil {
+		c.log.WithField("Err", err).Error("SettingsRefused")
+		return
+	}
+	c.log.Info("SettingsGoodForNextStart")
+}
+
 func main() {
 	var f flags
 	ctx := kong.Parse(&f, kong.Name("auburnlatchd"), kong.Description("The daemon of auburnlatch, global traffic steering."))
