A VM that starts later holds no end against a request that a ban explains

Callers of an innocent request saw it refused for 24 hours: it had been under way at three upstreams that ended, two of them under a request that was banned for it.

Cause: a VM that starts asks another for all that it knows. It is told the bans and the ends held against suspects, also those that a ban explains, and not which these are; so it judges the innocent by all of them, bans it, and tells the others.

TestVMsThatStartLaterBanNobodyForExplainedEnds failed before.

--- a/core/poison/ledger_test.go
+++ b/core/poison/ledger_test.go
@@ -505,3 +505,30 @@
 		t.Error("an end after its answer is not held against the look-up")
 	}
 }
+
+// Guards against a VM that bans an innocent request for ends which, as the others know, a
+// banned one caused.
+func TestVMsThatStartLaterBanNobodyForExplainedEnds(t *testing.T) {
+	l := poison.NewLedger()
+	for i := range 3 {
+		endUnder(l, 300*(i+1), fmt.Sprint("i-", i), "killer")
+	}
+	runs := []poison.Run{{Print: printOf("killer"), Target: "i-3", Began: at(1100), Ended: at(1200), Alone: true}}
+	for i := range 3 { // Seen by another VM, the last a trial by itself.
+		runs = append(runs, poison.Run{
+			Print: printOf("a"), Target: fmt.Sprint("i-", i), Began: at(300*(i+1) - 100), Ended: at(300 * (i + 1)), Alone: i == 2,
+		})
+	}
+	l.Told(at(1300), poison.News{Runs: runs})
+	l.Tick(at(2000))
+	if !banned(l, 2000, "killer") || banned(l, 2000, "a") {
+		t.Fatal("not the killer alone is banned")
+	}
+	late := poison.NewLedger()
+	late.Recalled(at(3000), l.Bans())
+	late.Told(at(3000), l.All())
+	late.Tick(at(4000))
+	if banned(late, 4000, "a") {
+		t.Error("the VM that starts later bans the other one too")
+	}
+}
--- a/core/poison/news.go
+++ b/core/poison/news.go
@@ -115,14 +115,17 @@
 // Joined returns a channel that is closed once they are.
 func (l *Ledger) Joined() <-chan struct{} { return l.joined }
 
-// All returns all that a VM which has just started should know.
+// All returns all that a VM which has just started should know. Ends that a ban explains
+// are left out: the ban does not say which they are.
 func (l *Ledger) All() News {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := News{Bans: l.allBans()}
 	for _, s := range l.suspects {
-		if len(n.Runs) < maxSuspects {
-			n.Runs = append(n.Runs, s.ends...)
+		for _, r := range s.ends {
+			if len(n.Runs) < maxSuspects && !l.isExplained(r.Target) {
+				n.Runs = append(n.Runs, r)
+			}
 		}
 	}
 	return n
