Runs that are answered as their upstream ends are among its causes

Callers saw, where a request ends its upstreams and each answers it first: it is never held to be a cause, as only runs without an answer were kept, while what is under way with it at each end is suspected in its place, and refused.

--- a/core/poison/answer_test.go
+++ b/core/poison/answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -146,3 +147,40 @@
 		t.Error("suspected though it was answered after all ends")
 	}
 }
+
+// Guards against a request that each upstream answers before it ends, and that is never
+// suspected.
+func TestAnsweredRequestsAreSuspectedOfEndsToo(t *testing.T) {
+	for _, tt := range []struct {
+		name         string
+		answered     int // Milliseconds; the first sign of the end is seen at 200.
+		body, target string
+		suspect      bool
+	}{
+		{"in the moment of the end", 180, "", "i-1", true},
+		{"well before the end", 90, "", "i-1", false},
+		{"by another upstream", 180, "", "i-2", false},
+		{"with a body too long to keep", 180, strings.Repeat("x", 5000), "i-1", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			l := poison.NewLedger()
+			req := poison.NewRequest(poison.Content{URI: "/killer", Body: []byte(tt.body)})
+			l.ServedUnsuspected(poison.Run{Target: tt.target, Began: at(50), Ended: at(tt.answered)}, req)
+			endUnder(l, 200, "i-1", "bystander")
+			if got := l.Knows(req.Head()); got != tt.suspect {
+				t.Errorf("suspected: %t, want %t", got, tt.suspect)
+			}
+		})
+	}
+}
+
+// Guards against runs of answered requests that take more and more memory.
+func TestAnsweredRequestsAreKeptForAMoment(t *testing.T) {
+	l := poison.NewLedger()
+	for i := range 2000 {
+		l.ServedUnsuspected(poison.Run{Target: "i-1", Began: at(i), Ended: at(i)}, requestOf(fmt.Sprint(i)))
+	}
+	if runs := l.Ended(at(2000), "i-1"); len(runs) == 0 || len(runs) > 100 {
+		t.Errorf("%d of 2000 runs are held to have been under way at the end, want those of the last 100 ms", len(runs))
+	}
+}
--- a/core/poison/bench_test.go
+++ b/core/poison/bench_test.go
@@ -49,3 +49,10 @@
 		l.Tick(at(1000000))
 	}
 }
+
+func BenchmarkServedUnsuspected(b *testing.B) {
+	l, req := poison.NewLedger(), requestOf("a")
+	for b.Loop() {
+		l.ServedUnsuspected(poison.Run{Target: "i-1", Began: at(0), Ended: at(50)}, req)
+	}
+}
--- a/core/poison/fleet_test.go
+++ b/core/poison/fleet_test.go
@@ -172,7 +172,9 @@
 	r.over = true
 	u.under = slices.DeleteFunc(u.under, func(other *simRun) bool { return other == r })
 	r.vm.ledger.Answered(s.now, r.began, u.id)
-	if r.vm.ledger.Served(s.now, poison.Run{Print: printOf(r.name), Target: u.id, Began: r.began, Ended: s.now, Alone: r.trial != nil && r.trial.Alone}) {
+	if !r.vm.ledger.Knows(printOf(r.name).Head) {
+		r.vm.ledger.ServedUnsuspected(poison.Run{Target: u.id, Began: r.began, Ended: s.now}, requestOf(r.name))
+	} else if r.vm.ledger.Served(s.now, poison.Run{Print: printOf(r.name), Target: u.id, Began: r.began, Ended: s.now, Alone: r.trial != nil && r.trial.Alone}) {
 		s.after(poison.Outlives, func(time.Time) { s.confirm(r.vm.ledger, u) })
 	}
 	r.trial.Done()
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -77,6 +77,10 @@
 	// answered are runs of suspects whose upstreams are not known yet to have outlived the
 	// answer.
 	answered []Run
+	// unsuspected are runs that were answered in the last moments, of other requests: a
+	// ring once it is full.
+	unsuspected       []unsuspectedRun
+	oldestUnsuspected int
 	// cleared is when the last run began that cleared a request.
 	cleared map[Print]time.Time
 	news    News
@@ -153,6 +157,7 @@
 		}
 	}
 	l.answered = slices.DeleteFunc(l.answered, func(r Run) bool { return now.Sub(r.Ended) > endMemory })
+	l.dropUnsuspected(now)
 	for target, u := range l.upstreams {
 		if now.Sub(u.at) > endMemory && !u.asked {
 			delete(l.upstreams, target)
--- a/core/poison/ledger_test.go
+++ b/core/poison/ledger_test.go
@@ -14,10 +14,12 @@
 // at is the time so many milliseconds after the start.
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
-func printOf(name string) poison.Print {
-	return (&poison.Content{Method: "GET", Host: "h", URI: "/" + name}).Print()
+func requestOf(name string) *poison.Request {
+	return poison.NewRequest(poison.Content{Method: "GET", Host: "h", URI: "/" + name})
 }
 
+func printOf(name string) poison.Print { return requestOf(name).Print() }
+
 // endUnder has an upstream end at a time under runs that began 100 ms before.
 func endUnder(l *poison.Ledger, ms int, target string, names ...string) {
 	for _, name := range names {
--- a/core/poison/runs.go
+++ b/core/poison/runs.go
@@ -181,8 +181,8 @@
 
 // Ended takes in that an incarnation of an upstream is no more, and returns the runs
 // that were under way at its end, as far as this VM knows them and has not returned
-// them before. Those of which it hears later count as under way too, and so do runs of
-// suspects that were answered just before.
+// them before. Those of which it hears later count as under way too, and so do runs that
+// were answered just before.
 func (l *Ledger) Ended(now time.Time, target string) []Run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -191,7 +191,7 @@
 		return nil
 	}
 	u.first = u.firstSign(now)
-	runs := slices.Concat(u.broken, u.left, l.takeAnswered(target))
+	runs := slices.Concat(u.broken, u.left, l.takeAnswered(target), l.takeUnsuspected(target, u.first))
 	runs = slices.DeleteFunc(runs, func(r Run) bool { return !u.cause(r) })
 	u.broken, u.left, u.asked, u.ended = nil, nil, false, true
 	l.endedUnder(now, runs)
--- a/io/entry/poison_test.go
+++ b/io/entry/poison_test.go
@@ -39,9 +39,9 @@
 	// silent upstreams end as a host does that loses power: no connection ends, and
 	// another incarnation is there later at the same address.
 	silent bool
-	// answers says that every second run is answered in the moment in which its upstream
-	// ends.
-	answers bool
+	// answerEvery says that each so-manyth run is answered in the moment in which its
+	// upstream ends; 0: none.
+	answerEvery int
 
 	mu     sync.Mutex
 	served int         // Upstreams started so far.
@@ -109,7 +109,7 @@
 	n := len(m.herd.began)
 	m.herd.mu.Unlock()
 	<-time.After(poisonRuns)
-	if m.herd.answers && n%2 == 0 {
+	if m.herd.answerEvery > 0 && n%m.herd.answerEvery == 0 {
 		w.Header().Set("Content-Length", "0")
 		w.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(w).Flush()
@@ -392,7 +392,7 @@
 func TestPoisonRequestThatIsAnsweredIsStopped(t *testing.T) {
 	p := poisonPlatform()
 	h := startHerd(t, p, 8)
-	h.answers = true
+	h.answerEvery = 2
 	vms := poisonFleet(t, p, 3)
 	storm(vms, 0, 5*time.Second)
 	h.mustStop("answered every second time")
@@ -401,6 +401,28 @@
 	}
 }
 
+// Guards against a request that each upstream answers before it ends, so that all but the
+// cause is suspected.
+func TestPoisonRequestThatIsAlwaysAnsweredIsStopped(t *testing.T) {
+	p := poisonPlatform()
+	h := startHerd(t, p, 8)
+	h.answerEvery = 1
+	vms := poisonFleet(t, p, 3)
+	var wg sync.WaitGroup
+	for i := range 600 {
+		wg.Go(func() {
+			<-time.After(time.Duration(i) * 8 * time.Millisecond)
+			vms[i%len(vms)].served(fmt.Sprint("/get/", i), fmt.Sprint("innocent", i))
+		})
+	}
+	storm(vms, 0, 5*time.Second)
+	wg.Wait()
+	h.mustStop("answered each time")
+	if _, ended, _ := h.reached(); ended < 3 {
+		t.Fatalf("%d upstreams ended under the request, so this test says nothing", ended)
+	}
+}
+
 // Sixteen callers ask for one look-up all the time, so it is under way at every upstream
 // that ends, and a burst of another ends them all at once: both look like the cause of
 // all ends. The one that all ask for was banned, and the other went on.
--- a/io/quarantine/doc.go
+++ b/io/quarantine/doc.go
@@ -144,10 +144,12 @@
 // Served takes in that an upstream has answered a request whole. Of a suspect it is asked
 // whether the upstream outlives its answer; ctx ends the question.
 func (g *Guard) Served(ctx context.Context, now time.Time, req *poison.Request, a Attempt) {
+	run := poison.Run{Target: a.Upstream.ID, Began: a.Began, Ended: now, Alone: req.Alone}
 	if !g.ledger.Knows(req.Head()) {
+		g.ledger.ServedUnsuspected(run, req)
 		return
 	}
-	run := poison.Run{Print: req.Print(), Target: a.Upstream.ID, Began: a.Began, Ended: now, Alone: req.Alone}
+	run.Print = req.Print()
 	if g.ledger.Served(now, run) {
 		g.probes.Start(ctx, (&endProbe{guard: g, upstream: a.Upstream, after: poison.Outlives}).run)
 	}
