Word of an end reaches the VM whose run was answered there

A VM that is told of another's run that ended with its upstream now looks at what the upstream had answered to it in that moment.

--- a/core/poison/answer_test.go
+++ b/core/poison/answer_test.go
@@ -184,3 +184,20 @@
 		t.Errorf("%d of 2000 runs are held to have been under way at the end, want those of the last 100 ms", len(runs))
 	}
 }
+
+// Guards against a cause that only its own VM knows of, while another VM sees the end.
+func TestAnsweredRequestsAreSuspectedOfEndsSeenElsewhere(t *testing.T) {
+	l, other := poison.NewLedger(), poison.NewLedger()
+	l.ServedUnsuspected(poison.Run{Target: "i-1", Began: at(100), Ended: at(180)}, requestOf("killer"))
+	l.ServedUnsuspected(poison.Run{Target: "i-2", Began: at(100), Ended: at(180)}, requestOf("elsewhere"))
+	endUnder(other, 200, "i-1", "bystander")
+	l.Told(at(230), other.TakeNews())
+	for name, want := range map[string]bool{"killer": true, "bystander": true, "elsewhere": false} {
+		if got := l.Knows(requestOf(name).Head()); got != want {
+			t.Errorf("%s is suspected: %t, want %t", name, got, want)
+		}
+	}
+	if n := len(l.TakeNews().Runs); n != 1 {
+		t.Errorf("%d runs are told of, want the own one", n)
+	}
+}
--- a/core/poison/news.go
+++ b/core/poison/news.go
@@ -71,6 +71,7 @@
 	defer l.mu.Unlock()
 	for _, r := range n.Runs {
 		l.hold(now, r)
+		l.endedElsewhere(now, r)
 	}
 	for _, t := range n.Tried {
 		l.toldTried(now, t)
--- a/core/poison/runs.go
+++ b/core/poison/runs.go
@@ -198,6 +198,14 @@
 	return runs
 }
 
+// endedElsewhere takes in that another VM saw an upstream end under a run: what it answered
+// to this VM just before was under way too. No connection tells this VM of that.
+func (l *Ledger) endedElsewhere(now time.Time, r Run) {
+	if u := l.upstreams[r.Target]; u == nil || !u.ended {
+		l.endedUnder(now, slices.Concat(l.takeAnswered(r.Target), l.takeUnsuspected(r.Target, r.Ended)))
+	}
+}
+
 // endedLate takes in a run at an upstream that is known to have ended.
 func (l *Ledger) endedLate(now time.Time, u *upstreamRuns, r Run) {
 	if u.cause(r) {
