--- a/core/poison/answer_test.go
+++ b/core/poison/answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -201,3 +202,16 @@
 		t.Errorf("%d runs are told of, want the own one", n)
 	}
 }
+
+// Guards against a request that is used by its VM while the ledger recognizes it.
+func TestAnsweredRequestIsSentOnceMore(t *testing.T) {
+	l, req := poison.NewLedger(), requestOf("killer")
+	l.ServedUnsuspected(poison.Run{Target: "i-1", Began: at(50), Ended: at(180)}, req)
+	var wg sync.WaitGroup
+	wg.Go(func() { req.Print() })
+	wg.Go(func() { l.Ended(at(200), "i-1") })
+	wg.Wait()
+	if !l.Knows(req.Head()) {
+		t.Error("the request is not suspected")
+	}
+}
--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -22,8 +22,9 @@
 }
 
 // candidates returns the requests with enough ends in a row, a trial by itself among the
-// last, of which all have settled and no run has been answered since. A look-up that many ask for is under way at any
-// upstream that ends, and looks like the cause of all until it is tried.
+// last, of which all have settled and no run has been answered since. A look-up that many
+// ask for is under way at any upstream that ends, and looks like the cause of all until it
+// is tried.
 func (l *Ledger) candidates(now time.Time) []candidate {
 	var list []candidate
 	for p, s := range l.suspects {
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -95,9 +95,8 @@
 // Dropped counts what a Ledger had to forget for want of room.
 type Dropped struct {
 	// Runs are requests without an answer, Answered those with one that was to clear them,
-	// Upstreams incarnations that may have ended,
-	// Suspects requests that were suspected, Ends those that a ban explains; Bans
-	// and News are what they say.
+	// Upstreams incarnations that may have ended, Suspects requests that were suspected,
+	// Ends those that a ban explains; Bans and News are what they say.
 	Runs, Answered, Upstreams, Suspects, Ends, Bans, News int
 }
 
--- a/core/poison/unsuspected.go
+++ b/core/poison/unsuspected.go
@@ -17,7 +17,7 @@
 // is worked out only where it is needed.
 type unsuspectedRun struct {
 	Run
-	req *Request
+	req Request // A copy, as the request may be sent once more meanwhile.
 }
 
 // ServedUnsuspected takes in that an upstream answered a request of which nothing is known.
@@ -30,10 +30,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.unsuspected) < maxUnsuspected {
-		l.unsuspected = append(l.unsuspected, unsuspectedRun{r, req})
+		l.unsuspected = append(l.unsuspected, unsuspectedRun{r, *req})
 		return
 	}
-	l.unsuspected[l.oldestUnsuspected] = unsuspectedRun{r, req}
+	l.unsuspected[l.oldestUnsuspected] = unsuspectedRun{r, *req}
 	l.oldestUnsuspected = (l.oldestUnsuspected + 1) % maxUnsuspected
 }
 
