No ban rests on ends before an answer, or on ends that others explain

Rivals are now those with as many ends in a row or in all, and what several explain together counts. An answer of an upstream that lives on keeps earlier ends from being ground for a ban, on all VMs, also where they are not cleared.

TestPopularRequestIsNotBannedForABurst and TestNoBanRestsOnEndsBeforeAnAnswer failed before.

--- a/core/poison/answer.go
+++ b/core/poison/answer.go
@@ -15,6 +15,8 @@
 	// Began is when the run that was answered began. Later ends are held against the
 	// request all the same.
 	Began time.Time
+	// Answered is when it was answered. No ban rests on ends before that.
+	Answered time.Time
 }
 
 // Served takes in that an upstream answered a request. ask says that it has to be found
@@ -55,7 +57,7 @@
 // outlived has the answers of an upstream that takes connections clear their requests.
 func (l *Ledger) outlived(now time.Time, target string) {
 	for _, r := range l.takeAnswered(target) {
-		c := Clearance{Print: r.Print, Began: r.Began}
+		c := Clearance{Print: r.Print, Began: r.Began, Answered: r.Ended}
 		if now.Sub(r.Ended) >= Outlives && l.clearedBy(now, c) {
 			l.addNews(func(n *News) { n.Served = append(n.Served, c) })
 		}
@@ -63,7 +65,7 @@
 }
 
 // clearedBy clears a request of the ends before a run that was answered, lifts a ban that
-// rests on these, and reports whether any was held against it.
+// rests on these, and reports whether it was suspected.
 func (l *Ledger) clearedBy(now time.Time, c Clearance) bool {
 	if b := l.active(now, c.Print); b != nil && b.lastEnd.Before(c.Began) {
 		lifted := Ban{Print: c.Print, At: max(b.At+1, now.UnixMilli()), Lifted: true}
@@ -77,13 +79,14 @@
 	if len(l.cleared) < maxSuspects && c.Began.After(l.cleared[c.Print]) {
 		l.cleared[c.Print] = c.Began
 	}
-	held := len(s.ends)
+	if c.Answered.After(s.answered) {
+		s.answered = c.Answered
+	}
 	s.ends = slices.DeleteFunc(s.ends, func(r Run) bool { return !r.Ended.After(c.Began) })
-	cleared := len(s.ends) < held
 	if len(s.ends) == 0 {
 		l.clear(c.Print)
 	}
-	return cleared
+	return true
 }
 
 // answeredSince reports whether a run that began after a time was answered by an upstream
--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -9,7 +9,7 @@
 type candidate struct {
 	print   Print
 	suspect *suspect
-	inRow   int // As in tally.
+	held    tally
 }
 
 // judge bans the requests that ended upstreams. All are looked at before any is banned:
@@ -22,17 +22,17 @@
 }
 
 // candidates returns the requests with enough ends in a row, a trial by itself among the
-// last, of which all have settled and no run has been answered since. A look-up that many
-// ask for is under way at any upstream that ends, and looks like the cause of all until it
-// is tried.
+// last, of which all have settled. Of one that was answered by an upstream that lives on
+// only later ends count, also where they would not be cleared. A look-up that many ask for
+// is under way at any upstream that ends, and looks like the cause of all until it is tried.
 func (l *Ledger) candidates(now time.Time) []candidate {
 	var list []candidate
 	for p, s := range l.suspects {
 		if now.Sub(s.last) < settleFor {
 			continue
 		}
-		if t := l.tally(s.ends); t.proven && !l.answeredSince(p, s.lastEnd()) {
-			list = append(list, candidate{p, s, t.inRow})
+		if l.tally(s.endsSinceAnswer()).proven && !l.answeredSince(p, s.lastEnd()) {
+			list = append(list, candidate{p, s, l.tally(s.ends)})
 		}
 	}
 	return list
@@ -42,30 +42,31 @@
 // request ends upstreams without it: one may be chance.
 const ownEnds = 2
 
-// rivaled reports whether another request with as many ends in a row may be the cause of
-// some of these: neither is banned before a trial has told them apart. An innocent one
-// is answered; one that ends upstreams does so at a different one from its rival.
+// rivaled reports whether other requests with as many ends, in all or in a row, may together
+// be the cause of these: none is banned before a trial has told them apart. An innocent one
+// is answered; one that ends upstreams does so at others than its rivals.
 func (l *Ledger) rivaled(c candidate) bool {
+	var rivals []*suspect
 	for p, s := range l.suspects {
-		if p == c.print || len(s.ends) < banAfter || l.tally(s.ends).inRow < c.inRow {
+		if p == c.print || len(s.ends) < banAfter {
 			continue
 		}
-		own, shared := l.without(c.suspect, s)
-		if shared && own < ownEnds {
-			return true
+		if t := l.tally(s.ends); t.inRow >= c.held.inRow || t.all >= c.held.all {
+			rivals = append(rivals, s)
 		}
 	}
-	return false
+	own, shared := l.without(c.suspect, rivals)
+	return shared && own < ownEnds
 }
 
-// without returns how many ends in a row are left of a request where a rival was not
-// under way, and whether they have any end in common.
-func (l *Ledger) without(s, rival *suspect) (own int, shared bool) {
+// without returns how many ends in a row are left of a request where no rival was under
+// way, and whether they have any end in common.
+func (l *Ledger) without(s *suspect, rivals []*suspect) (own int, shared bool) {
 	var rest []Run
 	for _, r := range s.ends {
 		switch {
 		case l.isExplained(r.Target):
-		case slices.ContainsFunc(rival.ends, func(other Run) bool { return other.Target == r.Target }):
+		case slices.ContainsFunc(rivals, func(rival *suspect) bool { return rival.endedUnder(r.Target) }):
 			shared = true
 		default:
 			rest = append(rest, r)
@@ -74,6 +75,11 @@
 	return l.tally(rest).inRow, shared
 }
 
+// endedUnder reports whether an upstream ended under the request.
+func (s *suspect) endedUnder(target string) bool {
+	return slices.ContainsFunc(s.ends, func(r Run) bool { return r.Target == target })
+}
+
 // ban bans a request, and explains the ends by it.
 func (l *Ledger) ban(now time.Time, c candidate) {
 	at := now.UnixMilli()
--- /dev/null
+++ b/core/poison/rival_test.go
@@ -0,0 +1,82 @@
+package poison_test
+
+import (
+	"fmt"
+	"testing"
+
+	"auburnlatch/core/poison"
+)
+
+// burst has a request end five upstreams within 150 ms, all of its runs begun before the
+// first end. A popular one is under way at each, and is sent once more after each end, the
+// last time by itself.
+func burst() []poison.Run {
+	var runs []poison.Run
+	for i := range 5 {
+		target, ended := fmt.Sprint("i-", i), at(1000+30*i)
+		runs = append(runs,
+			poison.Run{Print: printOf("killer"), Target: target, Began: at(950), Ended: ended, Cut: true},
+			poison.Run{Print: printOf("popular"), Target: target, Began: at(1000 + 30*(i-1)), Ended: ended, Cut: true, Alone: i == 4},
+		)
+	}
+	return runs
+}
+
+// Guards against a ban of a popular request in place of the one that ended all upstreams of
+// a burst, since only the former has ends in a row.
+func TestPopularRequestIsNotBannedForABurst(t *testing.T) {
+	l := poison.NewLedger()
+	l.Told(at(1200), poison.News{Runs: burst()})
+	l.Tick(at(2000))
+	for _, name := range []string{"popular", "killer"} {
+		if banned(l, 2000, name) {
+			t.Errorf("%s is banned though nothing tells the two apart", name)
+		}
+	}
+	trial, refused := l.Admit(at(4000), printOf("popular"))
+	if refused != nil || !trial.Alone {
+		t.Fatalf("popular is not tried by itself: %v, %v", trial, refused)
+	}
+	trial.Done()
+	served(l, 4100, "popular")
+	for i := range 3 {
+		endUnder(l, 5000+3000*i, fmt.Sprint("j-", i), "killer")
+	}
+	l.Tick(at(14000))
+	if !banned(l, 14000, "killer") || banned(l, 14000, "popular") {
+		t.Error("not the killer alone is banned after the popular one was answered")
+	}
+}
+
+// Guards against a ban that rests on ends before an answer, of a request that many send at
+// once.
+func TestNoBanRestsOnEndsBeforeAnAnswer(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		answered int // Milliseconds, of a run that began at 100. The ends are at 300, 600 and 900.
+		banned   bool
+	}{
+		{"answered before the ends", 200, true},
+		{"answered after the first", 500, false},
+		{"answered after all", 1000, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			l, other := poison.NewLedger(), poison.NewLedger()
+			for i := range 3 {
+				endUnder(l, 300*(i+1), fmt.Sprint("i-", i), "a")
+			}
+			l.Served(at(tt.answered), poison.Run{Print: printOf("a"), Target: "lives", Began: at(100), Ended: at(tt.answered)})
+			l.NotEnded(at(1100), "lives", true)
+			other.Told(at(1120), l.TakeNews())
+			for i, l := range []*poison.Ledger{l, other} {
+				l.Tick(at(2000))
+				if got := banned(l, 2000, "a"); got != tt.banned {
+					t.Errorf("VM %d: banned: %t, want %t", i, got, tt.banned)
+				}
+				if !l.Knows(printOf("a").Head) {
+					t.Errorf("VM %d suspects nothing, though the ends came after the run began", i)
+				}
+			}
+		})
+	}
+}
--- a/core/poison/suspect.go
+++ b/core/poison/suspect.go
@@ -51,6 +51,8 @@
 	// each incarnation.
 	ends []Run
 	last time.Time // When the newest of them was learned.
+	// answered is when an upstream that lives on last answered it; zero: not so far.
+	answered time.Time
 	// seen says that this VM saw one of them itself. Those few tell of the ban; the
 	// others judge by what they were told, and would only say it once more.
 	seen bool
@@ -68,6 +70,15 @@
 	return s.ends[len(s.ends)-1].Ended
 }
 
+// endsSinceAnswer returns the ends that came after the last answer.
+func (s *suspect) endsSinceAnswer() []Run {
+	i := slices.IndexFunc(s.ends, func(r Run) bool { return r.Ended.After(s.answered) })
+	if i < 0 {
+		return nil
+	}
+	return s.ends[i:]
+}
+
 // tally is what the ends come to that no ban explains.
 type tally struct {
 	all int
--- a/io/wire/poison.go
+++ b/io/wire/poison.go
@@ -30,7 +30,7 @@
 	}
 	for _, c := range m.GetServed() {
 		if p, ok := poison.PrintOf(c.GetPrint()); ok {
-			n.Served = append(n.Served, poison.Clearance{Print: p, Began: now.Add(-ago(c.GetBeganAgoMillis()))})
+			n.Served = append(n.Served, poison.Clearance{Print: p, Began: now.Add(-ago(c.GetBeganAgoMillis())), Answered: now.Add(-ago(c.GetAnsweredAgoMillis()))})
 		}
 	}
 	return n
@@ -63,7 +63,7 @@
 		m.Tried = append(m.Tried, &schema.PoisonTry{Print: t.Print.Bytes(), Target: t.Target})
 	}
 	for _, c := range n.Served {
-		m.Served = append(m.Served, &schema.PoisonClearance{Print: c.Print.Bytes(), BeganAgoMillis: now.Sub(c.Began).Milliseconds()})
+		m.Served = append(m.Served, &schema.PoisonClearance{Print: c.Print.Bytes(), BeganAgoMillis: now.Sub(c.Began).Milliseconds(), AnsweredAgoMillis: now.Sub(c.Answered).Milliseconds()})
 	}
 	return m
 }
--- a/io/wire/poison_test.go
+++ b/io/wire/poison_test.go
@@ -20,12 +20,12 @@
 	ban := poison.Ban{Print: poisonPrint("/b"), At: 1234, Lifted: true}
 	news := poison.News{
 		Runs:   []poison.Run{{Print: poisonPrint("/a"), Target: "i-1@7", Began: sent.Add(-300 * time.Millisecond), Ended: sent.Add(-100 * time.Millisecond), Alone: true}},
-		Served: []poison.Clearance{{Print: poisonPrint("/c"), Began: sent.Add(-200 * time.Millisecond)}}, Tried: []poison.Try{{Print: poisonPrint("/d"), Target: "i-2"}},
+		Served: []poison.Clearance{{Print: poisonPrint("/c"), Began: sent.Add(-200 * time.Millisecond), Answered: sent.Add(-150 * time.Millisecond)}}, Tried: []poison.Try{{Print: poisonPrint("/d"), Target: "i-2"}},
 		Bans: []poison.Ban{ban}, Kept: []poison.Ban{ban},
 	}
 	got := wire.Poison(arrived, wire.FromPoison(sent, news))
 	news.Runs[0].Began, news.Runs[0].Ended = arrived.Add(-300*time.Millisecond), arrived.Add(-100*time.Millisecond)
-	news.Served[0].Began = arrived.Add(-200 * time.Millisecond)
+	news.Served[0].Began, news.Served[0].Answered = arrived.Add(-200*time.Millisecond), arrived.Add(-150*time.Millisecond)
 	if !reflect.DeepEqual(got, news) {
 		t.Errorf("%+v arrived, want %+v", got, news)
 	}
