Answered runs count in a row only as trials by themselves

Cause: since answered runs are kept, an answer that the look-up got up to 0.1 s before a request ended its upstream counted as its own end, and as one in a row. Which of the ends the ban rested on the lines did not say; RequestBanned names them now.

Answered runs still make a request suspected, and so tried by itself; in a row only trials and runs without an answer count. TestAnsweredRunsAreNoEndsInARow failed before.

--- a/core/poison/answer.go
+++ b/core/poison/answer.go
@@ -28,6 +28,7 @@
 	if l.suspects[r.Print] == nil && l.active(now, r.Print) == nil {
 		return false
 	}
+	r.Answered = true
 	if u := l.upstreams[r.Target]; u != nil && u.ended {
 		l.endedLate(now, u, r)
 		return false
--- a/core/poison/rival_test.go
+++ b/core/poison/rival_test.go
@@ -80,3 +80,19 @@
 		})
 	}
 }
+
+// Guards against a ban of a request that many send at once for answers which it got from
+// upstreams that others ended right afterwards.
+func TestAnsweredRunsAreNoEndsInARow(t *testing.T) {
+	l := poison.NewLedger()
+	for i := range 4 {
+		ms, target := 1000+300*i, fmt.Sprint("i-", i)
+		l.ServedUnsuspected(poison.Run{Target: target, Began: at(ms - 80), Ended: at(ms - 20)}, requestOf("popular"))
+		endUnder(l, ms, target, fmt.Sprint("other-", i))
+	}
+	l.Told(at(2300), poison.News{Runs: []poison.Run{{Print: printOf("popular"), Target: "i-9", Began: at(2150), Ended: at(2250), Cut: true, Alone: true}}})
+	l.Tick(at(3000))
+	if banned(l, 3000, "popular") {
+		t.Error("a request with one end by itself, and answers before four others, is banned")
+	}
+}
--- a/core/poison/runs.go
+++ b/core/poison/runs.go
@@ -35,6 +35,19 @@
 	Alone bool
 	// Cut says that its connection ended, rather than that it was given up.
 	Cut bool
+	// Answered says that it was answered in the moment of its upstream's end.
+	Answered bool
+}
+
+// evidence orders runs by how much they say of whether their request ended the upstream.
+func (r Run) evidence() int {
+	switch {
+	case r.Alone:
+		return 2
+	case !r.Answered:
+		return 1
+	}
+	return 0
 }
 
 // upstreamRuns is what happened lately at one incarnation of an upstream.
--- a/core/poison/suspect.go
+++ b/core/poison/suspect.go
@@ -83,7 +83,8 @@
 type tally struct {
 	all int
 	// inRow is how many are in a row: each run was begun after the one before had
-	// ended, or its upstream ended well after that one's.
+	// ended, or its upstream ended well after that one's. Answered runs count only as
+	// trials by themselves: many callers of one request have it answered at any time.
 	inRow int
 	// proven says that a trial by itself was among the last of enough to ban it.
 	proven bool
@@ -100,6 +101,9 @@
 			continue
 		}
 		t.all++
+		if r.evidence() == 0 {
+			continue
+		}
 		if !r.Began.Before(last) || r.Ended.Sub(last) >= apart {
 			t.inRow++
 			last = r.Ended
@@ -320,10 +324,10 @@
 	}
 	s := l.suspect(now, r.Print)
 	if i := slices.IndexFunc(s.ends, func(old Run) bool { return old.Target == r.Target }); i >= 0 {
-		if s.ends[i].Alone || !r.Alone {
+		if s.ends[i].evidence() >= r.evidence() {
 			return
 		}
-		s.ends = slices.Delete(s.ends, i, i+1) // The trial says more.
+		s.ends = slices.Delete(s.ends, i, i+1)
 	}
 	at, _ := slices.BinarySearchFunc(s.ends, r, func(a, b Run) int { return a.Ended.Compare(b.Ended) })
 	s.ends = slices.Insert(s.ends, at, r)
--- a/io/quarantine/bans.go
+++ b/io/quarantine/bans.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -87,7 +88,7 @@
 	g := k.guard
 	var over []poison.Print
 	for _, e := range g.ledger.TakeEvents() {
-		f := logrus.Fields{"Print": e.Print, "At": time.UnixMilli(e.At).UTC().Format(time.RFC3339), "Ends": len(e.Ends)}
+		f := logrus.Fields{"Print": e.Print, "At": time.UnixMilli(e.At).UTC().Format(time.RFC3339), "Ends": len(e.Ends), "Targets": strings.Join(e.Ends[:min(loggedPrints, len(e.Ends))], ",")}
 		switch {
 		case e.Dropped:
 			over = append(over, e.Print)
--- a/io/quarantine/ends.go
+++ b/io/quarantine/ends.go
@@ -23,7 +23,8 @@
 	// probeTries is how often it is asked before it stays unknown, probePause apart.
 	probeTries = 3
 	probePause = 200 * time.Millisecond
-	// loggedPrints bounds the requests that are named in the line on one end.
+	// loggedPrints bounds the requests that are named in the line on one end, and the
+	// upstreams in that on one ban.
 	loggedPrints = 8
 )
 
--- a/io/wire/poison.go
+++ b/io/wire/poison.go
@@ -21,7 +21,7 @@
 		if !ok || r.GetTarget() == "" || began < ended {
 			continue
 		}
-		n.Runs = append(n.Runs, poison.Run{Print: p, Target: r.GetTarget(), Began: now.Add(-began), Ended: now.Add(-ended), Alone: r.GetAlone()})
+		n.Runs = append(n.Runs, poison.Run{Print: p, Target: r.GetTarget(), Began: now.Add(-began), Ended: now.Add(-ended), Alone: r.GetAlone(), Answered: r.GetAnswered()})
 	}
 	for _, t := range m.GetTried() {
 		if p, ok := poison.PrintOf(t.GetPrint()); ok {
@@ -56,7 +56,8 @@
 	for _, r := range n.Runs {
 		m.Runs = append(m.Runs, &schema.PoisonRun{
 			Print: r.Print.Bytes(), Target: r.Target,
-			BeganAgoMillis: now.Sub(r.Began).Milliseconds(), EndedAgoMillis: now.Sub(r.Ended).Milliseconds(), Alone: r.Alone,
+			BeganAgoMillis: now.Sub(r.Began).Milliseconds(), EndedAgoMillis: now.Sub(r.Ended).Milliseconds(),
+			Alone: r.Alone, Answered: r.Answered,
 		})
 	}
 	for _, t := range n.Tried {
