When a request was answered is remembered after it is cleared

A request could be banned, and its callers refused for 24 hours, for ends before an answer that it had got from an upstream that lives on: where the answer had cleared it of all that the VM knew, and the VM heard of the ends only then.

TestNoBanRestsOnEndsLearnedAfterAnAnswer failed before.

--- a/core/poison/answer.go
+++ b/core/poison/answer.go
@@ -77,12 +77,7 @@
 	if s == nil {
 		return false
 	}
-	if len(l.cleared) < maxSuspects && c.Began.After(l.cleared[c.Print]) {
-		l.cleared[c.Print] = c.Began
-	}
-	if c.Answered.After(s.answered) {
-		s.answered = c.Answered
-	}
+	l.rememberClearance(c)
 	s.ends = slices.DeleteFunc(s.ends, func(r Run) bool { return !r.Ended.After(c.Began) })
 	if len(s.ends) == 0 {
 		l.clear(c.Print)
@@ -90,6 +85,22 @@
 	return true
 }
 
+// rememberClearance keeps the latest times of a request's answers, for ends that are learned
+// later.
+func (l *Ledger) rememberClearance(c Clearance) {
+	old, ok := l.cleared[c.Print]
+	if !ok && len(l.cleared) >= maxSuspects {
+		return
+	}
+	if old.Began.After(c.Began) {
+		c.Began = old.Began
+	}
+	if old.Answered.After(c.Answered) {
+		c.Answered = old.Answered
+	}
+	l.cleared[c.Print] = c
+}
+
 // answeredSince reports whether a run that began after a time was answered by an upstream
 // that may outlive the answer.
 func (l *Ledger) answeredSince(p Print, t time.Time) bool {
--- a/core/poison/answer_test.go
+++ b/core/poison/answer_test.go
@@ -218,3 +218,24 @@
 		t.Error("the request is not suspected")
 	}
 }
+
+// Guards against a ban that rests on ends before an answer, of which the VM learns after
+// the answer has cleared the request.
+func TestNoBanRestsOnEndsLearnedAfterAnAnswer(t *testing.T) {
+	l := poison.NewLedger()
+	endUnder(l, 900, "i-0", "a")
+	l.Served(at(1400), poison.Run{Print: printOf("a"), Target: "lives", Began: at(950), Ended: at(1400)})
+	l.NotEnded(at(1500), "lives", true)
+	for i := range 3 {
+		l.Told(at(1600), poison.News{Runs: []poison.Run{
+			{Print: printOf("a"), Target: fmt.Sprint("i-", i+1), Began: at(960 + 100*i), Ended: at(1050 + 100*i), Alone: i == 2},
+		}})
+	}
+	l.Tick(at(3000))
+	if banned(l, 3000, "a") {
+		t.Error("banned for ends that came before its answer")
+	}
+	if !l.Knows(printOf("a").Head) {
+		t.Error("ends after the run began are not held against it")
+	}
+}
--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -31,7 +31,7 @@
 		if now.Sub(s.last) < settleFor {
 			continue
 		}
-		if l.tally(s.endsSinceAnswer()).proven && !l.answeredSince(p, s.lastEnd()) {
+		if l.tally(s.endsSince(l.cleared[p].Answered)).proven && !l.answeredSince(p, s.lastEnd()) {
 			list = append(list, candidate{p, s, l.tally(s.ends)})
 		}
 	}
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -81,8 +81,8 @@
 	// ring once it is full.
 	unsuspected       []unsuspectedRun
 	oldestUnsuspected int
-	// cleared is when the last run began that cleared a request.
-	cleared map[Print]time.Time
+	// cleared are the last answers of requests that were suspected.
+	cleared map[Print]Clearance
 	news    News
 	events  []Event
 	dropped Dropped
@@ -117,7 +117,7 @@
 func NewLedger(opts ...Option) *Ledger {
 	l := &Ledger{
 		upstreams: make(map[string]*upstreamRuns), suspects: make(map[Print]*suspect), trials: make(map[*Trial]bool),
-		bans: make(map[Print]*record), heads: make(map[uint64]int), explained: make(map[string]time.Time), cleared: make(map[Print]time.Time), tell: func() {},
+		bans: make(map[Print]*record), heads: make(map[uint64]int), explained: make(map[string]time.Time), cleared: make(map[Print]Clearance), tell: func() {},
 		turn:   func(time.Time, Print) float64 { return 0 },
 		joined: make(chan struct{}),
 	}
@@ -150,8 +150,8 @@
 			delete(l.explained, target)
 		}
 	}
-	for p, at := range l.cleared {
-		if now.Sub(at) > endMemory {
+	for p, c := range l.cleared {
+		if now.Sub(c.Answered) > suspicionFor {
 			delete(l.cleared, p)
 		}
 	}
--- a/core/poison/suspect.go
+++ b/core/poison/suspect.go
@@ -51,8 +51,6 @@
 	// each incarnation.
 	ends []Run
 	last time.Time // When the newest of them was learned.
-	// answered is when an upstream that lives on last answered it; zero: not so far.
-	answered time.Time
 	// seen says that this VM saw one of them itself. Those few tell of the ban; the
 	// others judge by what they were told, and would only say it once more.
 	seen bool
@@ -70,9 +68,9 @@
 	return s.ends[len(s.ends)-1].Ended
 }
 
-// endsSinceAnswer returns the ends that came after the last answer.
-func (s *suspect) endsSinceAnswer() []Run {
-	i := slices.IndexFunc(s.ends, func(r Run) bool { return r.Ended.After(s.answered) })
+// endsSince returns the ends that came after a time.
+func (s *suspect) endsSince(t time.Time) []Run {
+	i := slices.IndexFunc(s.ends, func(r Run) bool { return r.Ended.After(t) })
 	if i < 0 {
 		return nil
 	}
@@ -315,7 +313,7 @@
 // that many ask for was answered in each of its trials, suspected again of ends from before
 // them, and as it shares all ends with the request that causes them, neither was banned.
 func (l *Ledger) hold(now time.Time, r Run) {
-	if at, ok := l.cleared[r.Print]; ok && !r.Ended.After(at) {
+	if c, ok := l.cleared[r.Print]; ok && !r.Ended.After(c.Began) {
 		return
 	}
 	if l.active(now, r.Print) != nil {
