--- a/core/poison/answer_test.go
+++ b/core/poison/answer_test.go
@@ -239,3 +239,44 @@
 		t.Error("ends after the run began are not held against it")
 	}
 }
+
+// Guards against a ban of a look-up that is answered between the ends of its upstreams.
+func TestAnAnswerClears(t *testing.T) {
+	l := poison.NewLedger()
+	for i := range 10 {
+		endUnder(l, 1000*i+200, fmt.Sprint("i-", i), "a")
+		served(l, 1000*i+500, "a")
+	}
+	l.Tick(at(20000))
+	if !admitted(l, 20000, "a") {
+		t.Error("a request that was answered after each end is refused")
+	}
+	if l.Knows(printOf("a").Head) {
+		t.Error("something is remembered of a request that was answered")
+	}
+}
+
+// Guards against a look-up that is suspected again of ends from before its answer.
+func TestAnAnswerClearsOfEndsLearnedLater(t *testing.T) {
+	l := poison.NewLedger()
+	endUnder(l, 100, "i-1", "popular", "killer")
+	endUnder(l, 400, "i-2", "popular", "killer")
+	served(l, 1000, "popular")
+	for i, ended := range []int{600, 800, 900} {
+		target := fmt.Sprint("late-", i)
+		for _, name := range []string{"popular", "killer"} {
+			l.Told(at(1500), poison.News{Runs: []poison.Run{{Print: printOf(name), Target: target, Began: at(ended - 50), Ended: at(ended), Alone: name == "killer"}}})
+		}
+	}
+	if !admitted(l, 1600, "popular") || l.Counts().Suspects != 1 {
+		t.Errorf("%d are suspected, want the killer alone", l.Counts().Suspects)
+	}
+	l.Tick(at(2500))
+	if !banned(l, 2500, "killer") {
+		t.Error("the killer is not banned")
+	}
+	l.Told(at(2600), poison.News{Runs: []poison.Run{{Print: printOf("popular"), Target: "i-9", Began: at(1900), Ended: at(2000)}}})
+	if l.Counts().Suspects != 1 {
+		t.Error("an end after its answer is not held against the look-up")
+	}
+}
