--- a/cmd/auburnlatch-entry/main.go
+++ b/cmd/auburnlatch-entry/main.go
@@ -40,8 +40,7 @@
 const (
 	// gcPercent is how much the heap may grow before garbage is collected, and
 	// memoryLimit, in bytes, what it may not exceed for long: the smallest VMs have
-	// 184 MB. At 400 % a VM's peak was 64 MB where 80 VMs know 234 upstreams, and 98 and
-	// 118 MB with 195 and 900; at 100 % they are 34, 46 and 69 MB, for 0.5 % of a core more.
+	// little over that.
 	gcPercent   = 100
 	memoryLimit = 128 << 20
 	// rereadEvery is how often the settings file is looked at: it may change
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -32,6 +32,7 @@
 //	ask := l.Broke(now, run)                    // Its connection ended; ask whether the upstream did.
 //	l.Ended(now, target)                        // It did; NotEnded: it may not have.
 //	ask = l.Served(now, run)                    // It was answered; ask whether the upstream lives on.
+//	l.ServedUnsuspected(run, req)               // The same, where l.Knows(head) is false.
 //	trial.Done()
 //	l.Tick(now)                                 // Judges, and forgets what is old.
 //	send(l.TakeNews()); l.Told(now, received)   // Between VMs.
--- a/core/poison/runs.go
+++ b/core/poison/runs.go
@@ -164,8 +164,7 @@
 
 // Answered takes in that an upstream answered a request that began at a time: it has
 // outlived what was given up well before, and no connection that had ended by then is a
-// sign of its end. A connection that ended by itself just before an upstream did was taken
-// for the first sign, and the request that ended it, sent later, for none of its causes.
+// sign of its end.
 func (l *Ledger) Answered(now, began time.Time, target string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/core/poison/suspect.go
+++ b/core/poison/suspect.go
@@ -24,9 +24,7 @@
 	apart = 200 * time.Millisecond
 	// tryFor is how long a trial holds others back, wherever it runs, until what came of
 	// it is known: an answer clears the request, an end counts. Where something stands
-	// before an upstream only its register tells of the end, a second or two later: in
-	// the soak, with ways that take connections for dead upstreams, seven runs in a row
-	// were sent meanwhile.
+	// before an upstream only its register tells of the end, a second or two later.
 	tryFor = 2 * time.Second
 	// settleFor is how long after the last of them is waited before a request is judged,
 	// so that what other VMs saw has arrived: a question at the upstream's address and a
@@ -308,10 +306,8 @@
 	}
 }
 
-// hold holds an end against a request, unless a later run cleared it. An end may show
-// seconds later, where something takes connections for upstreams that have ended: a look-up
-// that many ask for was answered in each of its trials, suspected again of ends from before
-// them, and as it shares all ends with the request that causes them, neither was banned.
+// hold holds an end against a request, unless a later run cleared it: an end may show
+// seconds later, where something takes connections for upstreams that have ended.
 func (l *Ledger) hold(now time.Time, r Run) {
 	if c, ok := l.cleared[r.Print]; ok && !r.Ended.After(c.Began) {
 		return
