Tell what becomes of the store's answers

Cause: after the store's return nothing in a VM's lines or metrics told whether it had dropped the store's answers, nor which versions and which era the store gave, so that three hypotheses could not be told apart.

Change: AnswerDiscarded, once for each row of such answers, with the copy's version, the answer's and the era of the store's header Store-Era; the same figures as metrics. Nothing is decided by them.

--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -53,6 +53,9 @@
 type Head struct {
 	Table   string
 	Version uint64
+	// Era counts how often the platform's store has come back from an older copy of its
+	// data, which gives out again the versions after that copy. 0: the store does not say.
+	Era uint64
 	// Age is the time since the platform confirmed the version as its newest.
 	Age time.Duration
 	// VerifiedAge is the time since the moment as of which the version was certainly the newest,
--- a/io/entry/copies.go
+++ b/io/entry/copies.go
@@ -72,8 +72,9 @@
 
 // platformStatus logs when the platform becomes unavailable and when it is available again.
 type platformStatus struct {
-	log  *logrus.Entry
-	lost bool
+	log        *logrus.Entry
+	lost       bool
+	discarding bool
 }
 
 func (s *platformStatus) logChange(table string, err error) {
@@ -86,6 +87,16 @@
 	s.lost = err != nil
 }
 
+// logDiscarded logs the first answer of several in a row that is older than the copy by its
+// version, and is discarded.
+func (s *platformStatus) logDiscarded(have replica.Head, answer replica.Delta, era uint64) {
+	older := answer.To.Version < have.Version
+	if older && !s.discarding {
+		s.log.WithFields(logrus.Fields{"Table": have.Table, "Version": have.Version, "AnswerVersion": answer.To.Version, "Whole": answer.Whole, "Era": era}).Warn("AnswerDiscarded")
+	}
+	s.discarding = older
+}
+
 // rulesLoop keeps the copy of the rules up to date. A reader uses long polls.
 func (v *VM) rulesLoop(ctx context.Context) {
 	status, wait := &platformStatus{log: v.log}, &backoff{}
@@ -99,7 +110,7 @@
 			}
 			continue
 		}
-		err := v.refresh(ctx, TableRules, v.rulesWait(othersRead))
+		err := v.refresh(ctx, TableRules, v.rulesWait(othersRead), status)
 		if ctx.Err() != nil {
 			return
 		}
@@ -156,7 +167,7 @@
 		if now.Before(nextRead) || age < maxAge {
 			return
 		}
-		err := v.refresh(ctx, TableTargets, 0)
+		err := v.refresh(ctx, TableTargets, 0, status)
 		if ctx.Err() != nil {
 			return
 		}
@@ -212,7 +223,7 @@
 }
 
 // refresh brings a copy up to date from the platform. With a wait it is a long poll.
-func (v *VM) refresh(ctx context.Context, name string, wait time.Duration) error {
+func (v *VM) refresh(ctx context.Context, name string, wait time.Duration, status *platformStatus) error {
 	t := v.replicas[name]
 	timeout := callTimeout
 	if wait > 0 && t.Loaded() {
@@ -238,6 +249,12 @@
 	if wait == 0 {
 		d.To.Age = now.Sub(started)
 	}
+	if head := t.Head(now); t.Loaded() {
+		status.logDiscarded(head, d, v.platform.Era())
+		if d.To.Version < head.Version {
+			v.counts.discarded.Add(1)
+		}
+	}
 	changed := t.Apply(now, d)
 	t.Renew(d.To.Version, asked)
 	if changed {
--- a/io/entry/doc.go
+++ b/io/entry/doc.go
@@ -53,6 +53,8 @@
 	// Changes returns the changes after a version as soon as there are any, or none
 	// after the wait. It returns ErrCompacted if they are no longer retained.
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (replica.Delta, error)
+	// Era returns the era of the platform's newest answer; see replica.Head.
+	Era() uint64
 	// RTT returns the round-trip time to the platform. It must not be measured by a
 	// call, as the platform counts calls.
 	RTT(ctx context.Context) (time.Duration, error)
--- a/io/entry/fake_test.go
+++ b/io/entry/fake_test.go
@@ -115,6 +115,8 @@
 	}
 }
 
+func (p *fakePlatform) Era() uint64 { return 0 }
+
 func (p *fakePlatform) RTT(context.Context) (time.Duration, error) { return time.Millisecond, nil }
 
 func (p *fakePlatform) Same(_, _ string, a, b []byte) bool { return string(a) == string(b) }
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -27,6 +27,7 @@
 	failedCount    atomic.Int64
 	platformCalls  atomic.Int64
 	platformErrors atomic.Int64
+	discarded      atomic.Int64
 
 	mu      sync.Mutex
 	reasons map[verdict.Reason]int64
@@ -76,8 +77,13 @@
 	InFlight                      int64
 	ConnectionsOpened             int64
 	PlatformCalls, PlatformErrors int64
-	ConfigVersion                 uint64
-	RulesAgeMs, TargetsAgeMs      int64
+	// AnswersDiscarded counts the tables read from the platform that were older than the
+	// copies by their versions.
+	AnswersDiscarded int64
+	// PlatformEra, RulesVersion and TargetsVersion are as in replica.Head.
+	PlatformEra, RulesVersion, TargetsVersion uint64
+	ConfigVersion                             uint64
+	RulesAgeMs, TargetsAgeMs                  int64
 	// RulesSureMs is how long ago the rules in force were verified to be the newest.
 	RulesSureMs int64
 	// LimitsHeardMs is how long ago totals of the teams' demand were received.
@@ -97,7 +103,9 @@
 	f := Figures{
 		Requests: c.requests.Load(), Refused: c.refusedCount.Load(), Failed: c.failedCount.Load(),
 		InFlight: v.inFlight.Load(), ConnectionsOpened: v.upstreams.Opened(),
-		PlatformCalls: c.platformCalls.Load(), PlatformErrors: c.platformErrors.Load(),
+		PlatformCalls: c.platformCalls.Load(), PlatformErrors: c.platformErrors.Load(), AnswersDiscarded: c.discarded.Load(),
+		PlatformEra:  v.platform.Era(),
+		RulesVersion: v.replicas[TableRules].Head(now).Version, TargetsVersion: v.replicas[TableTargets].Head(now).Version,
 		RulesAgeMs:   v.replicas[TableRules].Head(now).Age.Milliseconds(),
 		TargetsAgeMs: v.replicas[TableTargets].Head(now).Age.Milliseconds(),
 		LiveVMs:      len(v.members.Live(now)), Placements: v.balancer.PlacementCount(), Poison: v.guard.Ledger().Counts(), GivenUpByReason: make(map[verdict.Reason]int64),
