Follow the platform's store into a restored history

The store got ten times its usual calls, nine in ten of them refused.

Cause: copies were ordered by the store's version alone. After the restore a VM asked for the changes after a version that the store no longer had (410), read the whole table, and dropped it as older than its copy; as no call had failed it did so again at once, until the store's versions had passed the lost ones. From then on it took the changes after its version, without those of the new history before it. Class: a version is compared across a break in what it counts.

Change: a head is an era and a version. A later era is entered by a whole delta only, nothing of an earlier one is taken, and an answer that is older than the copy counts as a failed call, with its pause. What a VM knew from lost changes is not dropped at once: draining is final for an incarnation, rows that are missing or back again hold for the time in which they are written again. VMs of earlier builds send no era; they get the deltas that they got before.

--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -8,12 +8,19 @@
 // Transactions" (Burckhardt et al.) in which one arbiter orders all updates and
 // a replica only chooses how much of that order it sees.
 //
+// The platform's store may come back from an older copy of its data. The versions after
+// that copy are given out again, for other changes, and a new era begins: versions are
+// ordered only within an era. A replica enters a later era by a whole delta, whoever sent
+// it, and takes nothing from an earlier one. What it knew from the lost changes is not
+// forgotten at once: rows that the copy lacks are removed with AfterGap set, and rows that
+// it has in another state have RestoredAt set, as their writers write them again soon.
+//
 // # Usage
 //
 //	t := replica.NewTable("targets", equivalent)
 //	t.Apply(now, delta)                  // From the platform or a peer.
 //	d := t.Since(now, version)           // For a peer whose replica is at version.
-//	t.Renew(version, asOf)               // A response proved that version was the newest.
+//	t.Renew(d.To, asOf)                  // A response proved that d.To was the newest.
 //	rows, expired := t.Changed()         // What has changed since the last call.
 //	asOf, changes := t.VerifiedAsOf()    // As of when the replica was certainly the newest.
 package replica
@@ -47,6 +54,11 @@
 	// reasons, such as a congested link, and it would otherwise keep using an
 	// upstream that has left for as long as one that may only have lapsed.
 	AfterGap bool
+	// RestoredAt is when a restored store replaced another state of the row that this VM
+	// had, which may be newer; zero once the row has been written again.
+	RestoredAt time.Time
+	// WasRemoved says that the other state was that the row had been removed.
+	WasRemoved bool
 }
 
 // Head is the version of a replica and its age.
@@ -56,6 +68,11 @@
 	// Era counts how often the platform's store has come back from an older copy of its
 	// data, which gives out again the versions after that copy. 0: the store does not say.
 	Era uint64
+	// NoEra is set by a sender that does not know of eras.
+	NoEra bool
+	// Content is the highest version of the content, as its writers number it, that the VM
+	// has had in force; 0: none, or the content has no version.
+	Content uint64
 	// Age is the time since the platform confirmed the version as its newest.
 	Age time.Duration
 	// VerifiedAge is the time since the moment as of which the version was certainly the newest,
@@ -64,6 +81,11 @@
 	VerifiedAge time.Duration
 }
 
+// Before reports whether h is older than other.
+func (h Head) Before(other Head) bool {
+	return cmp.Or(cmp.Compare(h.Era, other.Era), cmp.Compare(h.Version, other.Version)) < 0
+}
+
 // Delta brings a replica that is at version From or later up to To.
 type Delta struct {
 	From uint64
@@ -105,6 +127,7 @@
 	tombstones []*storedRow
 	// changedKeys has the keys of the rows that changed since the last call of Changed.
 	changedKeys map[string]struct{}
+	era         uint64
 	version     uint64
 	confirmed   time.Time
 	// historyFrom is the lowest version from which the removals are complete. Earlier
@@ -114,6 +137,17 @@
 	changes     uint64
 	newestRow   uint64 // Highest version of a row.
 	verified    lease.Lease
+	// restored has the rows with RestoredAt set.
+	restored map[string]restoredState
+	content  uint64 // See Head.
+	lost     uint64 // See LostContent.
+	observed bool
+}
+
+// restoredState is Row.RestoredAt and Row.WasRemoved.
+type restoredState struct {
+	at         time.Time
+	wasRemoved bool
 }
 
 // storedRow is a Row in compact form: a VM has thousands of them.
@@ -149,24 +183,51 @@
 }
 
 func (t *Table) head(now time.Time) Head {
-	h := Head{Table: t.name, Version: t.version, Age: NeverConfirmed}
+	h := Head{Table: t.name, Version: t.version, Era: t.era, Content: t.content, Age: NeverConfirmed}
 	if !t.confirmed.IsZero() {
 		h.Age = max(0, now.Sub(t.confirmed))
 	}
 	return h
 }
 
-// Renew records that a version was the table's newest as of a moment. It has an effect
-// only if the replica is complete as of that version: one that could not apply the changes
-// is not verified.
-func (t *Table) Renew(version uint64, asOf lease.Moment) {
+// Renew records that a head was the table's newest as of a moment. It has an effect only if
+// the replica is complete as of that head: one that could not apply the changes is not
+// verified, nor is one of another era.
+func (t *Table) Renew(h Head, asOf lease.Moment) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.confirmed.IsZero() && t.version >= version {
+	if !t.confirmed.IsZero() && t.era == h.Era && t.version >= h.Version {
 		t.verified.Renew(asOf)
 	}
 }
 
+// SetContent records that a version of the content is in force; see Head.
+func (t *Table) SetContent(version uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.content = max(t.content, version)
+}
+
+// ObserveContent takes the head of another VM's replica. If this replica has all that the other
+// one has, or is of a later era, newer content that was in force there is lost.
+func (t *Table) ObserveContent(other Head) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observed = true
+	if own := (Head{Era: t.era, Version: t.version}); !t.confirmed.IsZero() && !own.Before(other) {
+		t.lost = max(t.lost, other.Content)
+	}
+}
+
+// LostContent returns the highest version of the content that has been in force on a VM and is
+// not in a replica as complete as this one, unless it has come since; 0: none. observed
+// reports whether any other VM has been heard.
+func (t *Table) LostContent() (version uint64, observed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lost, t.observed
+}
+
 // VerifiedAsOf returns the moment as of which the replica certainly was the newest, and the number
 // of its changes, as Rows does.
 func (t *Table) VerifiedAsOf() (asOf lease.Moment, changes uint64) {
@@ -182,23 +243,28 @@
 	return !t.confirmed.IsZero()
 }
 
-// Apply applies a delta and reports whether the meaning of any row changed. It
+// Apply applies a delta and reports whether the meaning of any row changed, or the era. It
 // ignores a delta that begins after the replica's version, as it would leave a gap,
 // and one that ends before it.
 func (t *Table) Apply(now time.Time, d Delta) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !d.Whole && d.From > t.version || d.To.Version < t.version {
+	if d.To.Before(t.head(now)) || !d.Whole && (d.From > t.version || d.To.Era != t.era) {
 		return false
 	}
 	if t.epoch.IsZero() {
 		t.epoch = now
 	}
-	for i := range d.Rows {
-		changed = t.put(now, &d.Rows[i], d.FromPeer) || changed
-	}
-	if d.Whole {
-		changed = t.removeOthers(now, d) || changed
+	if d.To.Era != t.era {
+		t.enterEra(now, d)
+		changed = true
+	} else {
+		for i := range d.Rows {
+			changed = t.put(now, &d.Rows[i], d.FromPeer) || changed
+		}
+		if d.Whole {
+			changed = t.removeOthers(now, d) || changed
+		}
 	}
 	t.version = d.To.Version
 	if at := now.Add(-d.To.Age); d.To.Age < NeverConfirmed && at.After(t.confirmed) {
@@ -211,6 +277,50 @@
 	return changed
 }
 
+// enterEra replaces the rows by those of a whole delta of a later era.
+func (t *Table) enterEra(now time.Time, d Delta) {
+	old, restored := t.rows, t.restored
+	t.rows, t.restored = make(map[string]*storedRow, len(d.Rows)), make(map[string]restoredState)
+	t.log, t.replaced, t.tombstones = nil, 0, nil
+	t.era, t.historyFrom, t.newestRow = d.To.Era, d.To.Version, 0
+	for i := range d.Rows {
+		r := &d.Rows[i]
+		was := old[r.Key]
+		delete(old, r.Key)
+		if was != nil && was.removed == nil && t.equivalent(r.Key, was.value, r.Value) {
+			same := *was
+			same.version, same.replaced = r.Version, false
+			t.insert(&same)
+			if state, ok := restored[r.Key]; ok {
+				t.restored[r.Key] = state
+			}
+			continue
+		}
+		t.put(now, r, d.FromPeer)
+		if was != nil {
+			t.restored[r.Key] = restoredState{now, was.removed != nil}
+		}
+	}
+	for _, was := range old {
+		lost := *was
+		lost.version, lost.replaced = d.To.Version, false
+		if lost.removed == nil {
+			lost.removed = &tombstone{at: now, afterGap: true}
+			t.changedKeys[lost.key] = struct{}{}
+		}
+		t.tombstones = append(t.tombstones, &lost)
+		t.insert(&lost)
+	}
+	slices.SortFunc(t.tombstones, func(a, b *storedRow) int { return a.removed.at.Compare(b.removed.at) })
+}
+
+// insert adds a row that the table does not have.
+func (t *Table) insert(r *storedRow) {
+	t.rows[r.key] = r
+	t.addToLog(r)
+	t.newestRow = max(t.newestRow, r.version)
+}
+
 // removeOthers removes the rows that a whole delta does not list.
 func (t *Table) removeOthers(now time.Time, d Delta) (changed bool) {
 	// A list of the present rows does not show what was removed earlier.
@@ -236,7 +346,7 @@
 		return false
 	}
 	if old != nil && old.removed == nil && !r.Removed && t.equivalent(r.Key, old.value, r.Value) {
-		return false
+		return t.confirmRestored(r.Key)
 	}
 	if r.Removed && (old == nil || old.removed != nil) {
 		return false
@@ -263,10 +373,20 @@
 		n.key = old.key
 		t.markReplaced(old)
 	}
-	t.rows[n.key] = n
-	t.addToLog(n)
+	t.insert(n)
 	t.changedKeys[n.key] = struct{}{}
-	t.newestRow = max(t.newestRow, r.Version)
+	delete(t.restored, n.key)
+	return true
+}
+
+// confirmRestored records that a row was written again with the value that it has, and
+// reports whether that was unknown.
+func (t *Table) confirmRestored(key string) bool {
+	if _, ok := t.restored[key]; !ok {
+		return false
+	}
+	delete(t.restored, key)
+	t.changedKeys[key] = struct{}{}
 	return true
 }
 
@@ -321,6 +441,9 @@
 // row returns a stored row as a Row.
 func (t *Table) row(r *storedRow) Row {
 	row := Row{Key: r.key, Version: r.version, Value: r.value, At: t.epoch.Add(r.at)}
+	if state, ok := t.restored[r.key]; ok {
+		row.RestoredAt, row.WasRemoved = state.at, state.wasRemoved
+	}
 	if r.packed != nil {
 		row.Packed = *r.packed
 	}
@@ -349,12 +472,25 @@
 	return d
 }
 
-// NewestRowVersion returns the highest version of a present or removed row. The table's own
-// version also rises with changes to equivalent values.
-func (t *Table) NewestRowVersion() uint64 {
+// Whole returns all rows as a whole delta, for a replica of an earlier era.
+func (t *Table) Whole(now time.Time) Delta {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := Delta{To: t.head(now), Whole: true, Changes: t.changes}
+	for _, r := range t.log {
+		if !r.replaced && r.removed == nil {
+			d.Rows = append(d.Rows, t.row(r))
+		}
+	}
+	return d
+}
+
+// NewestRow returns the era and the highest version of a present or removed row. The table's
+// own version also rises with changes to equivalent values.
+func (t *Table) NewestRow() Head {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.newestRow
+	return Head{Table: t.name, Version: t.newestRow, Era: t.era}
 }
 
 // Changed returns the rows that changed since the last call, including removed ones, and the
--- a/core/target/target.go
+++ b/core/target/target.go
@@ -41,6 +41,9 @@
 	RemovedAt time.Time
 	// AfterGap is set if the removal may be due to an outage of the platform.
 	AfterGap bool
+	// RestoredAt is when this state replaced another one, which may be newer, because the
+	// platform's store was restored from an older copy; zero otherwise.
+	RestoredAt time.Time
 }
 
 // Target is one incarnation of an upstream.
@@ -78,6 +81,11 @@
 // stop getting new requests.
 const LapseGrace = 1800 * time.Millisecond
 
+// lapseHeartbeats is the number of heartbeats after which a silent upstream's registration
+// lapses. Until then a registration that a restored store has again may be that of an
+// upstream that has ended.
+const lapseHeartbeats = 3
+
 // Evacuations is the set of availability zones that must get no new requests.
 type Evacuations struct {
 	Zones map[string]bool
@@ -85,6 +93,8 @@
 
 // Registry derives targets from registrations. The zero value is ready to use.
 // It is not safe for concurrent use.
+//
+// Draining is final for an incarnation: a registration without it is older.
 type Registry struct {
 	// Heartbeat is the interval at which upstreams renew their registration.
 	Heartbeat time.Duration
@@ -93,6 +103,7 @@
 
 	targets   map[string]*Target // By ID.
 	lapsed    map[string]Registration
+	restored  map[string]Registration // Not applied yet; see restoreGrace.
 	evacuated map[string]bool
 	coldUntil map[string]time.Time // By zone, after its evacuation ended.
 	names     map[string]string    // Interned names of services and zones.
@@ -130,17 +141,25 @@
 }
 
 // Update applies the registrations that have changed since the last call. soon reports
-// whether a lapsed registration is within its LapseGrace, so that Update has to be called
-// again soon.
+// whether a registration that lapsed or was restored changes its meaning with time alone, so that
+// Update has to be called again soon.
 func (r *Registry) Update(now time.Time, changed []Registration, ev Evacuations) (c Change, soon bool) {
 	if r.targets == nil {
-		r.targets, r.lapsed, r.names = make(map[string]*Target), make(map[string]Registration), make(map[string]string)
+		r.targets, r.names = make(map[string]*Target), make(map[string]string)
+		r.lapsed, r.restored = make(map[string]Registration), make(map[string]Registration)
 	}
 	r.applyEvacuations(now, ev, &c)
 	for i := range changed {
 		delete(r.lapsed, changed[i].ID)
+		delete(r.restored, changed[i].ID)
 		r.apply(now, &changed[i], ev, &c)
 	}
+	for id, reg := range r.restored {
+		if now.Sub(reg.RestoredAt) >= r.restoreGrace() {
+			delete(r.restored, id)
+			r.apply(now, &reg, ev, &c)
+		}
+	}
 	for id, reg := range r.lapsed {
 		if now.Sub(reg.RemovedAt) >= LapseGrace {
 			delete(r.lapsed, id)
@@ -149,9 +168,13 @@
 	}
 	// Drop targets of evacuated zones that a registration then changed or removed.
 	c.Updated = slices.DeleteFunc(c.Updated, func(t *Target) bool { return r.targets[t.ID] != t })
-	return c, len(r.lapsed) > 0
+	return c, len(r.lapsed)+len(r.restored) > 0
 }
 
+// restoreGrace is how long a restored registration of an incarnation that was removed or
+// replaced is not applied unless it is written again.
+func (r *Registry) restoreGrace() time.Duration { return lapseHeartbeats*r.Heartbeat + readMargin }
+
 // apply updates the target of one registration.
 func (r *Registry) apply(now time.Time, reg *Registration, ev Evacuations, c *Change) {
 	lapsed := reg.Removed && reg.AfterGap && now.Sub(reg.RemovedAt) < LapseGrace
@@ -163,15 +186,20 @@
 	if lapsed {
 		r.lapsed[reg.ID] = *reg
 	}
+	old := r.targets[reg.ID]
+	if (old == nil || old.Born != reg.Born) && now.Sub(reg.RestoredAt) < r.restoreGrace() {
+		r.restored[reg.ID] = *reg
+		return
+	}
+	draining := reg.Draining || old != nil && old.Born == reg.Born && old.Draining
 	cold := reg.ReadAt.Add(reg.ColdLeft)
 	if until := r.coldUntil[reg.Zone]; until.After(cold) {
 		cold = until
 	}
 	t := &Target{
 		ID: reg.ID, Born: reg.Born, Service: r.name(reg.Service), Addr: reg.Addr, Zone: r.name(reg.Zone), Region: region, Slots: max(1, reg.Slots),
-		Draining: reg.Draining, Usable: !reg.Draining && !ev.Zones[reg.Zone], ColdUntil: cold,
+		Draining: draining, Usable: !draining && !ev.Zones[reg.Zone], ColdUntil: cold,
 	}
-	old := r.targets[reg.ID]
 	if old != nil && old.Born != t.Born {
 		c.Gone = append(c.Gone, old)
 	}
@@ -210,7 +238,7 @@
 	for zone := range r.evacuated {
 		if !ev.Zones[zone] {
 			affected[zone] = true
-			r.coldUntil[zone] = now.Add(r.Heartbeat + coldMargin)
+			r.coldUntil[zone] = now.Add(r.Heartbeat + readMargin)
 		}
 	}
 	for zone := range ev.Zones {
@@ -236,6 +264,6 @@
 	}
 }
 
-// coldMargin is added to the heartbeat interval for the time until a registration
+// readMargin is added to heartbeat intervals for the time until a registration
 // is read: one poll interval and a slow response.
-const coldMargin = 1500 * time.Millisecond
+const readMargin = 1500 * time.Millisecond
--- a/core/target/target_test.go
+++ b/core/target/target_test.go
@@ -134,3 +134,47 @@
 		t.Errorf("%d targets, want 1", r.Len())
 	}
 }
+
+// The platform's store is restored from an older copy, in which an upstream that leaves is
+// ready, one that has ended is registered, and another is registered by an earlier start. They
+// must get no requests, unless they register again or are still there when they would have lapsed.
+func TestRestoredRegistrations(t *testing.T) {
+	restored := func(id string, born int64) target.Registration {
+		return reg(id, func(r *target.Registration) { r.Born, r.RestoredAt = born, start })
+	}
+	for _, tc := range []struct {
+		name     string
+		before   []target.Registration
+		restored target.Registration
+		later    []target.Registration // Registered after the restore.
+		after    time.Duration
+		usable   bool
+	}{
+		{"left", []target.Registration{reg("a", func(r *target.Registration) { r.Draining = true })}, restored("a", 0), nil, time.Hour, false},
+		{"ended", []target.Registration{reg("a", nil), reg("a", func(r *target.Registration) { r.Removed = true })}, restored("a", 0), nil, 5 * time.Second, false},
+		{"ended, and registered again", []target.Registration{reg("a", nil), reg("a", func(r *target.Registration) { r.Removed = true })}, restored("a", 0), []target.Registration{reg("a", nil)}, time.Second, true},
+		{"there although it would have lapsed", []target.Registration{reg("a", nil), reg("a", func(r *target.Registration) { r.Removed = true })}, restored("a", 0), nil, 6 * time.Second, true},
+		{"an earlier start of one that leaves", []target.Registration{reg("a", func(r *target.Registration) { r.Born, r.Draining = 2, true })}, restored("a", 1), nil, 5 * time.Second, false},
+		{"with other slots", []target.Registration{reg("a", func(r *target.Registration) { r.Slots = 8 })}, restored("a", 0), nil, 0, true},
+	} {
+		r := registry()
+		usable := make(map[string]bool)
+		update := func(after time.Duration, list []target.Registration) {
+			c, _ := r.Update(start.Add(after), list, target.Evacuations{})
+			for _, gone := range c.Gone {
+				delete(usable, gone.ID)
+			}
+			for _, u := range c.Updated {
+				usable[u.ID] = u.Usable
+			}
+		}
+		for _, b := range tc.before {
+			update(0, []target.Registration{b})
+		}
+		update(0, []target.Registration{tc.restored})
+		update(tc.after, tc.later)
+		if usable["a"] != tc.usable {
+			t.Errorf("%s: usable = %v, want %v", tc.name, usable["a"], tc.usable)
+		}
+	}
+}
--- a/io/entry/copies.go
+++ b/io/entry/copies.go
@@ -87,12 +87,14 @@
 	s.lost = err != nil
 }
 
-// logDiscarded logs the first answer of several in a row that is older than the copy by its
-// version, and is discarded.
-func (s *platformStatus) logDiscarded(have replica.Head, answer replica.Delta, era uint64) {
-	older := answer.To.Version < have.Version
+// logDiscarded logs the first answer of several in a row that is older than the copy, and is
+// discarded.
+func (s *platformStatus) logDiscarded(have replica.Head, answer replica.Delta) {
+	older := answer.To.Before(have)
 	if older && !s.discarding {
-		s.log.WithFields(logrus.Fields{"Table": have.Table, "Version": have.Version, "AnswerVersion": answer.To.Version, "Whole": answer.Whole, "Era": era}).Warn("AnswerDiscarded")
+		s.log.WithFields(logrus.Fields{
+			"Table": have.Table, "Version": have.Version, "Era": have.Era, "AnswerVersion": answer.To.Version, "AnswerEra": answer.To.Era, "Whole": answer.Whole,
+		}).Warn("AnswerDiscarded")
 	}
 	s.discarding = older
 }
@@ -222,6 +224,9 @@
 	return time.Duration(staleFraction * float64(v.cfg.Load().LeaveWithin))
 }
 
+// errOlderAnswer reports that the platform's answer is older than the copy.
+var errOlderAnswer = errors.New("the answer is older than the copy")
+
 // refresh brings a copy up to date from the platform. With a wait it is a long poll.
 func (v *VM) refresh(ctx context.Context, name string, wait time.Duration, status *platformStatus) error {
 	t := v.replicas[name]
@@ -232,37 +237,56 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	started, asked := time.Now(), clock.SinceBoot()
-	var d replica.Delta
-	err := ErrCompacted
-	if t.Loaded() {
-		d, err = v.platform.Changes(ctx, name, t.Head(started).Version, wait)
-	}
-	if errors.Is(err, ErrCompacted) {
-		d, err = v.platform.Read(ctx, name)
-	}
-	v.counts.platformCalls.Add(1)
+	have := t.Head(started)
+	d, err := v.fetch(ctx, name, wait)
 	if err != nil {
 		v.counts.platformErrors.Add(1)
 		return err
 	}
+	status.logDiscarded(have, d)
+	if d.To.Before(have) {
+		v.counts.discarded.Add(1)
+		return errOlderAnswer
+	}
 	now := time.Now()
 	if wait == 0 {
 		d.To.Age = now.Sub(started)
 	}
-	if head := t.Head(now); t.Loaded() {
-		status.logDiscarded(head, d, v.platform.Era())
-		if d.To.Version < head.Version {
-			v.counts.discarded.Add(1)
-		}
-	}
 	changed := t.Apply(now, d)
-	t.Renew(d.To.Version, asked)
+	t.Renew(d.To, asked)
 	if changed {
 		v.signalChange()
 	}
 	return nil
 }
 
+// fetch reads what a copy lacks from the platform: the changes since its version, or the
+// whole table if there are no such changes or they are of another era.
+func (v *VM) fetch(ctx context.Context, name string, wait time.Duration) (replica.Delta, error) {
+	t := v.replicas[name]
+	if t.Loaded() {
+		have := t.Head(time.Now())
+		v.counts.platformCalls.Add(1)
+		d, err := v.platform.Changes(ctx, name, have.Version, wait)
+		if err != nil && !errors.Is(err, ErrCompacted) || err == nil && d.To.Era == have.Era {
+			return d, err
+		}
+	}
+	v.counts.platformCalls.Add(1)
+	return v.platform.Read(ctx, name)
+}
+
+// era returns the newest era of the platform that this VM knows of. What VMs have written to
+// the platform in an earlier era may be lost.
+func (v *VM) era() uint64 {
+	era := v.platform.Era()
+	now := time.Now()
+	for _, t := range v.replicas {
+		era = max(era, t.Head(now).Era)
+	}
+	return era
+}
+
 // signalChange triggers applying the copies and pushing their changes to peers.
 func (v *VM) signalChange() {
 	for _, c := range []chan struct{}{v.changed, v.toPush} {
@@ -300,7 +324,7 @@
 	}
 	// Read the time first: the rows are as of that time or newer.
 	asOf, _ := v.replicas[TableRules].VerifiedAsOf()
-	rules, changes, err := v.readRules()
+	rules, changes, pending, err := v.readRules(now)
 	if err != nil {
 		v.log.WithField("Err", err).Error("RulesNotDecoded")
 		return false
@@ -311,7 +335,7 @@
 	if !v.replicas[TableTargets].Loaded() {
 		return false
 	}
-	return v.applyTargets(now, rules.Evacuations)
+	return v.applyTargets(now, rules.Evacuations) || pending
 }
 
 // applyConfig applies a configuration, and reports whether it, or a later one, is in force.
@@ -329,6 +353,7 @@
 		return false
 	}
 	v.table.Store(table)
+	v.replicas[TableRules].SetContent(cfg.Version)
 	v.log.WithFields(logrus.Fields{"Version": cfg.Version, "Routes": len(cfg.Routes), "Services": len(cfg.Services)}).Info("ConfigInForce")
 	return true
 }
@@ -351,18 +376,24 @@
 	return soon
 }
 
-// staleCopies logs when a copy has not been confirmed for so long that the bound on
-// leaving upstreams may be missed, and when it is confirmed again.
-type staleCopies struct {
+// copiesLog logs when a copy has not been confirmed for so long that the bound on leaving
+// upstreams may be missed, when it is confirmed again, and when it enters another era.
+type copiesLog struct {
 	log   *logrus.Entry
 	stale map[string]bool
+	heads map[string]replica.Head
 }
 
-func (s *staleCopies) logChange(name string, age, bound time.Duration) {
-	if stale := age > bound; stale != s.stale[name] {
+func (s *copiesLog) logChange(head replica.Head, bound time.Duration) {
+	name := head.Table
+	if stale := head.Age > bound; stale != s.stale[name] {
 		s.stale[name] = stale
-		s.log.WithFields(logrus.Fields{"Table": name, "AgeMs": age.Milliseconds(), "Stale": stale}).Warn("CopyStale")
+		s.log.WithFields(logrus.Fields{"Table": name, "AgeMs": head.Age.Milliseconds(), "Stale": stale}).Warn("CopyStale")
+	}
+	if old := s.heads[name]; old.Era != head.Era && old.Version > 0 {
+		s.log.WithFields(logrus.Fields{"Table": name, "Version": old.Version, "Era": old.Era, "NewVersion": head.Version, "NewEra": head.Era}).Warn("CopyRestored")
 	}
+	s.heads[name] = head
 }
 
 // targetsUnconfirmed reports whether the platform has not confirmed the copy of the upstreams
--- a/io/entry/decoded.go
+++ b/io/entry/decoded.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -15,20 +16,28 @@
 type decoded struct {
 	rules   Rules
 	changes uint64 // The copy's count of changes; 0 if nothing has been decoded yet.
+	pending bool   // The rules change with time alone.
 }
 
-// readRules returns the rules and the copy's count of changes.
-func (v *VM) readRules() (Rules, uint64, error) {
+// rewriteWithin is the time within which operators are expected to write again what a
+// restored store has lost. It is shorter than the time within which a zone that is evacuated
+// must get no more requests.
+const rewriteWithin = 3 * time.Second
+
+// readRules returns the rules and the copy's count of changes. pending reports whether the
+// rules change with time alone.
+func (v *VM) readRules(now time.Time) (rules Rules, changes uint64, pending bool, err error) {
 	rows, changes := v.replicas[TableRules].Rows()
-	if changes == v.decoded.changes && changes > 0 {
-		return v.decoded.rules, changes, nil
+	if changes == v.decoded.changes && changes > 0 && !v.decoded.pending {
+		return v.decoded.rules, changes, false, nil
 	}
-	rules, err := v.platform.Rules(rows)
+	rows, pending = replica.Settled(now, rows, rewriteWithin)
+	rules, err = v.platform.Rules(rows)
 	if err != nil {
-		return Rules{}, 0, err
+		return Rules{}, 0, false, err
 	}
-	v.decoded.rules, v.decoded.changes = rules, changes
-	return rules, changes, nil
+	v.decoded = decoded{rules, changes, pending}
+	return rules, changes, pending, nil
 }
 
 // readTargets returns the registrations that changed since the last call, or all of them
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -10,6 +10,7 @@
 	"auburnlatch/core/callers"
 	"auburnlatch/core/dispatch"
 	"auburnlatch/core/member"
+	"auburnlatch/core/replica"
 	"auburnlatch/io/lifecycle"
 )
 
@@ -28,7 +29,7 @@
 // heartbeatLoop publishes this VM's state and exchanges it with others.
 func (v *VM) heartbeatLoop(ctx context.Context) {
 	v.awaitRTT(ctx)
-	copies := &staleCopies{log: v.log, stale: make(map[string]bool)}
+	copies := &copiesLog{log: v.log, stale: make(map[string]bool), heads: make(map[string]replica.Head)}
 	lifecycle.Every(ctx, heartbeat, func(now time.Time) {
 		v.members.Tick(now)
 		v.publish(now)
@@ -40,8 +41,8 @@
 			v.updateActive(now)
 		}
 		v.peerClient.CloseIdle(now)
-		for name, t := range v.replicas {
-			copies.logChange(name, t.Head(now).Age, v.cfg.Load().LeaveWithin)
+		for _, t := range v.replicas {
+			copies.logChange(t.Head(now), v.cfg.Load().LeaveWithin)
 		}
 		v.upstreams.Sweep(now, v.targets.has)
 		v.idle.closeOlder(now, v.idleTimeout())
--- a/io/entry/push.go
+++ b/io/entry/push.go
@@ -46,19 +46,19 @@
 	vm *VM
 	// heads are the versions of the copies at past moments, oldest first.
 	heads []pastHeads
-	// pushed are the newest versions of rows that were pushed, by table.
-	pushed map[string]uint64
+	// pushed are the newest versions of rows that were pushed, with their eras, by table.
+	pushed map[string]replica.Head
 }
 
-// pastHeads are the versions of the copies at a moment.
+// pastHeads are the heads of the copies at a moment.
 type pastHeads struct {
-	at       time.Time
-	versions map[string]uint64
+	at    time.Time
+	heads map[string]replica.Head
 }
 
 // loop pushes changes until ctx ends.
 func (p *pusher) loop(ctx context.Context) {
-	p.pushed = make(map[string]uint64)
+	p.pushed = make(map[string]replica.Head)
 	tick := time.NewTicker(pushWindow / 2)
 	defer tick.Stop()
 	for {
@@ -78,34 +78,38 @@
 	}
 }
 
-// changes returns the deltas with a row that was not pushed yet.
+// changes returns the deltas with a row that was not pushed yet. The first rows of an era are
+// not pushed: VMs without them need the whole table, which they pull.
 func (p *pusher) changes(now time.Time) []replica.Delta {
 	from := p.recordHeads(now)
 	var list []replica.Delta
 	for name, t := range p.vm.replicas {
-		if !t.Loaded() || t.NewestRowVersion() <= p.pushed[name] {
+		newest, pushed := t.NewestRow(), p.pushed[name]
+		if !t.Loaded() || !pushed.Before(newest) {
 			continue
 		}
-		first := p.pushed[name] == 0
-		p.pushed[name] = t.NewestRowVersion()
-		if d := t.Since(now, from[name]); !first && len(d.Rows) <= maxPushedRows {
+		p.pushed[name] = newest
+		if pushed.Version == 0 || pushed.Era != newest.Era || from[name].Era != newest.Era {
+			continue
+		}
+		if d := t.Since(now, from[name].Version); len(d.Rows) <= maxPushedRows {
 			list = append(list, d)
 		}
 	}
 	return list
 }
 
-// recordHeads records the versions of the copies, and returns those of pushWindow ago.
-func (p *pusher) recordHeads(now time.Time) map[string]uint64 {
-	current := pastHeads{at: now, versions: make(map[string]uint64)}
+// recordHeads records the heads of the copies, and returns those of pushWindow ago.
+func (p *pusher) recordHeads(now time.Time) map[string]replica.Head {
+	current := pastHeads{at: now, heads: make(map[string]replica.Head)}
 	for name, t := range p.vm.replicas {
-		current.versions[name] = t.Head(now).Version
+		current.heads[name] = t.Head(now)
 	}
 	p.heads = append(p.heads, current)
 	for len(p.heads) > 1 && now.Sub(p.heads[1].at) >= pushWindow {
 		p.heads = p.heads[1:]
 	}
-	return p.heads[0].versions
+	return p.heads[0].heads
 }
 
 // push starts pushing deltas to some other VMs, or an exchange of copies with them.
--- a/io/peer/replica.go
+++ b/io/peer/replica.go
@@ -47,12 +47,21 @@
 	return asOf.Age(clock.SinceBoot())
 }
 
+// observe merges the content of the heads that another VM has sent.
+func (r Replicas) observe(theirs map[string]replica.Head) {
+	for name, h := range theirs {
+		if t := r[name]; t != nil && !h.NoEra {
+			t.ObserveContent(h)
+		}
+	}
+}
+
 // confirm merges the heads in another VM's reply to a request sent at asked. Only a reply
 // confirms a replica: a message sent without a request may have been delayed for any time.
 func (r Replicas) confirm(asked lease.Moment, theirs map[string]replica.Head) {
 	for name, h := range theirs {
 		if t := r[name]; t != nil {
-			t.Renew(h.Version, lease.AsOf(asked, h.VerifiedAge))
+			t.Renew(h, lease.AsOf(asked, h.VerifiedAge))
 		}
 	}
 }
@@ -64,13 +73,17 @@
 	var list []replica.Delta
 	for name, t := range r {
 		own, their := t.Head(now), theirs[name]
-		if own.Version < their.Version || own.Age == replica.NeverConfirmed {
-			continue
+		if their.NoEra {
+			their.Era = own.Era // A whole delta in each exchange would not help its receiver.
 		}
-		if own.Version == their.Version && own.Age+minAgeGain > their.Age {
-			continue
+		switch {
+		case own.Before(their), own.Age == replica.NeverConfirmed:
+		case own.Era != their.Era:
+			list = append(list, t.Whole(now))
+		case own.Version == their.Version && own.Age+minAgeGain > their.Age:
+		default:
+			list = append(list, t.Since(now, their.Version))
 		}
-		list = append(list, t.Since(now, their.Version))
 	}
 	return list
 }
@@ -109,10 +122,12 @@
 		}
 		now = time.Now()
 		changed = replicas.apply(now, tables)
-		replicas.confirm(asked, wire.Heads(reply.GetHeads()))
+		heads := wire.Heads(reply.GetHeads())
+		replicas.confirm(asked, heads)
+		replicas.observe(heads)
 		back := &schema.SyncReply{
 			Delta:  &schema.Delta{},
-			Tables: c.packer.FromReplicaDeltas(replicas.deltas(now, wire.Heads(reply.GetHeads()))),
+			Tables: c.packer.FromReplicaDeltas(replicas.deltas(now, heads)),
 		}
 		if members != nil {
 			back.Delta.Entries, err = c.syncMembers(ctx, client, members, zone, reply)
@@ -198,9 +213,11 @@
 		return nil, err
 	}
 	now := time.Now()
+	heads := wire.Heads(m.GetHeads())
+	s.replicas.observe(heads)
 	reply := &schema.SyncReply{
 		Heads:  wire.FromHeads(s.replicas.heads(now)),
-		Tables: s.packer.FromReplicaDeltas(s.replicas.deltas(now, wire.Heads(m.GetHeads()))),
+		Tables: s.packer.FromReplicaDeltas(s.replicas.deltas(now, heads)),
 	}
 	if !m.GetTablesOnly() {
 		reply.Delta = wire.FromDelta(s.members.Answer(now, scope(m.GetZone()), stamps))
--- a/tools/soak/mutants.sh
+++ b/tools/soak/mutants.sh
@@ -29,7 +29,7 @@
 }
 
 mutant RetryAfterMaybeRan io/entry/proxy.go 's/if e != nil \&\& e.Verdict != verdict.NotRun \&\& !req.idempotent() {/if false {/'
-mutant DrainIgnored core/target/target.go 's/Usable: !reg.Draining \&\& !ev.Zones\[reg.Zone\]/Usable: true/'
+mutant DrainIgnored core/target/target.go 's/Usable: !draining \&\& !ev.Zones\[reg.Zone\]/Usable: true/'
 mutant RefusalUntrue io/entry/serve.go 's/case e.Verdict == verdict.NotRun:/case e.Verdict == verdict.NotRun || e.Reason == verdict.ReasonBroken:/'
 mutant NotFoundBeforeRules io/entry/serve.go 's/return req, verdict.New(verdict.NotRun, verdict.ReasonNotReady, notReadyRetryAfter)/return req, verdict.New(verdict.NotRun, verdict.ReasonNoService, 0)/'
 mutant ConfigIgnored io/entry/copies.go 's/if cfg == nil || old != nil \&\& cfg.Version <= old.Config.Version {/if cfg == nil || old != nil {/'
