Write again what a restored store has lost of the VMs' rows

What callers would see: after a restore VMs with stale seeds found nobody, a region that lost power began with old placements, and a banned request was sent on by VMs that started later.

Cause: the same class. What VMs keep on the platform counted as kept for good: an address was announced once, placements were written when they had changed, bans until the platform had acknowledged them.

Change: each remembers the era in which it was written, and is written again in a later one: addresses by the registrars, placements by the VM that writes them, bans by one VM of each zone, which first reads what is there so that a ban lifted by an operator stays lifted.

--- a/core/poison/ban.go
+++ b/core/poison/ban.go
@@ -177,6 +177,17 @@
 	return list
 }
 
+// MarkLost records that the platform may have lost the bans that it has stored, and reports
+// whether there are any.
+func (l *Ledger) MarkLost() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, b := range l.bans {
+		b.persisted = false
+	}
+	return len(l.bans) > 0
+}
+
 // Restore merges bans read from the platform.
 func (l *Ledger) Restore(now time.Time, list []Ban) {
 	l.mu.Lock()
--- a/io/entry/addresses.go
+++ b/io/entry/addresses.go
@@ -8,6 +8,7 @@
 
 	"auburnlatch/core/dispatch"
 	"auburnlatch/io/lifecycle"
+	"auburnlatch/io/settings"
 )
 
 const (
@@ -46,34 +47,48 @@
 // and reads the registered addresses. This way VMs that start with stale seeds find the
 // others, and VMs that were partitioned from each other find each other again.
 func (v *VM) addressLoop(ctx context.Context) {
-	cfg := v.cfg.Load()
-	announced := false
+	r := &registration{vm: v, cfg: v.cfg.Load()}
 	if !lifecycle.Sleep(ctx, isolatedAfter) {
 		return
 	}
 	for {
-		wait := addrReadInterval
-		now := time.Now()
-		isolated := len(v.members.Live(now)) < 2
-		if !isolated && !v.registers(now) {
-			if !lifecycle.Sleep(ctx, isolatedInterval) {
-				return
-			}
-			continue
-		}
-		if !announced {
-			v.announced.Store(true) // A failed call may have taken effect.
-			announced = v.announce(ctx, cfg.Name, cfg.PeerAddr)
-		}
-		if !v.readAddresses(ctx) || !announced || isolated {
-			wait = isolatedInterval
-		}
-		if !lifecycle.Sleep(ctx, wait) {
+		r.update(ctx, time.Now())
+		if !lifecycle.Sleep(ctx, isolatedInterval) {
 			return
 		}
 	}
 }
 
+// registration is the registration of a VM's address.
+type registration struct {
+	vm        *VM
+	cfg       *settings.Entry // As of the process's start, as is its address.
+	announced bool
+	era       uint64 // The era in which the address was announced.
+	nextRead  time.Time
+}
+
+// update announces the address, again if the platform may have lost it, and reads the
+// registered addresses when they are due.
+func (r *registration) update(ctx context.Context, now time.Time) {
+	v := r.vm
+	isolated := len(v.members.Live(now)) < 2
+	if !isolated && !v.registers(now) {
+		return
+	}
+	if era := v.era(); !r.announced || r.era != era {
+		v.announced.Store(true) // A failed call may have taken effect.
+		r.announced, r.era = v.announce(ctx, r.cfg.Name, r.cfg.PeerAddr), era
+		r.nextRead = now
+	}
+	if now.Before(r.nextRead) && !isolated {
+		return
+	}
+	if v.readAddresses(ctx) && r.announced {
+		r.nextRead = now.Add(addrReadInterval)
+	}
+}
+
 // registers reports whether this VM is one of the registrars. A VM that has just started
 // cannot know: if several start together, each would think it is.
 func (v *VM) registers(now time.Time) bool {
--- a/io/entry/placement.go
+++ b/io/entry/placement.go
@@ -46,6 +46,7 @@
 	peer *peer.Datagrams
 
 	savedChanges uint64 // The count of changes that the platform has a copy of.
+	savedEra     uint64 // The era in which it was written.
 	savedAt      time.Time
 	// active is set if this VM has callers, and activeSince is when that last changed.
 	active      bool
@@ -98,11 +99,12 @@
 	return now.Sub(p.vm.started) < syncPeriod || p.active && now.Sub(p.activeSince) < syncPeriod
 }
 
-// save writes the region's placements to the platform if they have changed. The next
-// write makes up for one that fails.
+// save writes the region's placements to the platform if they have changed or the platform
+// may have lost them. The next write makes up for one that fails.
 func (p *placementPublisher) save(ctx context.Context, now time.Time) {
 	list, changes := p.vm.balancer.Placements()
-	if changes == p.savedChanges {
+	era := p.vm.era()
+	if changes == p.savedChanges && era == p.savedEra {
 		return
 	}
 	p.savedAt = now
@@ -117,7 +119,7 @@
 		p.vm.log.WithField("Err", err).Info("PlacementsNotKept")
 		return
 	}
-	p.savedChanges = changes
+	p.savedChanges, p.savedEra = changes, era
 }
 
 // restore reads the region's placements from the platform. Without them objects would be
--- a/io/entry/quarantine.go
+++ b/io/entry/quarantine.go
@@ -148,6 +148,9 @@
 	return s.counted(s.platform.DeleteBans(ctx, prints))
 }
 
+// Era implements quarantine.BanStore.
+func (s countedBanStore) Era() uint64 { return s.era() }
+
 func (s countedBanStore) counted(err error) error {
 	s.counts.platformCalls.Add(1)
 	if err != nil {
--- a/io/platform/bans.go
+++ b/io/platform/bans.go
@@ -97,3 +97,6 @@
 	}
 	return b.commit(ctx, writes)
 }
+
+// Era implements quarantine.BanStore.
+func (b *Bans) Era() uint64 { return 0 }
--- a/io/quarantine/bans.go
+++ b/io/quarantine/bans.go
@@ -38,17 +38,34 @@
 	guard             *Guard
 	loadedAt, savedAt time.Time
 	loaded            bool
+	era               uint64 // The era in which the platform has the bans.
+	// reload says that the bans have to be read again before any are stored.
+	reload bool
 }
 
 // loop loads the bans at the start and stores new ones, until ctx ends.
 func (s *banSyncer) loop(ctx context.Context) {
 	lifecycle.Every(ctx, tickInterval, func(now time.Time) {
+		s.checkEra(now)
 		s.load(ctx, now)
 		s.logEvents(ctx, now)
 		s.save(ctx, now)
 	})
 }
 
+// checkEra has the designated VM of each availability zone store all bans again that are
+// missing on the platform after it was restored. What is there is kept: operators may have
+// lifted bans.
+func (s *banSyncer) checkEra(now time.Time) {
+	g := s.guard
+	era := g.store.Era()
+	if era == s.era || !g.designated(g.fleet.ZoneLive(now)) {
+		return
+	}
+	s.era = era
+	s.reload = g.ledger.MarkLost()
+}
+
 // load reads the bans from the platform if this VM may lack some of them.
 func (s *banSyncer) load(ctx context.Context, now time.Time) {
 	g := s.guard
@@ -64,7 +81,7 @@
 		g.log.WithField("Err", err).Info("BansNotRecalled")
 		return
 	}
-	s.loaded = true
+	s.loaded, s.reload = true, false
 	g.ledger.Restore(time.Now(), bans)
 	g.ledger.SetSynced()
 }
@@ -74,7 +91,7 @@
 	g := s.guard
 	s.loaded = s.loaded || g.ledger.Synced()
 	switch {
-	case !s.loaded:
+	case !s.loaded || s.reload:
 		return loadInterval, true
 	case g.fleet.SeesAllZones(now, zoneSilence):
 		return rereadInterval, g.ledger.Digest() != 0 && g.designated(g.fleet.Live(now))
@@ -121,7 +138,7 @@
 		delay, interval = fallbackDelay, fallbackInterval
 	}
 	list := g.ledger.Unpersisted(now, delay)
-	if len(list) == 0 || now.Sub(s.savedAt) < interval {
+	if len(list) == 0 || s.reload || now.Sub(s.savedAt) < interval {
 		return
 	}
 	s.savedAt = now
--- a/io/quarantine/doc.go
+++ b/io/quarantine/doc.go
@@ -53,6 +53,9 @@
 	Bans(ctx context.Context) ([]poison.Ban, error)
 	// DeleteBans deletes the bans of some requests.
 	DeleteBans(ctx context.Context, prints []poison.Print) error
+	// Era counts how often the store is known to have been restored from an older copy. Bans
+	// stored in an earlier era may be lost.
+	Era() uint64
 }
 
 // Prober finds out whether a process accepts connections at an address.
