Admit no revoked key that a restored store has again

What callers would see: a key that was taken away, and whose removal the store forgot, was admitted by VMs that started after the restore until the operator had taken it away again.

Rules count as verified once the store has confirmed them as its newest, and those of a restored store may be older than rules that have been in force. VMs that had them keep them, as the configuration's own version never goes back; a VM that starts later does not know of them.

A VM whose copy is as complete and whose rules are older admits no keys (503, not run) until it has the newer rules. One that has just started, on a platform that has ever been restored, waits for the first exchange.

--- a/io/entry/teams.go
+++ b/io/entry/teams.go
@@ -51,13 +51,31 @@
 	return table != nil && table.Teams != nil && v.cfg.Load().RevokeWithin > 0
 }
 
-// lapsing reports whether the rules of this VM have been unverified for too long to admit
-// keys, or soon will be.
+// rulesLost reports whether the platform, since it was restored, may have older rules than
+// other VMs have had in force: a key that those revoke may be in them. A VM that has just
+// started does not know before it has heard another one.
+func (v *VM) rulesLost(now time.Time, table *route.Table) bool {
+	copied := v.replicas[TableRules]
+	lost, heard := copied.LostContent()
+	if !heard && v.settling(now) && v.era() > 0 {
+		return true
+	}
+	if lost <= table.Config.Version {
+		return false
+	}
+	applied := v.applied.Load()
+	_, changes := copied.VerifiedAsOf()
+	return applied != nil && applied.changes == changes // Otherwise the copy may have them already.
+}
+
+// lapsing reports whether the rules of this VM are not known to be recent enough to admit keys,
+// or soon will not be.
 func (v *VM) lapsing() bool {
-	if !v.strict(v.table.Load()) {
+	table := v.table.Load()
+	if !v.strict(table) {
 		return false
 	}
-	return v.rulesAge(clock.SinceBoot()) > lifecycle.Share(v.cfg.Load().RevokeWithin, lapseFraction)
+	return v.rulesLost(time.Now(), table) || v.rulesAge(clock.SinceBoot()) > lifecycle.Share(v.cfg.Load().RevokeWithin, lapseFraction)
 }
 
 // authenticate finds the team of a request by its key. The request's rulesAge must have been
@@ -72,7 +90,7 @@
 	if table.Teams == nil || req.route.Unauthenticated {
 		return nil
 	}
-	if v.strict(table) && req.rulesAge > v.cfg.Load().RevokeWithin {
+	if v.strict(table) && (req.rulesAge > v.cfg.Load().RevokeWithin || v.rulesLost(time.Now(), table)) {
 		return verdict.New(verdict.NotRun, verdict.ReasonNotSure, unverifiedRetryAfter)
 	}
 	key, err := team.Bearer(req.http.Header.Values("Authorization"))
