Soak: restore the store from older copies

Checked besides the other guarantees: read calls a VM and second, and that the store has addresses and placements in the end.

--- a/tools/soak/chaos.go
+++ b/tools/soak/chaos.go
@@ -64,11 +64,11 @@
 	{"rulesChanged", func(f *fleet, _ int, _ time.Duration) error { return f.setConfig() }},
 	{"zoneEvacuated", func(f *fleet, i int, d time.Duration) error {
 		zone, _ := zoneOf(i)
-		if err := f.operator().Evacuate(zone); err != nil {
+		if err := f.setEvacuated(zone, true); err != nil {
 			return err
 		}
 		<-time.After(d)
-		return f.operator().EndEvacuation(zone)
+		return f.setEvacuated(zone, false)
 	}},
 }
 
@@ -304,6 +304,10 @@
 	if cmd.Notices {
 		injecting.Go(func() { injector.run(ctx, end) })
 	}
+	stores := &restorer{fleet: f, chaos: ch, rnd: rand.New(rand.NewPCG(seed, 5000))}
+	if cmd.Restores {
+		injecting.Go(func() { stores.run(ctx, end) })
+	}
 	ch.run(end)
 	injecting.Wait()
 	calm := time.Now().Add(settleTime)
@@ -319,6 +323,10 @@
 	f.ledger.judge(r, calm)
 	r.broken = append(r.broken, f.ledger.judgeNotices(&f.exemptions)...)
 	r.broken = append(r.broken, judgeRules(pr.probes, versions)...)
+	if cmd.Restores {
+		r.restores = stores.count
+		r.broken = append(r.broken, f.judgeStore()...)
+	}
 	r.broken = append(r.broken, f.unexpectedExits()...)
 	for _, err := range ch.errs {
 		r.broken = append(r.broken, "the soak itself failed: "+err.Error())
--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -94,6 +95,9 @@
 
 	mu       sync.Mutex
 	versions []version
+
+	orders    sync.Mutex      // Held while the operator writes.
+	evacuated map[string]bool // The zones that have been evacuated: whether they still are.
 }
 
 func addrs(n int) ([]string, error) {
@@ -117,7 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, ledger: newLedger(), acceptAlways: c.Taking}
+	f := &fleet{dir: dir, ledger: newLedger(), acceptAlways: c.Taking, evacuated: make(map[string]bool)}
 	if f.storeAddr, err = freeport.Addr(); err != nil {
 		return nil, err
 	}
@@ -204,17 +208,67 @@
 // setConfig writes the next version of the rules. If it fails, the version may have been
 // written nevertheless, so its number is not reused.
 func (f *fleet) setConfig() error {
+	f.orders.Lock()
+	defer f.orders.Unlock()
 	f.mu.Lock()
-	v := version{number: len(f.versions) + 1, started: time.Now()}
-	f.versions = append(f.versions, v)
+	f.versions = append(f.versions, version{number: len(f.versions) + 1, started: time.Now()})
 	f.mu.Unlock()
-	err := f.operator().Configure(v.number)
+	return f.writeConfig()
+}
+
+// writeConfig writes the newest version of the rules.
+func (f *fleet) writeConfig() error {
+	newest := len(f.versionsSoFar())
+	err := f.operate(func(o standin.Operator) error { return o.Configure(newest) })
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.versions[v.number-1].finished = time.Now()
+	f.versions[newest-1].finished = time.Now()
 	return err
 }
 
+// setEvacuated begins or ends the evacuation of a zone.
+func (f *fleet) setEvacuated(zone string, on bool) error {
+	f.orders.Lock()
+	defer f.orders.Unlock()
+	f.evacuated[zone] = on
+	return f.writeEvacuation(zone)
+}
+
+func (f *fleet) writeEvacuation(zone string) error {
+	order := standin.Operator.EndEvacuation
+	if f.evacuated[zone] {
+		order = standin.Operator.Evacuate
+	}
+	return f.operate(func(o standin.Operator) error { return order(o, zone) })
+}
+
+// rewrite writes again what a restored store may have lost.
+func (f *fleet) rewrite() error {
+	f.orders.Lock()
+	defer f.orders.Unlock()
+	err := f.writeConfig()
+	for zone := range f.evacuated {
+		err = errors.Join(err, f.writeEvacuation(zone))
+	}
+	return err
+}
+
+const (
+	// operateTimeout bounds how long an order is repeated while the store is away.
+	operateTimeout  = 5 * time.Second
+	operateInterval = 30 * time.Millisecond
+)
+
+// operate gives an order until the store accepts it.
+func (f *fleet) operate(order func(standin.Operator) error) error {
+	for end := time.Now().Add(operateTimeout); ; <-time.After(operateInterval) {
+		err := order(standin.Operator{Store: f.storeAddr})
+		if err == nil || time.Now().After(end) {
+			return err
+		}
+	}
+}
+
 // versionsSoFar returns the versions of the rules written so far.
 func (f *fleet) versionsSoFar() []version {
 	f.mu.Lock()
@@ -222,8 +276,6 @@
 	return slices.Clone(f.versions)
 }
 
-func (f *fleet) operator() standin.Operator { return standin.Operator{Store: f.storeAddr} }
-
 // unexpectedExits returns the errors with which VMs exited without having been signaled.
 func (f *fleet) unexpectedExits() []string {
 	var list []string
--- a/tools/soak/ledger.go
+++ b/tools/soak/ledger.go
@@ -138,6 +138,7 @@
 	lastAsked, lastOK int
 
 	probed, versions, repeats int
+	restores                  int // Of the store.
 	poisoned                  int // Runs of poison requests.
 	began                     time.Time
 	injected                  []injectedFault
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -44,6 +44,7 @@
 	Upstreams int           `help:"Upstreams to run." default:"8"`
 	Taking    bool          `help:"The proxies to upstreams accept connections also when the upstream is down, and reset them."`
 	Notices   bool          `help:"Upstreams announce limits, pauses and that they leave."`
+	Restores  bool          `help:"The store is restored from older copies of its data, while some VMs are cut off from it or start."`
 	Plots     string        `help:"Directory for a timeline of each seed." type:"path"`
 	Logs      string        `help:"Directory for the VMs' logs of seeds that fail." type:"path"`
 }
@@ -85,7 +86,9 @@
 func (c *storeCmd) Run() error {
 	s := standin.NewStore()
 	go s.Lapse(context.Background())
-	return http.ListenAndServe(c.Addr, s)
+	control := &storeControl{store: s}
+	go control.loop()
+	return http.ListenAndServe(c.Addr, control)
 }
 
 type upstreamCmd struct {
--- /dev/null
+++ b/tools/soak/restore.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"auburnlatch/platform/standin"
+)
+
+// How the store is restored from older copies of its data.
+const (
+	// restoreInterval is the mean time between the end of one restore and the next.
+	restoreInterval = 2500 * time.Millisecond
+	// copyInterval is the time between two copies, and maxCopies how many are kept.
+	copyInterval = 100 * time.Millisecond
+	maxCopies    = 40
+	// maxAway is the longest time for which the store is away before it is restored.
+	maxAway = 1500 * time.Millisecond
+	// maxRewriteDelay is the longest time after which the operator writes again what was lost.
+	maxRewriteDelay = time.Second
+	// aheadBy is how far the versions of a restored store are moved past the lost ones.
+	aheadBy = 50
+	// maxReadsPerVM bounds the read calls to the store in one second, times the VMs: each VM
+	// has two loops that poll at most every 150 ms.
+	maxReadsPerVM = 14
+)
+
+// storeControl is the soak's control of the store. It is part of the store's process.
+type storeControl struct {
+	store *standin.Store
+
+	mu     sync.Mutex
+	copies []standin.Copy // Oldest first.
+	reads  map[int64]int  // Read calls by second.
+}
+
+// loop copies the store's data until the process ends.
+func (c *storeControl) loop() {
+	c.reads = make(map[int64]int)
+	for range time.Tick(copyInterval) {
+		c.mu.Lock()
+		c.copies = append(c.copies, c.store.Copy())
+		c.copies = c.copies[max(0, len(c.copies)-maxCopies):]
+		c.mu.Unlock()
+	}
+}
+
+// ServeHTTP implements http.Handler. Paths below /soak/ control the store.
+func (c *storeControl) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/soak/away":
+		c.store.SetAway(true)
+	case "/soak/restore":
+		age, _ := strconv.Atoi(r.FormValue("copies"))
+		ahead, _ := strconv.Atoi(r.FormValue("ahead"))
+		c.restore(age, ahead)
+	case "/soak/reads":
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		most := 0
+		for _, n := range c.reads {
+			most = max(most, n)
+		}
+		fmt.Fprint(w, most)
+	default:
+		if r.Method == http.MethodGet {
+			c.mu.Lock()
+			c.reads[time.Now().Unix()]++
+			c.mu.Unlock()
+		}
+		c.store.ServeHTTP(w, r)
+	}
+}
+
+// restore restores the store from a copy that is age copies old. Its versions then go on
+// ahead past the lost ones, unless ahead is 0.
+func (c *storeControl) restore(age, ahead int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	lost := c.store.Version()
+	if n := len(c.copies); n > 0 {
+		c.store.Restore(c.copies[max(0, n-1-age)])
+	}
+	for i := 0; ahead > 0 && c.store.Version() < lost+uint64(ahead); i++ {
+		c.store.Put("other", strconv.Itoa(i%aheadBy), nil)
+	}
+	c.store.SetAway(false)
+}
+
+// restorer restores the store from older copies, on a schedule determined by a seed.
+type restorer struct {
+	fleet *fleet
+	chaos *chaos
+	rnd   *rand.Rand
+	count int
+	wait  sync.WaitGroup
+}
+
+// run restores the store until end.
+func (r *restorer) run(ctx context.Context, end time.Time) {
+	for ctx.Err() == nil {
+		<-time.After(time.Duration(r.rnd.ExpFloat64() * float64(restoreInterval)))
+		if !time.Now().Before(end) {
+			break
+		}
+		cutFor := time.Duration(r.rnd.Int64N(int64(maxFaultDuration)))
+		var cut []int
+		for i := range r.fleet.vms {
+			if r.rnd.IntN(4) == 0 {
+				cut = append(cut, i)
+			}
+		}
+		for _, i := range cut {
+			r.wait.Go(func() { r.chaos.recordError("vmCut", r.cut(i, cutFor)) })
+		}
+		r.chaos.recordError("storeRestored", r.restore(r.rnd.IntN(3) == 0))
+		if r.rnd.IntN(3) == 0 {
+			r.chaos.recordError("storeRestored", r.restore(r.rnd.IntN(2) == 0))
+		}
+		if i := r.rnd.IntN(3 * len(r.fleet.vms)); i < len(r.fleet.vms) {
+			r.wait.Go(func() { r.chaos.recordError("vmKilled", r.restart(i)) })
+		}
+		<-time.After(time.Duration(r.rnd.Int64N(int64(maxRewriteDelay))))
+		r.chaos.recordError("rewrite", r.fleet.rewrite())
+		if r.rnd.IntN(2) == 0 {
+			r.chaos.recordError("rulesChanged", r.fleet.setConfig())
+		}
+	}
+	r.wait.Wait()
+}
+
+// restore lets the store be away, if at all, and come back from a copy.
+func (r *restorer) restore(ahead bool) error {
+	q := url.Values{"copies": {strconv.Itoa(r.rnd.IntN(maxCopies))}}
+	if ahead {
+		q.Set("ahead", strconv.Itoa(aheadBy))
+	}
+	if away := r.rnd.Int64N(int64(maxAway)); r.rnd.IntN(4) > 0 {
+		if _, err := r.fleet.control("away", nil); err != nil {
+			return err
+		}
+		<-time.After(time.Duration(away))
+	}
+	r.count++
+	_, err := r.fleet.control("restore", q)
+	return err
+}
+
+// cut drops all data between a VM and the store for d.
+func (r *restorer) cut(i int, d time.Duration) error {
+	lock := r.chaos.lock("storePathFaulty", i)
+	lock.Lock()
+	defer lock.Unlock()
+	return impairPath(r.fleet.vm(i).store, int(silent)-1, d)
+}
+
+func (r *restorer) restart(i int) error {
+	lock := r.chaos.lock("vmKilled", i)
+	lock.Lock()
+	defer lock.Unlock()
+	return r.fleet.vm(i).restart(syscall.SIGKILL)
+}
+
+// control calls the control of the store and returns the response.
+func (f *fleet) control(what string, q url.Values) (string, error) {
+	resp, err := http.Get("http://" + f.storeAddr + "/soak/" + what + "?" + q.Encode())
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err
+}
+
+// judgeStore checks how much VMs read from the store, and that it has what they keep there.
+func (f *fleet) judgeStore() (broken []string) {
+	reads, err := f.control("reads", nil)
+	if n, err2 := strconv.Atoi(reads); err != nil || err2 != nil || n > maxReadsPerVM*len(f.vms) {
+		broken = append(broken, fmt.Sprintf("the VMs read the store %s times in one second (%v)", reads, err))
+	}
+	for table, key := range map[string]string{"auburnlatch-vms": "vm-", "auburnlatch-placements": ""} {
+		resp, err := http.Get("http://" + f.storeAddr + "/v1/rows-get?Table=" + table)
+		if err != nil {
+			return append(broken, err.Error())
+		}
+		data, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err != nil || !strings.Contains(string(data), `"Key":"`+key) {
+			broken = append(broken, fmt.Sprintf("the store has no rows in %s (%v)", table, err))
+		}
+	}
+	return broken
+}
