Own inventory: commit again what a restored platform has lost

What callers and operators would see: a change that had been accepted held until the VMs were replaced, and no further change could be made ("based on 2, newest is 1"); where the version was given out again for another change, VMs that knew the lost one stayed on it for good.

Change: the platform's answers about rows name an era (Table-Era in the stand-in's protocol). A VM that meets a later one compares the change that the platform's head names with its own: if the platform only lacks changes they are committed again under their IDs, which makes that safe for several VMs; if it has others in their place its inventory replaces the VM's (ChangeCommittedAgain, InventoryReplaced). Versions are passed between VMs with their era. Bans know the era as well.

Not covered: a restore between the read of the head and the commit of a change, in which the head's row gets the same version again. Accept then reports MaybeRan.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -126,8 +126,9 @@
 	Leaving bool
 	// Dispatches says that the VM is in sync with its zone and may take slots.
 	Dispatches bool
-	// Version is the inventory version in force.
-	Version uint64
+	// Version is the inventory version in force, and Era the era of the platform that it is
+	// from.
+	Version, Era uint64
 	// Held is the number of slots held, by target.
 	Held map[string]int
 	// Pending asks the peers to acknowledge this entry's Seq.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -99,16 +99,22 @@
 type Changes struct {
 	Changes  []inventory.Change
 	Snapshot *inventory.Inventory
+	// Era is the era of the platform that they are from.
+	Era uint64
 }
 
-// Changes requests the inventory changes after a version from the VM at addr.
-func (c *Client) Changes(ctx context.Context, addr string, after uint64) (Changes, error) {
+// Position is a version of the inventory and the era of the platform that it is from.
+type Position struct{ Era, Version uint64 }
+
+// Changes requests the inventory changes after a position from the VM at addr.
+func (c *Client) Changes(ctx context.Context, addr string, after Position) (Changes, error) {
 	var out Changes
 	err := c.call(ctx, addr, func(ctx context.Context, p schema.DRPCPeerClient) error {
-		reply, err := p.Changes(ctx, &schema.ChangesRequest{After: after})
+		reply, err := p.Changes(ctx, &schema.ChangesRequest{After: after.Version, Era: after.Era})
 		if err != nil {
 			return err
 		}
+		out.Era = reply.GetEra()
 		if reply.GetSnapshot() != nil {
 			out.Snapshot, err = wire.Inventory(reply.GetSnapshot())
 			return err
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -21,6 +22,8 @@
 	// ChangesAfter returns the changes after a version, oldest first, or
 	// false if they are no longer kept.
 	ChangesAfter(version uint64) ([]inventory.Change, bool)
+	// Era returns the era of the platform that the inventory is from.
+	Era() uint64
 	Inventory() *inventory.Inventory
 }
 
@@ -70,17 +73,24 @@
 	return &schema.Ack{}, nil
 }
 
+// errEraChanged reports that the inventory was replaced while a request was served.
+var errEraChanged = errors.New("the inventory was replaced by that of a restored platform")
+
 // Changes implements schema.DRPCPeerServer.
 func (s *Server) Changes(_ context.Context, r *schema.ChangesRequest) (*schema.ChangesReply, error) {
+	era := s.register.Era()
 	inv := s.register.Inventory()
 	changes, ok := s.register.ChangesAfter(r.GetAfter())
-	if !ok {
-		return &schema.ChangesReply{Version: inv.Version, Snapshot: wire.FromInventory(inv)}, nil
+	if !ok || r.GetEra() != era {
+		return &schema.ChangesReply{Version: inv.Version, Snapshot: wire.FromInventory(inv), Era: era}, nil
 	}
-	reply := &schema.ChangesReply{Version: inv.Version}
+	reply := &schema.ChangesReply{Version: inv.Version, Era: era}
 	for _, c := range changes {
 		reply.Changes = append(reply.Changes, wire.FromChange(c))
 	}
+	if s.register.Era() != era {
+		return nil, errEraChanged
+	}
 	return reply, nil
 }
 
--- a/io/platform/bans.go
+++ b/io/platform/bans.go
@@ -99,4 +99,4 @@
 }
 
 // Era implements quarantine.BanStore.
-func (b *Bans) Era() uint64 { return 0 }
+func (b *Bans) Era() uint64 { return b.table.Era() }
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -24,6 +24,8 @@
 	defaultTimeout = 2 * time.Second
 	maxReply       = 64 << 20
 	maxConns       = 16
+	// headerEra is the header field of responses about rows with the table's era.
+	headerEra = "Table-Era"
 )
 
 // ErrNotFound is returned for an object or a row that does not exist.
@@ -35,6 +37,7 @@
 	timeout    time.Duration
 	http       *http.Client
 	answeredAt atomic.Int64
+	era        atomic.Uint64 // See Era.
 }
 
 // Option configures a Client.
@@ -72,6 +75,23 @@
 	return time.Time{}
 }
 
+// Era returns the highest era of the table that a response named; see CommitResult.
+func (c *Client) Era() uint64 { return c.era.Load() }
+
+// noteEra returns the era of a response, 0 if it names none.
+func (c *Client) noteEra(h http.Header) uint64 {
+	era, err := strconv.ParseUint(h.Get(headerEra), 10, 64)
+	if err != nil {
+		return 0
+	}
+	for {
+		newest := c.era.Load()
+		if era <= newest || c.era.CompareAndSwap(newest, era) {
+			return era
+		}
+	}
+}
+
 // Commit runs one transaction: either all writes are applied or none.
 func (c *Client) Commit(ctx context.Context, writes []Write) (CommitResult, error) {
 	req := &schema.CommitRequest{}
@@ -79,19 +99,21 @@
 		req.Writes = append(req.Writes, &schema.TableWrite{Key: w.Key, If: w.If, Value: w.Value, Delete: w.Delete})
 	}
 	reply := &schema.CommitReply{}
-	if err := c.call(ctx, "commit", http.MethodPost, "/table/commit", req, reply); err != nil {
+	era, err := c.call(ctx, "commit", http.MethodPost, "/table/commit", req, reply)
+	if err != nil {
 		return CommitResult{}, err
 	}
-	return CommitResult{Version: reply.GetVersion(), Conflicts: rows(reply.GetConflicts())}, nil
+	return CommitResult{Version: reply.GetVersion(), Conflicts: rows(reply.GetConflicts(), era), Era: era}, nil
 }
 
 // Get reads one row. A row that does not exist has version 0.
 func (c *Client) Get(ctx context.Context, key string) (Row, error) {
 	reply := &schema.TableRow{}
-	if err := c.call(ctx, "get", http.MethodGet, "/table/row?key="+url.QueryEscape(key), nil, reply); err != nil {
+	era, err := c.call(ctx, "get", http.MethodGet, "/table/row?key="+url.QueryEscape(key), nil, reply)
+	if err != nil {
 		return Row{}, err
 	}
-	return Row{Key: key, Version: reply.GetVersion(), Value: reply.GetValue()}, nil
+	return Row{Key: key, Version: reply.GetVersion(), Value: reply.GetValue(), Era: era}, nil
 }
 
 // Scan reads up to limit rows whose key begins with prefix and is greater than after, in
@@ -99,27 +121,29 @@
 func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
 	q := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
 	reply := &schema.ScanReply{}
-	if err := c.call(ctx, "scan", http.MethodGet, "/table/scan?"+q.Encode(), nil, reply); err != nil {
+	era, err := c.call(ctx, "scan", http.MethodGet, "/table/scan?"+q.Encode(), nil, reply)
+	if err != nil {
 		return nil, err
 	}
-	return rows(reply.GetRows()), nil
+	return rows(reply.GetRows(), era), nil
 }
 
 // PutObject stores an object.
 func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
-	_, err := c.roundTrip(ctx, "put object", http.MethodPut, "/objects/"+url.PathEscape(name), data)
+	_, _, err := c.roundTrip(ctx, "put object", http.MethodPut, "/objects/"+url.PathEscape(name), data)
 	return err
 }
 
 // GetObject reads an object.
 func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
-	return c.roundTrip(ctx, "get object", http.MethodGet, "/objects/"+url.PathEscape(name), nil)
+	data, _, err := c.roundTrip(ctx, "get object", http.MethodGet, "/objects/"+url.PathEscape(name), nil)
+	return data, err
 }
 
 // VMs reads the platform's list of VMs, which may be out of date.
 func (c *Client) VMs(ctx context.Context) ([]member.ListedVM, error) {
 	reply := &schema.VmList{}
-	if err := c.call(ctx, "list VMs", http.MethodGet, "/vms", nil, reply); err != nil {
+	if _, err := c.call(ctx, "list VMs", http.MethodGet, "/vms", nil, reply); err != nil {
 		return nil, err
 	}
 	list := make([]member.ListedVM, 0, len(reply.GetVms()))
@@ -129,59 +153,59 @@
 	return list, nil
 }
 
-func rows(list []*schema.TableRow) []Row {
+func rows(list []*schema.TableRow, era uint64) []Row {
 	out := make([]Row, 0, len(list))
 	for _, r := range list {
-		out = append(out, Row{Key: r.GetKey(), Version: r.GetVersion(), Value: r.GetValue()})
+		out = append(out, Row{Key: r.GetKey(), Version: r.GetVersion(), Value: r.GetValue(), Era: era})
 	}
 	return out
 }
 
-func (c *Client) call(ctx context.Context, op, method, path string, req, reply proto.Message) error {
+// call makes a call and returns the era of the response.
+func (c *Client) call(ctx context.Context, op, method, path string, req, reply proto.Message) (era uint64, err error) {
 	var body []byte
 	if req != nil {
-		var err error
 		if body, err = protojson.Marshal(req); err != nil {
-			return &Error{Op: op, Err: err}
+			return 0, &Error{Op: op, Err: err}
 		}
 	}
-	data, err := c.roundTrip(ctx, op, method, path, body)
+	data, era, err := c.roundTrip(ctx, op, method, path, body)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(data, reply); err != nil {
-		return &Error{Sent: true, Op: op, Err: err}
+		return 0, &Error{Sent: true, Op: op, Err: err}
 	}
-	return nil
+	return era, nil
 }
 
-func (c *Client) roundTrip(ctx context.Context, op, method, path string, body []byte) ([]byte, error) {
+func (c *Client) roundTrip(ctx context.Context, op, method, path string, body []byte) (data []byte, era uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, &Error{Op: op, Err: err}
+		return nil, 0, &Error{Op: op, Err: err}
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, &Error{Sent: !dialFailed(err), Op: op, Err: err}
+		return nil, 0, &Error{Sent: !dialFailed(err), Op: op, Err: err}
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	data, err = io.ReadAll(io.LimitReader(resp.Body, maxReply))
 	if err != nil {
-		return nil, &Error{Sent: true, Op: op, Err: err}
+		return nil, 0, &Error{Sent: true, Op: op, Err: err}
 	}
 	switch {
 	case resp.StatusCode == http.StatusNotFound:
-		return nil, &Error{Op: op, Err: ErrNotFound}
+		return nil, 0, &Error{Op: op, Err: ErrNotFound}
 	case resp.StatusCode == http.StatusServiceUnavailable:
 		// The platform guarantees that it did nothing.
-		return nil, &Error{Op: op, Err: errors.Newf("status %d", resp.StatusCode)}
+		return nil, 0, &Error{Op: op, Err: errors.Newf("status %d", resp.StatusCode)}
 	case resp.StatusCode != http.StatusOK:
-		return nil, &Error{Sent: true, Op: op, Err: errors.Newf("status %d", resp.StatusCode)}
+		return nil, 0, &Error{Sent: true, Op: op, Err: errors.Newf("status %d", resp.StatusCode)}
 	}
 	c.answeredAt.Store(time.Now().UnixNano())
-	return data, nil
+	return data, c.noteEra(resp.Header), nil
 }
 
 // dialFailed reports whether the call failed before a connection was open.
--- a/io/platform/config.go
+++ b/io/platform/config.go
@@ -36,6 +36,10 @@
 // Head names the newest version and the newest snapshot.
 type Head struct {
 	Version uint64
+	// ChangeID is the ID of the change that made the version.
+	ChangeID string
+	// Era is the era of the table; see CommitResult.
+	Era uint64
 	// Snapshot is the newest version that has a snapshot; object is its name.
 	Snapshot uint64
 	object   string
@@ -52,11 +56,14 @@
 	if err := proto.Unmarshal(row.Value, m); err != nil {
 		return Head{}, errors.Wrap(err, "config head")
 	}
-	return Head{Version: m.GetVersion(), Snapshot: m.GetSnapshot(), object: m.GetSnapshotObject(), row: row.Version}, nil
+	return Head{Version: m.GetVersion(), ChangeID: m.GetChangeId(), Era: row.Era, Snapshot: m.GetSnapshot(), object: m.GetSnapshotObject(), row: row.Version}, nil
 }
 
-// Changes reads the changes after a version, oldest first.
-func (s *InventoryStore) Changes(ctx context.Context, after uint64) ([]inventory.Change, error) {
+// ErrRestored is returned if the platform was restored since the head was read.
+var ErrRestored = errors.New("the platform was restored from an older copy")
+
+// Changes reads the changes after a version, oldest first, in the era of the head.
+func (s *InventoryStore) Changes(ctx context.Context, head Head, after uint64) ([]inventory.Change, error) {
 	var changes []inventory.Change
 	for {
 		rows, err := s.client.Scan(ctx, changePrefix, changeKey(after), changePageSize)
@@ -64,6 +71,9 @@
 			return nil, err
 		}
 		for _, row := range rows {
+			if row.Era != head.Era {
+				return nil, ErrRestored
+			}
 			c, err := decodeChange(row.Value)
 			if err != nil {
 				return nil, err
@@ -94,6 +104,27 @@
 	return wire.Inventory(m)
 }
 
+// Load reads the whole inventory that the head names.
+func (s *InventoryStore) Load(ctx context.Context, head Head) (*inventory.Inventory, error) {
+	inv, err := s.Snapshot(ctx, head)
+	if err != nil {
+		return nil, err
+	}
+	changes, err := s.Changes(ctx, head, inv.Version)
+	if err != nil {
+		return nil, err
+	}
+	for _, change := range changes {
+		if change.Based >= head.Version {
+			break // Committed after the head was read.
+		}
+		if inv, err = inv.ApplyUnchecked(change); err != nil {
+			return nil, err
+		}
+	}
+	return inv, nil
+}
+
 // Accept commits change, and makes next, its result, the newest version. It
 // returns inventory.ErrVersion if another change was committed first.
 //
@@ -119,6 +150,8 @@
 	for {
 		res, err := s.client.Commit(ctx, writes)
 		switch {
+		case err == nil && len(res.Conflicts) == 0 && res.Era != head.Era:
+			return verdict.Wrap(ErrRestored, verdict.MaybeRan, verdict.ReasonPlatform, time.Second)
 		case err == nil && len(res.Conflicts) == 0:
 			return nil
 		case err == nil:
--- a/io/platform/doc.go
+++ b/io/platform/doc.go
@@ -31,6 +31,8 @@
 	Key     string
 	Version uint64
 	Value   []byte
+	// Era is the era of the table when it returned the row; see CommitResult.
+	Era uint64
 }
 
 // CommitResult is the result of a transaction.
@@ -39,6 +41,9 @@
 	Version uint64
 	// Conflicts are the rows whose version prevented the transaction.
 	Conflicts []Row
+	// Era counts how often the platform was restored from an older copy of its data. What
+	// was written after that copy is lost, and its versions are given out again.
+	Era uint64
 }
 
 // Error is the error of a failed call.
--- a/io/vm/failure_test.go
+++ b/io/vm/failure_test.go
@@ -42,7 +42,7 @@
 	}
 	f.partition(false, "z2")
 	f.waitFor("the partitioned zone has version 2", func() bool { return f.allAt(2) })
-	b.config.replace(b.started, &inventory.Inventory{Version: 1})
+	b.config.replace(b.started, &inventory.Inventory{Version: 1}, 0)
 	if got := b.Inventory().Version; got != 2 {
 		t.Errorf("version went back to %d", got)
 	}
--- a/io/vm/heartbeat.go
+++ b/io/vm/heartbeat.go
@@ -64,7 +64,7 @@
 	view := v.view(now, inv)
 	held := v.pool.Tick(now, view)
 	v.table.Publish(now, member.VM{
-		Name: v.cfg.Name, Zone: v.cfg.Zone, Address: v.address(), Leaving: v.leaving.Load(), Version: inv.Version,
+		Name: v.cfg.Name, Zone: v.cfg.Zone, Address: v.address(), Leaving: v.leaving.Load(), Version: inv.Version, Era: v.config.Era(),
 		Dispatches: view.Synced, Held: held, Pending: v.pool.Pending(), Health: v.health.reports(),
 	})
 	if v.heartbeats.Add(1)%globalHeartbeats != 0 {
@@ -229,13 +229,19 @@
 	v.catchUp(ctx)
 }
 
-// catchUp pulls the inventory from a zone peer with a higher version.
+// catchUp pulls the inventory from a zone peer with a higher version. In a later era it polls
+// the platform first, as this VM may have changes that the platform has lost.
 func (v *VM) catchUp(ctx context.Context) {
 	own := v.config.Inventory().Version
 	for _, m := range v.table.Peers(time.Now()) {
-		if m.VM.Version <= own || m.State == member.Gone || m.State == member.Silent {
+		era := v.config.Era()
+		if m.VM.Era < era || m.VM.Era == era && m.VM.Version <= own || m.State == member.Gone || m.State == member.Silent {
 			continue
 		}
+		if m.VM.Era > era && v.config.poll(ctx) == nil {
+			v.refreshSoon()
+			return
+		}
 		if err := v.config.pull(ctx, v.peers, m.VM.Address.Peer); err != nil {
 			v.log.WithFields(logrus.Fields{"From": m.VM.Name, "Err": err}).Warn("ChangesNotPulled")
 			continue
--- /dev/null
+++ b/io/vm/restore_test.go
@@ -0,0 +1,65 @@
+package vm
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"auburnlatch/core/inventory"
+)
+
+func drainOf(id, target string, based uint64) inventory.Change {
+	return inventory.Change{ID: id, Based: based, Ops: []inventory.Op{{Drain: &inventory.Drain{Kind: inventory.KindTarget, Name: target}}}}
+}
+
+// The platform comes back from a copy without a change that it had accepted. The VMs know the
+// change and must commit it again, so that it holds for VMs that start later as well.
+func TestAcceptedChangeSurvivesRestore(t *testing.T) {
+	f := newFleet(t, "z1", "z2")
+	a := f.startServing(vmSpec{"a", "z1"}, vmSpec{"b", "z2"})
+	c := f.platform.Copy()
+	if _, err := a.Accept(context.Background(), drainOf("lost", "z1-0", 1), false); err != nil {
+		t.Fatal(err)
+	}
+	f.waitFor("the change is in force", func() bool { return f.allAt(2) })
+	f.platform.Restore(c)
+	f.platform.Restore(c) // Twice in a row.
+	late := f.start("late", "z1")
+	f.waitFor("the change is in force on a VM that started later", func() bool {
+		return late.Inventory().Version == 2 && len(late.Inventory().Drains) == 1
+	})
+	if _, err := late.Accept(context.Background(), drainOf("next", "z2-0", 2), false); err != nil {
+		t.Fatal(err)
+	}
+	f.waitFor("the next change is in force everywhere", func() bool { return f.allAt(3) })
+}
+
+// The platform comes back from a copy without a change, and another change gets the change's
+// version while the VMs that know the lost one are cut off. All VMs must end with what the
+// platform has.
+func TestVersionGivenOutAgainReplacesLostChange(t *testing.T) {
+	f := newFleet(t, "z1", "z2")
+	a := f.startServing(vmSpec{"a", "z1"}, vmSpec{"b", "z1"}, vmSpec{"c", "z2"})
+	c := f.platform.Copy()
+	f.partition(true, "z1")
+	store := strings.TrimPrefix(f.url, "http://")
+	a.links.set(false, store)
+	if _, err := a.Accept(context.Background(), drainOf("lost", "z1-0", 1), false); err != nil {
+		t.Fatal(err)
+	}
+	f.waitFor("zone z1 has the change", func() bool { return a.Inventory().Version == 2 })
+	a.links.set(true, store)
+	f.platform.Restore(c)
+	if _, err := f.vms["c"].Accept(context.Background(), drainOf("kept", "z2-0", 1), false); err != nil {
+		t.Fatal(err)
+	}
+	f.partition(false, "z1")
+	f.waitFor("all VMs have the change of the platform", func() bool {
+		for _, v := range f.vms {
+			if inv := v.Inventory(); inv.Version != 2 || inv.Drains[0].Name != "z2-0" {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/io/wire/member.go
+++ b/io/wire/member.go
@@ -132,7 +132,7 @@
 
 func vmState(m *schema.VmState) *member.VM {
 	vm := &member.VM{
-		Name: m.GetName(), Zone: m.GetZone(), Leaving: m.GetLeaving(), Version: m.GetInventoryVersion(), Pending: m.GetPending(), Dispatches: m.GetDispatches(),
+		Name: m.GetName(), Zone: m.GetZone(), Leaving: m.GetLeaving(), Version: m.GetInventoryVersion(), Era: m.GetInventoryEra(), Pending: m.GetPending(), Dispatches: m.GetDispatches(),
 		Address: member.Address{
 			Name: m.GetName(), Zone: m.GetZone(), Caller: m.GetCallerAddr(), Forward: m.GetForwardAddr(),
 			Peer: m.GetPeerAddr(), Operator: m.GetOperatorAddr(), Leaving: m.GetLeaving(),
@@ -160,7 +160,7 @@
 
 func fromVMState(vm *member.VM) *schema.VmState {
 	m := &schema.VmState{
-		Name: vm.Name, Zone: vm.Zone, Leaving: vm.Leaving, InventoryVersion: vm.Version, Pending: vm.Pending, Dispatches: vm.Dispatches,
+		Name: vm.Name, Zone: vm.Zone, Leaving: vm.Leaving, InventoryVersion: vm.Version, InventoryEra: vm.Era, Pending: vm.Pending, Dispatches: vm.Dispatches,
 		CallerAddr: vm.Address.Caller, ForwardAddr: vm.Address.Forward, PeerAddr: vm.Address.Peer,
 		OperatorAddr: vm.Address.Operator,
 	}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -15,6 +15,13 @@
 	"auburnlatch/standin/control"
 )
 
+// headerEra counts in the responses about rows how often the table was restored.
+const headerEra = "Table-Era"
+
+func setEra(w http.ResponseWriter, era uint64) {
+	w.Header().Set(headerEra, strconv.FormatUint(era, 10))
+}
+
 // defaultLimit is the number of rows that a scan returns if the request sets no limit.
 const defaultLimit = 1000
 
@@ -124,15 +131,18 @@
 		time.AfterFunc(late, func() { p.Table.commit(req) })
 		panic(http.ErrAbortHandler)
 	}
-	reply := p.Table.commit(req)
+	reply, era := p.Table.commit(req)
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
+	setEra(w, era)
 	control.Write(w, reply)
 }
 
 func (p *Platform) row(w http.ResponseWriter, r *http.Request) {
-	control.Write(w, p.Table.get(r.URL.Query().Get("key")))
+	reply, era := p.Table.get(r.URL.Query().Get("key"))
+	setEra(w, era)
+	control.Write(w, reply)
 }
 
 func (p *Platform) scan(w http.ResponseWriter, r *http.Request) {
@@ -141,7 +151,9 @@
 	if err != nil || limit <= 0 {
 		limit = defaultLimit
 	}
-	control.Write(w, p.Table.scan(q.Get("prefix"), q.Get("after"), limit))
+	reply, era := p.Table.scan(q.Get("prefix"), q.Get("after"), limit)
+	setEra(w, era)
+	control.Write(w, reply)
 }
 
 func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -7,6 +7,7 @@
 //	p := platform.New()
 //	srv := httptest.NewServer(p)
 //	p.SetFaults(platform.Faults{Outage: true})
+//	p.Restore(p.Copy())              // Forgets all changes since the copy.
 package platform
 
 import (
@@ -30,6 +31,7 @@
 	mu      sync.Mutex
 	rows    map[string]row
 	version uint64
+	era     uint64 // Counts how often the table was restored.
 	stats   Stats
 }
 
@@ -47,9 +49,10 @@
 	Late        time.Duration
 }
 
-// commit applies all writes or none. Versions increase over all rows and are
-// never reused, so a row that was deleted and written again has a new version.
-func (t *Table) commit(req *schema.CommitRequest) *schema.CommitReply {
+// commit applies all writes or none, and returns the era in which it did. Versions increase
+// over all rows and are not reused within an era, so a row that was deleted and written again
+// has a new version.
+func (t *Table) commit(req *schema.CommitRequest) (*schema.CommitReply, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stats.Commits++
@@ -61,7 +64,7 @@
 	}
 	if len(reply.Conflicts) > 0 {
 		t.stats.Conflicts++
-		return reply
+		return reply, t.era
 	}
 	if t.rows == nil {
 		t.rows = map[string]row{}
@@ -76,17 +79,17 @@
 		}
 		t.rows[w.GetKey()] = row{version: t.version, value: w.GetValue()}
 	}
-	return reply
+	return reply, t.era
 }
 
-func (t *Table) get(key string) *schema.TableRow {
+func (t *Table) get(key string) (*schema.TableRow, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stats.Reads++
-	return wireRow(key, t.rows[key])
+	return wireRow(key, t.rows[key]), t.era
 }
 
-func (t *Table) scan(prefix, after string, limit int) *schema.ScanReply {
+func (t *Table) scan(prefix, after string, limit int) (*schema.ScanReply, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stats.Reads++
@@ -100,9 +103,36 @@
 		}
 		reply.Rows = append(reply.Rows, wireRow(key, t.rows[key]))
 	}
-	return reply
+	return reply, t.era
 }
 
 func wireRow(key string, r row) *schema.TableRow {
 	return &schema.TableRow{Key: key, Version: r.version, Value: r.value}
 }
+
+// Copy is a copy of the platform's table and objects.
+type Copy struct {
+	rows    map[string]row
+	version uint64
+	objects map[string][]byte
+}
+
+// Copy returns a copy of the table and the objects.
+func (p *Platform) Copy() Copy {
+	p.Table.mu.Lock()
+	defer p.Table.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Copy{rows: maps.Clone(p.Table.rows), version: p.Table.version, objects: maps.Clone(p.objects)}
+}
+
+// Restore replaces the table and the objects by those of a copy and begins the next era.
+// Versions go back and are given out again.
+func (p *Platform) Restore(c Copy) {
+	p.Table.mu.Lock()
+	defer p.Table.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Table.rows, p.Table.version, p.objects = maps.Clone(c.rows), c.version, maps.Clone(c.objects)
+	p.Table.era++
+}
