Keyed requests: write claims again that a restored platform has lost

What callers would see: a request with an idempotency key that had run ran a second time when its caller repeated it, if the platform had come back from a copy without its claim.

Change: a VM remembers the rows that it wrote in the last 20 s. When it learns of a later era, by any answer, it claims nothing for 5 s (refused as not run) and writes its rows again; a claim that shows the new era itself is released. Writes that settle a lost row wait until it is there again.

Not covered: a VM that reaches neither the platform nor another VM for the whole 5 s. spec/claim.pml has no restores.

--- a/core/claim/attempt.go
+++ b/core/claim/attempt.go
@@ -140,6 +140,10 @@
 	case NotSent:
 		a.phase = ended
 		return refuse(verdict.NotRun, verdict.ReasonPlatform, DefaultRetryAfter)
+	case Doubtful:
+		a.ownVersion = r.Version
+		a.refusal = verdict.New(verdict.NotRun, verdict.ReasonPlatform, DefaultRetryAfter)
+		return a.release(now)
 	default:
 		return a.settle(now)
 	}
--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -144,6 +144,9 @@
 	Conflict
 	// NotSent: the write was not sent, and never will be.
 	NotSent
+	// Doubtful: the claim took effect in a table that has just been restored from an older
+	// copy, and may have lost an earlier claim of the operation.
+	Doubtful
 )
 
 // Result is the result of a write.
--- a/io/platform/batch.go
+++ b/io/platform/batch.go
@@ -43,6 +43,8 @@
 	Version uint64
 	// Row is the row in the table, if the write conflicted with it.
 	Row Row
+	// Era is the era of the table in which it was applied; see CommitResult.
+	Era uint64
 }
 
 // NewBatcher returns a batcher of writes to the table.
@@ -125,7 +127,7 @@
 }
 
 func finish(batch []*pending, res CommitResult, err error) {
-	r := WriteResult{Outcome: claim.Applied, Version: res.Version}
+	r := WriteResult{Outcome: claim.Applied, Version: res.Version, Era: res.Era}
 	if err != nil {
 		r = WriteResult{Outcome: claim.NotSent}
 		var e *Error
@@ -147,7 +149,7 @@
 	var rest []*pending
 	for _, p := range batch {
 		if row, ok := found[p.write.Key]; ok {
-			p.done <- WriteResult{Outcome: claim.Conflict, Row: row}
+			p.done <- WriteResult{Outcome: claim.Conflict, Row: row, Era: row.Era}
 		} else {
 			rest = append(rest, p)
 		}
--- a/io/platform/claims.go
+++ b/io/platform/claims.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/url"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,10 +24,16 @@
 	table   *Client
 	batch   *Batcher
 	breaker claim.Breaker
+	memory  claim.Memory
+	rewrite rewriter
 }
 
 // NewClaims returns the claims stored on a platform.
-func NewClaims(c *Client) *Claims { return &Claims{table: c, batch: NewBatcher(c)} }
+func NewClaims(c *Client) *Claims {
+	claims := &Claims{table: c, batch: NewBatcher(c)}
+	claims.rewrite.claims = claims
+	return claims
+}
 
 // rowKey returns the key of a claim's row. Its parts are escaped, so that no
 // caller can produce the key of another caller's claim.
@@ -52,17 +60,46 @@
 
 // Write executes a Write action and returns the result. If the write conflicts
 // with a row that cannot be decoded, the outcome is Unknown.
+//
+// Nothing is claimed for a while after the platform was restored; see claim.Memory. Other
+// writes to a row that it may have lost wait until the row is there again: their outcome is
+// Unknown until then.
 func (c *Claims) Write(ctx context.Context, key claim.Key, a claim.Action) claim.Result {
-	value, err := wire.FromClaimRow(a.Row)
+	now := time.Now()
+	c.CheckEra(now)
+	claiming := a.Row.State == claim.Claimed
+	if claiming && c.memory.Holds(now) {
+		return claim.Result{Outcome: claim.NotSent}
+	}
+	era, known := c.memory.Era()
+	if own, ok := c.memory.Find(key, a.Row.Attempt); ok && !claiming {
+		if own.Era != era {
+			return claim.Result{Outcome: claim.Unknown}
+		}
+		a.If = own.Version
+	}
+	r, err := c.write(ctx, key, a)
 	if err != nil {
 		return claim.Result{Outcome: claim.NotSent}
 	}
-	r := c.batch.Write(ctx, Write{Key: rowKey(key), If: uint64(a.If), Value: value})
 	c.breaker.Report(time.Now(), r.Outcome)
-	if r.Outcome != claim.Conflict {
-		return claim.Result{Outcome: r.Outcome, Version: claim.Version(r.Version)}
+	result := claim.Result{Outcome: r.Outcome, Version: claim.Version(r.Version)}
+	if r.Outcome != claim.Applied && r.Outcome != claim.Conflict {
+		return result
+	}
+	c.observe(time.Now(), r.Era)
+	restored := known && r.Era != era || !known && r.Era > 0
+	switch {
+	case r.Outcome == claim.Applied:
+		c.memory.Remember(time.Now(), claim.Written{Key: key, Row: a.Row, Version: result.Version, Era: r.Era})
+		if claiming && restored {
+			result.Outcome = claim.Doubtful
+		}
+		return result
+	case restored && !claiming:
+		return claim.Result{Outcome: claim.Unknown}
 	}
-	result := claim.Result{Outcome: claim.Conflict, Version: claim.Version(r.Row.Version)}
+	result.Version = claim.Version(r.Row.Version)
 	if r.Row.Version != 0 {
 		if result.Row, err = wire.ClaimRow(r.Row.Value); err != nil {
 			return claim.Result{Outcome: claim.Unknown}
@@ -71,6 +108,119 @@
 	return result
 }
 
+func (c *Claims) write(ctx context.Context, key claim.Key, a claim.Action) (WriteResult, error) {
+	value, err := wire.FromClaimRow(a.Row)
+	if err != nil {
+		return WriteResult{}, err
+	}
+	return c.batch.Write(ctx, Write{Key: rowKey(key), If: uint64(a.If), Value: value}), nil
+}
+
+// CheckEra starts writing rows again if any answer of the platform has shown that it was
+// restored.
+func (c *Claims) CheckEra(now time.Time) {
+	if !c.table.AnsweredAt().IsZero() {
+		c.observe(now, c.table.Era())
+	}
+}
+
+func (c *Claims) observe(now time.Time, era uint64) {
+	if c.memory.Observe(now, era) {
+		c.rewrite.start()
+	}
+}
+
+// rewriter writes again the claims that a restored platform has lost.
+type rewriter struct {
+	claims *Claims
+	mu     sync.Mutex
+	active bool
+	wait   sync.WaitGroup
+}
+
+// start starts run unless it is active.
+func (r *rewriter) start() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.active {
+		return
+	}
+	r.active = true
+	r.wait.Add(1)
+	go r.run()
+}
+
+// rewriteRetryPause is the pause between two attempts to write the lost claims again.
+const rewriteRetryPause = 200 * time.Millisecond
+
+// run writes until no claims are lost.
+func (r *rewriter) run() {
+	defer r.wait.Done()
+	for {
+		r.mu.Lock()
+		lost := r.claims.memory.Lost()
+		r.active = len(lost) > 0
+		r.mu.Unlock()
+		if len(lost) == 0 {
+			return
+		}
+		failed := r.writeAll(lost)
+		if failed {
+			time.Sleep(rewriteRetryPause)
+		}
+	}
+}
+
+// writeAll writes claims again, in batches, and reports whether any has to be written once
+// more.
+func (r *rewriter) writeAll(lost []claim.Written) (failed bool) {
+	for part := range slices.Chunk(lost, maxBatch) {
+		var wait sync.WaitGroup
+		results := make([]bool, len(part))
+		for i, w := range part {
+			wait.Go(func() { results[i] = r.writeOne(w) })
+		}
+		wait.Wait()
+		failed = failed || slices.Contains(results, false)
+	}
+	return failed
+}
+
+// writeOne writes a claim again unless the table has it, and reports whether that is settled.
+// A row of another attempt stays if the operation was claimed anew. A tombstone of one, which
+// has run nothing, is replaced.
+func (r *rewriter) writeOne(w claim.Written) (settled bool) {
+	c := r.claims
+	for on := claim.Version(0); ; {
+		res, err := c.write(context.Background(), w.Key, claim.Action{If: on, Row: w.Row})
+		if err != nil {
+			c.memory.Forget(w)
+			return true
+		}
+		switch res.Outcome {
+		case claim.Applied:
+			c.memory.Remember(time.Now(), claim.Written{Key: w.Key, Row: w.Row, Version: claim.Version(res.Version), Era: res.Era})
+			return true
+		case claim.Conflict:
+			on = claim.Version(res.Row.Version)
+			if on == 0 {
+				continue
+			}
+			row, err := wire.ClaimRow(res.Row.Value)
+			switch own := row.Attempt == w.Row.Attempt; {
+			case err != nil || !own && row.State != claim.Tombstone:
+				c.memory.Forget(w)
+				return true
+			case own && row.State == w.Row.State:
+				c.memory.Remember(time.Now(), claim.Written{Key: w.Key, Row: w.Row, Version: on, Era: res.Era})
+				return true
+			}
+		default:
+			return false
+		}
+	}
+}
+
 // Answer returns the body of a stored answer, from the object store if it is
 // there.
 func (c *Claims) Answer(ctx context.Context, a *claim.Answer) ([]byte, error) {
@@ -195,4 +345,7 @@
 }
 
 // Wait blocks until no write is in flight.
-func (c *Claims) Wait() { c.batch.Wait() }
+func (c *Claims) Wait() {
+	c.rewrite.wait.Wait()
+	c.batch.Wait()
+}
--- a/io/vm/heartbeat.go
+++ b/io/vm/heartbeat.go
@@ -47,6 +47,7 @@
 func (v *VM) heartbeatLoop(ctx context.Context) {
 	lifecycle.Every(ctx, v.cfg.Timing.Heartbeat, func(now time.Time) {
 		v.heartbeat(now)
+		v.claims.CheckEra(now)
 		v.exchangeAll(ctx, now)
 		v.peers.CloseIdle(now)
 	})
--- a/io/vm/restore_test.go
+++ b/io/vm/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -63,3 +64,22 @@
 		return true
 	})
 }
+
+// A request that must not run twice has run, and the platform comes back from a copy without
+// its claim. The caller repeats it, at a VM that had nothing to do with it.
+func TestClaimSurvivesRestore(t *testing.T) {
+	f := newFleet(t, "z1", "z2")
+	a := f.startServing(vmSpec{"a", "z1"}, vmSpec{"b", "z2"})
+	c := f.platform.Copy()
+	if resp, body := f.send(a, http.MethodPost, "/istoric/book", nil, keyed("k")); resp == nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("first request: %v %s", resp, body)
+	}
+	f.platform.Restore(c)
+	f.waitFor("the request is answered again", func() bool {
+		resp, _ := f.send(f.vms["b"], http.MethodPost, "/istoric/book", nil, keyed("k"))
+		return resp != nil && resp.StatusCode == http.StatusOK
+	})
+	if n := f.runs("k"); n != 1 {
+		t.Errorf("the request ran %d times", n)
+	}
+}
