--- a/core/replica/era_test.go
+++ b/core/replica/era_test.go
@@ -80,10 +80,17 @@
 	if r := rows["changed"]; !r.RestoredAt.Equal(at) || r.WasRemoved {
 		t.Errorf("a row that had changed: %+v", r)
 	}
-	if r := rows["new"]; !r.Removed || !r.AfterGap {
+	if r := rows["new"]; !r.Removed || !r.AfterGap || !r.RestoredAt.Equal(at) {
 		t.Errorf("a row that the copy lacks: %+v", r)
 	}
-	tbl.Apply(at, in(2, changes(5, 6, row("removed", "1", 6))))
+	tbl.Apply(at.Add(time.Second), in(3, whole(5, row("same", "1", 3), row("removed", "1", 4), row("changed", "1", 5))))
+	all, _ = tbl.Rows()
+	for _, r := range all {
+		if was := rows[r.Key].RestoredAt; !r.RestoredAt.Equal(was) {
+			t.Errorf("%s: RestoredAt = %v after another restore to the same state, was %v", r.Key, r.RestoredAt, was)
+		}
+	}
+	tbl.Apply(at, in(3, changes(5, 6, row("removed", "1", 6))))
 	all, _ = tbl.Rows()
 	for _, r := range all {
 		if r.Key == "removed" && !r.RestoredAt.IsZero() {
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -54,10 +54,10 @@
 	// reasons, such as a congested link, and it would otherwise keep using an
 	// upstream that has left for as long as one that may only have lapsed.
 	AfterGap bool
-	// RestoredAt is when a restored store replaced another state of the row that this VM
-	// had, which may be newer; zero once the row has been written again.
+	// RestoredAt is when this state replaced another one because the store was restored. The
+	// other one may be newer. It is zero once the row has been written again.
 	RestoredAt time.Time
-	// WasRemoved says that the other state was that the row had been removed.
+	// WasRemoved says that in the other state the row had been removed.
 	WasRemoved bool
 }
 
@@ -301,12 +301,15 @@
 			t.restored[r.Key] = restoredState{now, was.removed != nil}
 		}
 	}
-	for _, was := range old {
+	for key, was := range old {
 		lost := *was
 		lost.version, lost.replaced = d.To.Version, false
 		if lost.removed == nil {
 			lost.removed = &tombstone{at: now, afterGap: true}
-			t.changedKeys[lost.key] = struct{}{}
+			t.changedKeys[key] = struct{}{}
+			t.restored[key] = restoredState{now, false}
+		} else if state, ok := restored[key]; ok {
+			t.restored[key] = state
 		}
 		t.tombstones = append(t.tombstones, &lost)
 		t.insert(&lost)
@@ -432,6 +435,7 @@
 		if !r.replaced {
 			t.historyFrom = max(t.historyFrom, r.version)
 			delete(t.rows, r.key)
+			delete(t.restored, r.key)
 			t.markReplaced(r)
 		}
 	}
--- a/tools/soak/mutants.sh
+++ b/tools/soak/mutants.sh
@@ -32,6 +32,6 @@
 mutant DrainIgnored core/target/target.go 's/Usable: !draining \&\& !ev.Zones\[reg.Zone\]/Usable: true/'
 mutant RefusalUntrue io/entry/serve.go 's/case e.Verdict == verdict.NotRun:/case e.Verdict == verdict.NotRun || e.Reason == verdict.ReasonBroken:/'
 mutant NotFoundBeforeRules io/entry/serve.go 's/return req, verdict.New(verdict.NotRun, verdict.ReasonNotReady, notReadyRetryAfter)/return req, verdict.New(verdict.NotRun, verdict.ReasonNoService, 0)/'
-mutant ConfigIgnored io/entry/copies.go 's/if cfg == nil || old != nil \&\& cfg.Version <= old.Config.Version {/if cfg == nil || old != nil {/'
+mutant ConfigIgnored io/entry/copies.go 's/if old != nil \&\& cfg.Version <= old.Config.Version {/if old != nil {/'
 mutant PoisonIgnored io/quarantine/doc.go 's/if !g.ledger.Knows(req.Head()) {/if true {/'
 echo 'all mutants found'
