--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -458,31 +458,29 @@
 	return row
 }
 
-// Since returns what a replica at the given version lacks. The delta is whole if
-// tombstones of rows removed since then have expired or were never received.
+// Since returns what a replica at the given version of the same era lacks. The delta is whole
+// if tombstones of rows removed since then have expired or were never received.
 func (t *Table) Since(now time.Time, version uint64) Delta {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	d := Delta{From: version, To: t.head(now), Whole: version < t.historyFrom, Changes: t.changes}
-	log := t.log
-	if !d.Whole {
-		log = log[t.after(version):]
-	}
-	for _, r := range log {
-		if !r.replaced && !(d.Whole && r.removed != nil) {
-			d.Rows = append(d.Rows, t.row(r))
-		}
-	}
-	return d
+	return t.delta(now, version, version < t.historyFrom)
 }
 
 // Whole returns all rows as a whole delta, for a replica of an earlier era.
 func (t *Table) Whole(now time.Time) Delta {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	d := Delta{To: t.head(now), Whole: true, Changes: t.changes}
-	for _, r := range t.log {
-		if !r.replaced && r.removed == nil {
+	return t.delta(now, 0, true)
+}
+
+func (t *Table) delta(now time.Time, from uint64, whole bool) Delta {
+	d := Delta{From: from, To: t.head(now), Whole: whole, Changes: t.changes}
+	log := t.log
+	if !whole {
+		log = log[t.after(from):]
+	}
+	for _, r := range log {
+		if !r.replaced && !(whole && r.removed != nil) {
 			d.Rows = append(d.Rows, t.row(r))
 		}
 	}
