--- a/tools/soak/chaos.go
+++ b/tools/soak/chaos.go
@@ -257,6 +257,9 @@
 	req.Host = "h"
 	req.Header.Set(p.RequestID, id)
 	req.Header.Set(p.DeadlineMillis, "1500")
+	if c.fleet.objects {
+		req.Header.Set("Cookie", fmt.Sprint("X-Affinity-Key=", c.number))
+	}
 	c.fleet.ledger.recordRequest(id, v, once)
 	resp, err := c.client.Do(req)
 	if err != nil {
--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -92,6 +92,7 @@
 	exemptions   exemptions
 	poisons      atomic.Int64 // Number of poison requests sent.
 	acceptAlways bool         // See proxy.acceptAlways.
+	objects      bool         // Requests concern an object of their caller.
 
 	mu       sync.Mutex
 	versions []version
@@ -121,7 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, ledger: newLedger(), acceptAlways: c.Taking, evacuated: make(map[string]bool)}
+	f := &fleet{dir: dir, ledger: newLedger(), acceptAlways: c.Taking, objects: c.Restores, evacuated: make(map[string]bool)}
 	if f.storeAddr, err = freeport.Addr(); err != nil {
 		return nil, err
 	}
--- a/tools/soak/notices.go
+++ b/tools/soak/notices.go
@@ -223,22 +223,35 @@
 // overLimit returns the largest number of requests in a window if it exceeds the limit,
 // otherwise 0. It counts requests that arrived while the upstream announced the limit, from
 // VMs that had received it. Windows that end earlier than limitWindow after the first
-// announcement do not count.
+// announcement do not count, and neither do requests that arrived after the upstream had
+// ended a limit and before it announced the next one.
 func (g *incarnationLog) overLimit(x *exemptions, upstream string) int {
-	var first, last time.Time
+	var said []notice
 	for _, list := range g.notices {
 		for _, s := range list {
-			if s.what == "limit" && (first.IsZero() || s.at.Before(first)) {
-				first = s.at
-			}
-			if s.what == "limit" && s.at.After(last) {
-				last = s.at
+			if s.what == "limit" {
+				said = append(said, s)
 			}
 		}
 	}
+	slices.SortFunc(said, func(a, b notice) int { return a.at.Compare(b.at) })
+	var limited []notice
+	for _, s := range said {
+		if s.value > 0 {
+			limited = append(limited, s)
+		}
+	}
+	if len(limited) == 0 {
+		return 0
+	}
+	first, last := limited[0].at, limited[len(limited)-1].at
+	ended := func(at time.Time) bool {
+		i, _ := slices.BinarySearchFunc(said, at, func(s notice, at time.Time) int { return s.at.Compare(at) })
+		return i > 0 && said[i-1].value == 0
+	}
 	var bound []time.Time
 	for _, a := range g.arrivals {
-		if g.knowsLimit(a) && !a.at.After(last) && !x.at(upstream, a.at) && !x.at(a.e.vm, a.at) {
+		if g.knowsLimit(a) && !a.at.After(last) && !ended(a.at) && !x.at(upstream, a.at) && !x.at(a.e.vm, a.at) {
 			bound = append(bound, a.at)
 		}
 	}
@@ -299,6 +312,6 @@
 // noticeDelay before.
 func (g *incarnationLog) knowsLimit(a arrival) bool {
 	return slices.ContainsFunc(g.notices[a.e.process], func(s notice) bool {
-		return s.what == "limit" && a.at.Sub(s.at) >= noticeDelay
+		return s.what == "limit" && s.value > 0 && a.at.Sub(s.at) >= noticeDelay
 	})
 }
--- a/tools/soak/restore.go
+++ b/tools/soak/restore.go
@@ -29,6 +29,10 @@
 	maxRewriteDelay = time.Second
 	// aheadBy is how far the versions of a restored store are moved past the lost ones.
 	aheadBy = 50
+	// loseBy is how many versions a restore loses in addition, if it is to be long before they
+	// are passed, and loseTime the time in which VMs read them.
+	loseBy   = 80
+	loseTime = 1200 * time.Millisecond
 	// maxReadsPerVM bounds the read calls to the store in one second, times the VMs: each VM
 	// has two loops that poll at most every 150 ms.
 	maxReadsPerVM = 14
@@ -59,6 +63,10 @@
 	switch r.URL.Path {
 	case "/soak/away":
 		c.store.SetAway(true)
+	case "/soak/lose":
+		for i := range loseBy {
+			c.store.Put("other", strconv.Itoa(i), nil)
+		}
 	case "/soak/restore":
 		age, _ := strconv.Atoi(r.FormValue("copies"))
 		ahead, _ := strconv.Atoi(r.FormValue("ahead"))
@@ -144,6 +152,14 @@
 	if ahead {
 		q.Set("ahead", strconv.Itoa(aheadBy))
 	}
+	if !ahead && r.rnd.IntN(2) == 0 {
+		// The copy is older than these versions.
+		q.Set("copies", strconv.Itoa(maxCopies/2+r.rnd.IntN(maxCopies/2)))
+		if _, err := r.fleet.control("lose", nil); err != nil {
+			return err
+		}
+		<-time.After(loseTime)
+	}
 	if away := r.rnd.Int64N(int64(maxAway)); r.rnd.IntN(4) > 0 {
 		if _, err := r.fleet.control("away", nil); err != nil {
 			return err
