--- a/tools/soak/restore.go
+++ b/tools/soak/restore.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -79,6 +78,8 @@
 			most = max(most, n)
 		}
 		fmt.Fprint(w, most)
+	case "/soak/rows":
+		fmt.Fprint(w, c.store.Rows(r.FormValue("table")))
 	default:
 		if r.Method == http.MethodGet {
 			c.mu.Lock()
@@ -203,14 +204,9 @@
 	if n, err2 := strconv.Atoi(reads); err != nil || err2 != nil || n > maxReadsPerVM*len(f.vms) {
 		broken = append(broken, fmt.Sprintf("the VMs read the store %s times in one second (%v)", reads, err))
 	}
-	for table, key := range map[string]string{"auburnlatch-vms": "vm-", "auburnlatch-placements": ""} {
-		resp, err := http.Get("http://" + f.storeAddr + "/v1/rows-get?Table=" + table)
-		if err != nil {
-			return append(broken, err.Error())
-		}
-		data, err := io.ReadAll(resp.Body)
-		resp.Body.Close()
-		if err != nil || !strings.Contains(string(data), `"Key":"`+key) {
+	for _, table := range []string{"auburnlatch-vms", "auburnlatch-placements"} {
+		rows, err := f.control("rows", url.Values{"table": {table}})
+		if n, err2 := strconv.Atoi(rows); err != nil || err2 != nil || n == 0 {
 			broken = append(broken, fmt.Sprintf("the store has no rows in %s (%v)", table, err))
 		}
 	}
