Keyed requests: wait for a doubtful claim before giving up a lost one

What a caller saw, in the check beside load: a keyed request ran twice after a restore. Cause: the VM that had run it met, while it wrote its lost row again, the claim of another VM that was about to be released as doubtful, and took the operation for claimed anew.

Change: a claim of another attempt is met again after the pause, until it is released or settled, for as long as rows are remembered.

The whole check was not run on this commit.

--- a/core/claim/memory.go
+++ b/core/claim/memory.go
@@ -111,13 +111,13 @@
 	}
 }
 
-// Lost returns the rows that were written in an earlier era than the newest.
-func (m *Memory) Lost() []Written {
+// Lost returns the rows that were written in an earlier era than the newest, and lately.
+func (m *Memory) Lost(now time.Time) []Written {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var list []Written
 	for _, w := range m.rows {
-		if w.Era < m.era {
+		if w.Era < m.era && now.Sub(w.at) <= rememberFor {
 			list = append(list, w)
 		}
 	}
--- a/core/claim/memory_test.go
+++ b/core/claim/memory_test.go
@@ -44,12 +44,12 @@
 	now := start.Add(time.Minute)
 	m.Remember(now, claim.Written{Key: key("a"), Row: claim.Row{State: claim.Claimed}})
 	m.Remember(now, claim.Written{Key: key("a"), Row: claim.Row{State: claim.Done, Answer: &claim.Answer{Body: make([]byte, 1<<20)}}})
-	if lost := m.Lost(); len(lost) != 0 {
+	if lost := m.Lost(now); len(lost) != 0 {
 		t.Errorf("%d rows are lost without a restore", len(lost))
 	}
 	m.Observe(now, 1)
 	m.Remember(now, claim.Written{Key: key("b"), Row: claim.Row{State: claim.Done}, Era: 1})
-	lost := m.Lost()
+	lost := m.Lost(now)
 	if len(lost) != 1 || lost[0].Key != key("a") || lost[0].Row.State != claim.Done || !lost[0].Row.Answer.TooLarge {
 		t.Errorf("lost rows: %+v, want that of a, done, without its long answer", lost)
 	}
--- a/io/platform/claims.go
+++ b/io/platform/claims.go
@@ -158,7 +158,7 @@
 	defer r.wait.Done()
 	for {
 		r.mu.Lock()
-		lost := r.claims.memory.Lost()
+		lost := r.claims.memory.Lost(time.Now())
 		r.active = len(lost) > 0
 		r.mu.Unlock()
 		if len(lost) == 0 {
@@ -208,6 +208,8 @@
 			}
 			row, err := wire.ClaimRow(res.Row.Value)
 			switch own := row.Attempt == w.Row.Attempt; {
+			case err == nil && !own && row.State == claim.Claimed:
+				return false // It may be doubtful, and about to be released.
 			case err != nil || !own && row.State != claim.Tombstone:
 				c.memory.Forget(w)
 				return true
