--- a/core/claim/memory.go
+++ b/core/claim/memory.go
@@ -38,7 +38,13 @@
 	era     uint64
 	holdEnd time.Time
 	rows    map[Key]Written
-	order   []Written // By time, including rows that were written again since.
+	order   []stamp // By time, including rows that were written again since.
+}
+
+// stamp is when a row was remembered.
+type stamp struct {
+	key Key
+	at  time.Time
 }
 
 // Observe takes the era of an answer of the table, and reports whether a new era has begun in
@@ -84,11 +90,11 @@
 		m.rows = make(map[Key]Written)
 	}
 	m.rows[w.Key] = w
-	m.order = append(m.order, w)
+	m.order = append(m.order, stamp{w.Key, now})
 	n := 0
 	for ; n < len(m.order) && (now.Sub(m.order[n].at) > rememberFor || len(m.order)-n > maxRemembered); n++ {
-		if old := m.order[n]; m.rows[old.Key].at.Equal(old.at) {
-			delete(m.rows, old.Key)
+		if old := m.order[n]; m.rows[old.key].at.Equal(old.at) {
+			delete(m.rows, old.key)
 		}
 	}
 	m.order = m.order[n:]
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -144,30 +144,6 @@
 	observed bool
 }
 
-// restoredState is Row.RestoredAt and Row.WasRemoved.
-type restoredState struct {
-	at         time.Time
-	wasRemoved bool
-}
-
-// storedRow is a Row in compact form: a VM has thousands of them.
-type storedRow struct {
-	key     string
-	version uint64
-	value   []byte
-	packed  *[]byte       // nil: Row.Packed is nil.
-	at      time.Duration // Since the table's epoch.
-	removed *tombstone    // nil: not removed.
-	// replaced says that the table has a newer row with the key, or none.
-	replaced bool
-}
-
-// tombstone says when a row was removed.
-type tombstone struct {
-	at       time.Time
-	afterGap bool
-}
-
 // NewTable returns an empty replica. equivalent reports whether two values of a row
 // have the same meaning, such as values that differ only in a heartbeat counter.
 // A change to an equivalent value is not stored and so not propagated.
@@ -201,33 +177,6 @@
 	}
 }
 
-// SetContent records that a version of the content is in force; see Head.
-func (t *Table) SetContent(version uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.content = max(t.content, version)
-}
-
-// ObserveContent takes the head of another VM's replica. If this replica has all that the other
-// one has, or is of a later era, newer content that was in force there is lost.
-func (t *Table) ObserveContent(other Head) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.observed = true
-	if own := (Head{Era: t.era, Version: t.version}); !t.confirmed.IsZero() && !own.Before(other) {
-		t.lost = max(t.lost, other.Content)
-	}
-}
-
-// LostContent returns the highest version of the content that has been in force on a VM and is
-// not in a replica as complete as this one, unless it has come since; 0: none. observed
-// reports whether any other VM has been heard.
-func (t *Table) LostContent() (version uint64, observed bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.lost, t.observed
-}
-
 // VerifiedAsOf returns the moment as of which the replica certainly was the newest, and the number
 // of its changes, as Rows does.
 func (t *Table) VerifiedAsOf() (asOf lease.Moment, changes uint64) {
@@ -277,53 +226,6 @@
 	return changed
 }
 
-// enterEra replaces the rows by those of a whole delta of a later era.
-func (t *Table) enterEra(now time.Time, d Delta) {
-	old, restored := t.rows, t.restored
-	t.rows, t.restored = make(map[string]*storedRow, len(d.Rows)), make(map[string]restoredState)
-	t.log, t.replaced, t.tombstones = nil, 0, nil
-	t.era, t.historyFrom, t.newestRow = d.To.Era, d.To.Version, 0
-	for i := range d.Rows {
-		r := &d.Rows[i]
-		was := old[r.Key]
-		delete(old, r.Key)
-		if was != nil && was.removed == nil && t.equivalent(r.Key, was.value, r.Value) {
-			same := *was
-			same.version, same.replaced = r.Version, false
-			t.insert(&same)
-			if state, ok := restored[r.Key]; ok {
-				t.restored[r.Key] = state
-			}
-			continue
-		}
-		t.put(now, r, d.FromPeer)
-		if was != nil {
-			t.restored[r.Key] = restoredState{now, was.removed != nil}
-		}
-	}
-	for key, was := range old {
-		lost := *was
-		lost.version, lost.replaced = d.To.Version, false
-		if lost.removed == nil {
-			lost.removed = &tombstone{at: now, afterGap: true}
-			t.changedKeys[key] = struct{}{}
-			t.restored[key] = restoredState{now, false}
-		} else if state, ok := restored[key]; ok {
-			t.restored[key] = state
-		}
-		t.tombstones = append(t.tombstones, &lost)
-		t.insert(&lost)
-	}
-	slices.SortFunc(t.tombstones, func(a, b *storedRow) int { return a.removed.at.Compare(b.removed.at) })
-}
-
-// insert adds a row that the table does not have.
-func (t *Table) insert(r *storedRow) {
-	t.rows[r.key] = r
-	t.addToLog(r)
-	t.newestRow = max(t.newestRow, r.version)
-}
-
 // removeOthers removes the rows that a whole delta does not list.
 func (t *Table) removeOthers(now time.Time, d Delta) (changed bool) {
 	// A list of the present rows does not show what was removed earlier.
@@ -382,82 +284,6 @@
 	return true
 }
 
-// confirmRestored records that a row was written again with the value that it has, and
-// reports whether that was unknown.
-func (t *Table) confirmRestored(key string) bool {
-	if _, ok := t.restored[key]; !ok {
-		return false
-	}
-	delete(t.restored, key)
-	t.changedKeys[key] = struct{}{}
-	return true
-}
-
-// addToLog inserts a row into the log, mostly at its end.
-func (t *Table) addToLog(r *storedRow) {
-	i := len(t.log)
-	if i > 0 && t.log[i-1].version > r.version {
-		i = t.after(r.version)
-	}
-	t.log = slices.Insert(t.log, i, r)
-}
-
-// after returns the index of the log's first row with a higher version.
-func (t *Table) after(version uint64) int {
-	i, _ := slices.BinarySearchFunc(t.log, version, func(r *storedRow, version uint64) int {
-		if r.version <= version {
-			return -1
-		}
-		return 1
-	})
-	return i
-}
-
-// markReplaced marks a row that is no longer in the table. The log is compacted once more
-// than half of it is replaced, so the amortized cost per change is constant.
-func (t *Table) markReplaced(r *storedRow) {
-	r.replaced = true
-	if t.replaced++; t.replaced <= len(t.log)/2 {
-		return
-	}
-	t.log = slices.DeleteFunc(t.log, func(r *storedRow) bool { return r.replaced })
-	t.replaced = 0
-}
-
-// expireTombstones deletes the removed rows older than tombstoneTTL.
-func (t *Table) expireTombstones(now time.Time) {
-	n := 0
-	for _, r := range t.tombstones {
-		if !r.replaced && now.Sub(r.removed.at) <= tombstoneTTL {
-			break
-		}
-		n++
-		if !r.replaced {
-			t.historyFrom = max(t.historyFrom, r.version)
-			delete(t.rows, r.key)
-			delete(t.restored, r.key)
-			t.markReplaced(r)
-		}
-	}
-	t.tombstones = slices.Delete(t.tombstones, 0, n)
-}
-
-// row returns a stored row as a Row.
-func (t *Table) row(r *storedRow) Row {
-	row := Row{Key: r.key, Version: r.version, Value: r.value, At: t.epoch.Add(r.at)}
-	if state, ok := t.restored[r.key]; ok {
-		row.RestoredAt, row.WasRemoved = state.at, state.wasRemoved
-	}
-	if r.packed != nil {
-		row.Packed = *r.packed
-	}
-	if r.removed != nil {
-		row.Removed, row.RemovedAt, row.AfterGap = true, r.removed.at, r.removed.afterGap
-		row.At = time.Time{}
-	}
-	return row
-}
-
 // Since returns what a replica at the given version of the same era lacks. The delta is whole
 // if tombstones of rows removed since then have expired or were never received.
 func (t *Table) Since(now time.Time, version uint64) Delta {
--- a/io/entry/copies.go
+++ b/io/entry/copies.go
@@ -238,7 +238,7 @@
 	defer cancel()
 	started, asked := time.Now(), clock.SinceBoot()
 	have := t.Head(started)
-	d, err := v.fetch(ctx, name, wait)
+	d, err := v.fetch(ctx, have, wait)
 	if err != nil {
 		v.counts.platformErrors.Add(1)
 		return err
@@ -260,20 +260,18 @@
 	return nil
 }
 
-// fetch reads what a copy lacks from the platform: the changes since its version, or the
-// whole table if there are no such changes or they are of another era.
-func (v *VM) fetch(ctx context.Context, name string, wait time.Duration) (replica.Delta, error) {
-	t := v.replicas[name]
-	if t.Loaded() {
-		have := t.Head(time.Now())
+// fetch reads what the copy with a head lacks from the platform: the changes since its
+// version, or the whole table if there are no such changes or they are of another era.
+func (v *VM) fetch(ctx context.Context, have replica.Head, wait time.Duration) (replica.Delta, error) {
+	if have.Age != replica.NeverConfirmed {
 		v.counts.platformCalls.Add(1)
-		d, err := v.platform.Changes(ctx, name, have.Version, wait)
+		d, err := v.platform.Changes(ctx, have.Table, have.Version, wait)
 		if err != nil && !errors.Is(err, ErrCompacted) || err == nil && d.To.Era == have.Era {
 			return d, err
 		}
 	}
 	v.counts.platformCalls.Add(1)
-	return v.platform.Read(ctx, name)
+	return v.platform.Read(ctx, have.Table)
 }
 
 // era returns the newest era of the platform that this VM knows of. What VMs have written to
--- a/io/entry/doc.go
+++ b/io/entry/doc.go
@@ -37,8 +37,9 @@
 	TableTargets = "Targets"
 )
 
-// ErrCompacted reports that the changes of a table after a version are no longer retained.
-var ErrCompacted = errors.New("changes after the version are no longer retained")
+// ErrCompacted reports that the platform does not have the changes of a table after a version:
+// they are no longer retained, or the platform was restored and has not reached the version.
+var ErrCompacted = errors.New("no changes after the version")
 
 // Rules are the operators' settings.
 type Rules struct {
--- a/io/platform/claims.go
+++ b/io/platform/claims.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"net/url"
-	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -83,27 +81,39 @@
 		return claim.Result{Outcome: claim.NotSent}
 	}
 	c.breaker.Report(time.Now(), r.Outcome)
-	result := claim.Result{Outcome: r.Outcome, Version: claim.Version(r.Version)}
 	if r.Outcome != claim.Applied && r.Outcome != claim.Conflict {
-		return result
+		return claim.Result{Outcome: r.Outcome}
 	}
 	c.observe(time.Now(), r.Era)
 	restored := known && r.Era != era || !known && r.Era > 0
-	switch {
-	case r.Outcome == claim.Applied:
-		c.memory.Remember(time.Now(), claim.Written{Key: key, Row: a.Row, Version: result.Version, Era: r.Era})
-		if claiming && restored {
-			result.Outcome = claim.Doubtful
-		}
-		return result
-	case restored && !claiming:
+	if r.Outcome == claim.Applied {
+		return c.applied(key, a.Row, r, claiming && restored)
+	}
+	if restored && !claiming {
 		return claim.Result{Outcome: claim.Unknown}
 	}
-	result.Version = claim.Version(r.Row.Version)
-	if r.Row.Version != 0 {
-		if result.Row, err = wire.ClaimRow(r.Row.Value); err != nil {
-			return claim.Result{Outcome: claim.Unknown}
-		}
+	return conflict(r.Row)
+}
+
+// applied returns the result of a write that was applied, and remembers the row.
+func (c *Claims) applied(key claim.Key, row claim.Row, r WriteResult, doubtful bool) claim.Result {
+	result := claim.Result{Outcome: claim.Applied, Version: claim.Version(r.Version)}
+	c.memory.Remember(time.Now(), claim.Written{Key: key, Row: row, Version: result.Version, Era: r.Era})
+	if doubtful {
+		result.Outcome = claim.Doubtful
+	}
+	return result
+}
+
+// conflict returns the result of a write that conflicted with a row.
+func conflict(found Row) claim.Result {
+	result := claim.Result{Outcome: claim.Conflict, Version: claim.Version(found.Version)}
+	if found.Version == 0 {
+		return result
+	}
+	var err error
+	if result.Row, err = wire.ClaimRow(found.Value); err != nil {
+		return claim.Result{Outcome: claim.Unknown}
 	}
 	return result
 }
@@ -130,99 +140,6 @@
 	}
 }
 
-// rewriter writes again the claims that a restored platform has lost.
-type rewriter struct {
-	claims *Claims
-	mu     sync.Mutex
-	active bool
-	wait   sync.WaitGroup
-}
-
-// start starts run unless it is active.
-func (r *rewriter) start() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.active {
-		return
-	}
-	r.active = true
-	r.wait.Add(1)
-	go r.run()
-}
-
-// rewriteRetryPause is the pause between two attempts to write the lost claims again.
-const rewriteRetryPause = 200 * time.Millisecond
-
-// run writes until no claims are lost.
-func (r *rewriter) run() {
-	defer r.wait.Done()
-	for {
-		r.mu.Lock()
-		lost := r.claims.memory.Lost(time.Now())
-		r.active = len(lost) > 0
-		r.mu.Unlock()
-		if len(lost) == 0 {
-			return
-		}
-		failed := r.writeAll(lost)
-		if failed {
-			time.Sleep(rewriteRetryPause)
-		}
-	}
-}
-
-// writeAll writes claims again, in batches, and reports whether any has to be written once
-// more.
-func (r *rewriter) writeAll(lost []claim.Written) (failed bool) {
-	for part := range slices.Chunk(lost, maxBatch) {
-		var wait sync.WaitGroup
-		results := make([]bool, len(part))
-		for i, w := range part {
-			wait.Go(func() { results[i] = r.writeOne(w) })
-		}
-		wait.Wait()
-		failed = failed || slices.Contains(results, false)
-	}
-	return failed
-}
-
-// writeOne writes a claim again unless the table has it, and reports whether that is settled.
-// A row of another attempt stays if the operation was claimed anew. A tombstone of one, which
-// has run nothing, is replaced.
-func (r *rewriter) writeOne(w claim.Written) (settled bool) {
-	c := r.claims
-	for on := claim.Version(0); ; {
-		res, err := c.write(context.Background(), w.Key, claim.Action{If: on, Row: w.Row})
-		if err != nil {
-			c.memory.Forget(w)
-			return true
-		}
-		switch res.Outcome {
-		case claim.Applied:
-			c.memory.Remember(time.Now(), claim.Written{Key: w.Key, Row: w.Row, Version: claim.Version(res.Version), Era: res.Era})
-			return true
-		case claim.Conflict:
-			on = claim.Version(res.Row.Version)
-			if on == 0 {
-				continue
-			}
-			row, err := wire.ClaimRow(res.Row.Value)
-			switch own := row.Attempt == w.Row.Attempt; {
-			case err == nil && !own && row.State == claim.Claimed:
-				return false // It may be doubtful, and about to be released.
-			case err != nil || !own && row.State != claim.Tombstone:
-				c.memory.Forget(w)
-				return true
-			case own && row.State == w.Row.State:
-				c.memory.Remember(time.Now(), claim.Written{Key: w.Key, Row: w.Row, Version: on, Era: res.Era})
-				return true
-			}
-		default:
-			return false
-		}
-	}
-}
-
 // Answer returns the body of a stored answer, from the object store if it is
 // there.
 func (c *Claims) Answer(ctx context.Context, a *claim.Answer) ([]byte, error) {
--- a/io/vm/config.go
+++ b/io/vm/config.go
@@ -156,10 +156,10 @@
 		return err
 	}
 	lost, ok := c.changesAfter(head)
-	if !ok && c.Inventory().Version > 0 {
-		c.log.WithFields(logrus.Fields{"Version": c.Inventory().Version, "NewVersion": stored.Version, "Era": head.Era}).Warn("InventoryReplaced")
-	}
 	if !ok {
+		if old := c.Inventory().Version; old > 0 {
+			c.log.WithFields(logrus.Fields{"Version": old, "NewVersion": stored.Version, "Era": head.Era}).Warn("InventoryReplaced")
+		}
 		c.replace(time.Now(), stored, head.Era)
 		return nil
 	}
