Own inventory: a change passed on while lost ones are committed again

What operators would see: after a restore, a change that another VM passed on while this one committed the lost changes again was in force and never on the platform. Cause: the VM took the new era for complete whatever it had by then. It does so now only if it has what the platform has; otherwise the next poll commits the rest.

Found by reading. vm.TestChangePassedOnDuringRestoreIsCommittedAgain failed before (version 1 on the platform, 2 on the VM).

--- a/io/vm/config.go
+++ b/io/vm/config.go
@@ -175,7 +175,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.era, c.loaded = head.Era, true
+	c.loaded = true
+	// Another VM may have passed on a change meanwhile, which the platform lacks: then the
+	// next poll commits it.
+	if c.inv.Version == stored.Version {
+		c.era = head.Era
+	}
 	return nil
 }
 
--- a/io/vm/restore_test.go
+++ b/io/vm/restore_test.go
@@ -2,11 +2,18 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
 
 	"auburnlatch/core/inventory"
+	"auburnlatch/io/platform"
+	standin "auburnlatch/standin/platform"
 )
 
 func drainOf(id, target string, based uint64) inventory.Change {
@@ -83,3 +90,40 @@
 		t.Errorf("the request ran %d times", n)
 	}
 }
+
+// While a VM commits lost changes again, another VM passes it one more. The VM must not take the
+// new era for complete before the platform has that change too.
+func TestChangePassedOnDuringRestoreIsCommittedAgain(t *testing.T) {
+	p := standin.New()
+	srv := httptest.NewServer(p)
+	t.Cleanup(srv.Close)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	register := platform.NewInventoryStore(platform.New(srv.URL))
+	c := newConfig(register, log.WithField("VM", "a"))
+	region := func(name string, based uint64) inventory.Change {
+		return inventory.Change{ID: name, Based: based, Ops: []inventory.Op{{Region: &inventory.Region{Name: name}}}}
+	}
+	empty := p.Copy()
+	if _, err := c.accept(t.Context(), region("first", 0), false); err != nil {
+		t.Fatal(err)
+	}
+	p.Restore(empty)
+	p.SetFaults(standin.Faults{Delay: 100 * time.Millisecond})
+	polled := make(chan error, 1)
+	go func() { polled <- c.poll(t.Context()) }()
+	<-time.After(250 * time.Millisecond) // The head and the changes are read.
+	if err := c.install(time.Now(), []inventory.Change{region("second", 1)}, 0); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-polled; err != nil {
+		t.Fatal(err)
+	}
+	p.SetFaults(standin.Faults{})
+	if err := c.poll(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if head, err := register.Head(t.Context()); err != nil || head.Version != 2 || c.Inventory().Version != 2 {
+		t.Errorf("the platform has version %d (%v), the VM %d, want 2 on both", head.Version, err, c.Inventory().Version)
+	}
+}
