Tell whether a VM reaches any upstream

RequestGivenUp has when any upstream last answered, the connections that could not be opened, and with Unreachable how many upstreams are suspect; the metrics have connections failed and reused. Nothing is decided by them.

--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -82,6 +82,8 @@
 	f := v.requestFields(now, req)
 	f["Verdict"], f["Reason"], f["Status"] = e.Verdict, e.Reason, code
 	f["TookMs"] = now.Sub(req.started).Milliseconds()
+	conns := v.upstreams.Connections()
+	f["UpstreamsHeardMs"], f["ConnectionsFailed"] = heardMillis(now, conns.Answered), conns.Failed
 	if e.RetryAfter > 0 {
 		f["RetryAfterMs"] = e.RetryAfter.Milliseconds()
 	}
@@ -98,7 +100,7 @@
 	if e.Reason == verdict.ReasonNotSure {
 		f["RulesSureMs"] = req.rulesAge.Milliseconds()
 	}
-	if e.Reason == verdict.ReasonNoCapacity {
+	if e.Reason == verdict.ReasonNoCapacity || e.Reason == verdict.ReasonUnreachable {
 		c := v.balancer.Census(now, req.service)
 		f["UsableTargets"], f["ColdTargets"], f["SuspectTargets"], f["FullTargets"] = c.Usable, c.Cold, c.Suspect, c.Full
 		if c.Limited > 0 {
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -71,11 +71,15 @@
 
 // Figures are a VM's metrics at one moment.
 type Figures struct {
-	Requests, Refused, Failed     int64
-	GivenUpByReason               map[verdict.Reason]int64
-	LatencyP50Ms, LatencyP99Ms    float64
-	InFlight                      int64
-	ConnectionsOpened             int64
+	Requests, Refused, Failed  int64
+	GivenUpByReason            map[verdict.Reason]int64
+	LatencyP50Ms, LatencyP99Ms float64
+	InFlight                   int64
+	ConnectionsOpened          int64
+	// ConnectionsFailed could not be opened. ConnectionsReused counts requests on open ones.
+	ConnectionsFailed, ConnectionsReused int64
+	// UpstreamsHeardMs is how long ago any upstream answered a request; -1: never.
+	UpstreamsHeardMs              int64
 	PlatformCalls, PlatformErrors int64
 	// AnswersDiscarded counts the tables read from the platform that were older than the
 	// copies by their versions.
@@ -102,7 +106,7 @@
 	c := &v.counts
 	f := Figures{
 		Requests: c.requests.Load(), Refused: c.refusedCount.Load(), Failed: c.failedCount.Load(),
-		InFlight: v.inFlight.Load(), ConnectionsOpened: v.upstreams.Opened(),
+		InFlight:      v.inFlight.Load(),
 		PlatformCalls: c.platformCalls.Load(), PlatformErrors: c.platformErrors.Load(), AnswersDiscarded: c.discarded.Load(),
 		PlatformEra:  v.platform.Era(),
 		RulesVersion: v.replicas[TableRules].Head(now).Version, TargetsVersion: v.replicas[TableTargets].Head(now).Version,
@@ -110,6 +114,9 @@
 		TargetsAgeMs: v.replicas[TableTargets].Head(now).Age.Milliseconds(),
 		LiveVMs:      len(v.members.Live(now)), Placements: v.balancer.PlacementCount(), Poison: v.guard.Ledger().Counts(), GivenUpByReason: make(map[verdict.Reason]int64),
 	}
+	conns := v.upstreams.Connections()
+	f.ConnectionsOpened, f.ConnectionsFailed, f.ConnectionsReused = conns.Opened, conns.Failed, conns.Reused
+	f.UpstreamsHeardMs = heardMillis(now, conns.Answered)
 	f.RulesSureMs = v.rulesAge(clock.SinceBoot()).Milliseconds()
 	f.LimitsHeardMs = min(v.limits.Age(now), lease.Never).Milliseconds()
 	f.ControlSent = v.sent.Sent()
@@ -130,6 +137,14 @@
 	return f
 }
 
+// heardMillis returns the milliseconds since at, or -1 if at is zero.
+func heardMillis(now, at time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Milliseconds()
+}
+
 // sentInterval is the interval between log lines about the bytes sent to other VMs.
 const sentInterval = 10 * time.Second
 
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -36,13 +36,37 @@
 // incarnation, and skips late responses to earlier requests. It is safe for
 // concurrent use.
 type Pool struct {
-	dial   Dial
-	opened atomic.Int64
+	dial     Dial
+	opened   atomic.Int64
+	failed   atomic.Int64
+	reused   atomic.Int64
+	answered atomic.Int64 // When the last response arrived, in Unix nanoseconds; 0: never.
 
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
 
+// Opened returns the number of connections opened so far.
+func (p *Pool) Opened() int64 { return p.opened.Load() }
+
+// Connections counts a Pool's connections.
+type Connections struct {
+	// Opened were opened, Failed could not be opened, and Reused are the requests that were
+	// sent on an open one.
+	Opened, Failed, Reused int64
+	// Answered is when the last response of any upstream arrived; zero: never.
+	Answered time.Time
+}
+
+// Connections returns the counts so far.
+func (p *Pool) Connections() Connections {
+	c := Connections{Opened: p.opened.Load(), Failed: p.failed.Load(), Reused: p.reused.Load()}
+	if at := p.answered.Load(); at != 0 {
+		c.Answered = time.Unix(0, at)
+	}
+	return c
+}
+
 // NewPool returns an empty pool.
 func NewPool(opts ...Option) *Pool {
 	o := &options{dial: (&net.Dialer{Control: setUserTimeout, KeepAlive: -1}).DialContext}
@@ -62,9 +86,6 @@
 	return err
 }
 
-// Opened returns the number of connections opened so far.
-func (p *Pool) Opened() int64 { return p.opened.Load() }
-
 // Send sends a request once and returns the response, whose body the caller
 // closes. The verdict of an error states whether the request may have run.
 // dialWithin is the timeout for opening a connection.
@@ -92,6 +113,7 @@
 		c.Close()
 		return nil, e.verdict(ctx, before, err)
 	}
+	p.answered.Store(time.Now().UnixNano())
 	resp.Body = &responseBody{ReadCloser: resp.Body, pool: p, exchange: e, resp: resp, stop: stop}
 	return resp, nil
 }
@@ -102,6 +124,7 @@
 	for c := p.popIdle(call.Target); c != nil; c = p.popIdle(call.Target) {
 		if c.canReuse(now) {
 			c.reused = true
+			p.reused.Add(1)
 			return c, nil
 		}
 		c.Close()
@@ -114,6 +137,7 @@
 		if ctx.Err() != nil {
 			reason = verdict.ReasonCanceled
 		}
+		p.failed.Add(1)
 		return nil, verdict.Wrap(err, verdict.NotRun, reason, defaultRetryAfter)
 	}
 	p.opened.Add(1)
