--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -90,14 +90,28 @@
 	background     lifecycle.Group
 }
 
+// Option configures a VM.
+type Option func(*options)
+
+type options struct{ upstreams []upstream.Option }
+
+// WithUpstreamDial sets the function that opens connections to upstreams.
+func WithUpstreamDial(dial upstream.Dial) Option {
+	return func(o *options) { o.upstreams = append(o.upstreams, upstream.WithDial(dial)) }
+}
+
 // New returns a VM. It opens no connections or files before Run.
-func New(cfg *settings.Entry, p Platform, protocol Protocol, log *logrus.Entry) *VM {
+func New(cfg *settings.Entry, p Platform, protocol Protocol, log *logrus.Entry, opts ...Option) *VM {
+	var o options
+	for _, opt := range opts {
+		opt(&o)
+	}
 	now := time.Now()
 	v := &VM{
 		platform: p, protocol: protocol, log: log, started: now,
 		members:   member.NewTable(cfg.Name, cfg.Zone, uint64(now.UnixNano()), now, member.WithReports(), member.WithFailAfter(failAfter)),
 		replicas:  peer.Replicas{},
-		upstreams: upstream.NewPool(), rttKnown: make(chan struct{}),
+		upstreams: upstream.NewPool(o.upstreams...), rttKnown: make(chan struct{}),
 		loaded:        make(chan struct{}),
 		changed:       make(chan struct{}, 1),
 		toPush:        make(chan struct{}, 1),
@@ -108,12 +122,12 @@
 	}
 	v.peerClient = peer.NewClient(peer.WithExchangesCounted(&v.sent))
 	v.balancer = balance.New(cfg.Name, cfg.Region, cfg.Zone, balance.WithNews(v.signalPlacements))
-	var opts []quarantine.Option
+	var guardOpts []quarantine.Option
 	if cfg.FirstStart {
-		opts = append(opts, quarantine.WithFirstStart())
+		guardOpts = append(guardOpts, quarantine.WithFirstStart())
 		v.limits.AssumeNoPriorTraffic()
 	}
-	v.guard = quarantine.New(cfg.Name, fleet{v}, countedBanStore{v}, v.upstreams, log, opts...)
+	v.guard = quarantine.New(cfg.Name, fleet{v}, countedBanStore{v}, v.upstreams, log, guardOpts...)
 	v.requests.log = log
 	v.workCtx, v.cancelWork = context.WithCancel(context.Background())
 	v.Configure(cfg)
--- a/io/entry/fake_test.go
+++ b/io/entry/fake_test.go
@@ -303,16 +303,16 @@
 	return addr
 }
 
-func startVM(t testing.TB, name string, p entry.Platform, change func(*settings.Entry)) *runningVM {
+func startVM(t testing.TB, name string, p entry.Platform, change func(*settings.Entry), opts ...entry.Option) *runningVM {
 	t.Helper()
 	lines := &lockedBuffer{}
-	v := startVMLogging(t, name, p, change, logline.New(lines, false))
+	v := startVMLogging(t, name, p, change, logline.New(lines, false), opts...)
 	v.lines = lines
 	return v
 }
 
 // startVMLogging is startVM with a given log.
-func startVMLogging(t testing.TB, name string, p entry.Platform, change func(*settings.Entry), log *logrus.Logger) *runningVM {
+func startVMLogging(t testing.TB, name string, p entry.Platform, change func(*settings.Entry), log *logrus.Logger, opts ...entry.Option) *runningVM {
 	t.Helper()
 	cfg := &settings.Entry{
 		Name: name, Zone: "z", Region: "r", Regions: map[string]string{"z": "r", "y": "r", "x": "q"},
@@ -323,7 +323,7 @@
 	if change != nil {
 		change(cfg)
 	}
-	v := &runningVM{VM: entry.New(cfg, p, protocol, log.WithField("VM", name)), cfg: cfg, done: make(chan error, 1)}
+	v := &runningVM{VM: entry.New(cfg, p, protocol, log.WithField("VM", name), opts...), cfg: cfg, done: make(chan error, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	v.stop = cancel
 	go v.run(ctx)
