Entry: a refusal after an attempt that may have run is not told as not run

What callers saw: 503, which promises that a request did not run and never will, for an idempotent request whose first upstream ran it and lost the response or failed, and whose second one refused it. Cause: the outcome of the last attempt replaced that of the one before, whatever that proved. A NotRun outcome no longer replaces one that may have run.

TestRefusalAfterAnAttemptThatRanIsNotToldAsNotRun failed before: 503 in place of 502 and 500.

--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -292,3 +293,44 @@
 		t.Error("a leaving VM returns itself")
 	}
 }
+
+// Guards against telling a caller that its request did not run when it may have run at an upstream
+// and another one refused it afterwards.
+func TestRefusalAfterAnAttemptThatRanIsNotToldAsNotRun(t *testing.T) {
+	for name, tc := range map[string]struct {
+		first  func(http.ResponseWriter)
+		status int
+	}{
+		"no response":      {func(http.ResponseWriter) { panic(http.ErrAbortHandler) }, http.StatusBadGateway},
+		"failure response": {func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) }, http.StatusInternalServerError},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlatform()
+			p.set(entry.TableRules, "config", config(1))
+			var warm atomic.Bool
+			var attempts atomic.Int32
+			warm.Store(true)
+			h := func(w http.ResponseWriter, _ *http.Request) {
+				switch {
+				case warm.Load():
+				case attempts.Add(1) == 1:
+					tc.first(w)
+				default:
+					w.Header().Set("Not-Run", "1")
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+			}
+			register(p, "i-1", startUpstream(t, h).addr())
+			register(p, "i-2", startUpstream(t, h).addr())
+			v := startVM(t, "a", p, nil)
+			ready(t, v)
+			for i := range 5 { // To earn a retry.
+				v.request(t, http.MethodGet, "/get/1", fmt.Sprint("warm", i), "")
+			}
+			warm.Store(false)
+			if r := v.request(t, http.MethodGet, "/get/1", "once", ""); r.status != tc.status || attempts.Load() < 2 {
+				t.Errorf("got %d after %d attempts, want %d after 2", r.status, attempts.Load(), tc.status)
+			}
+		})
+	}
+}
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -50,7 +50,7 @@
 	for range maxTries {
 		trial, refused := v.guard.Admit(time.Now(), req.identity)
 		if refused != nil {
-			if last == nil && (lastErr == nil || lastErr.Verdict == verdict.NotRun) {
+			if !mayHaveRun(last, lastErr) {
 				lastErr = refused
 			}
 			break
@@ -73,8 +73,10 @@
 			last.discard()
 			return r, nil
 		}
-		last.discard()
-		last, lastErr = r, e
+		if mayHaveRun(r, e) || !mayHaveRun(last, lastErr) {
+			last.discard()
+			last, lastErr = r, e
+		}
 		if reached(e) {
 			sent++
 		}
@@ -96,6 +98,11 @@
 	return nil, lastErr
 }
 
+// mayHaveRun reports whether an attempt with the given outcome may have run.
+func mayHaveRun(r *response, e *verdict.Error) bool {
+	return r != nil || e != nil && e.Verdict != verdict.NotRun
+}
+
 // discard closes a response that is not passed on.
 func (r *response) discard() {
 	if r != nil && r.rest != nil {
