Relay the requests of a VM that reaches no upstream through other VMs

Each request met one upstream after another, 0.45 s a dial, until its time was over.

Cause: a request had no way but the connections of its VM, and nothing noticed that they all failed at once. Class: a failure of one's own is taken for many of others.

Change: - core/reach: a VM that gets no response, or cannot connect, checks some upstreams of other zones and services; only if none can be reached it is cut off. It checks again four times a second. What failed meanwhile does not count against the upstreams. - core/relay, io/entry/relay.go: its requests go to VMs that reach upstreams, in proportion to what these carry beyond their own callers' requests, like requests of their callers: rules, homes, limits, bans, attempts and the retry budget are applied and counted there, once. A relayed request is not relayed again. Nobody left: refused at once. - Look-ups name the VMs that reach upstreams, if these carry the region's traffic.

Measured: TestCutOffVMServesItsCallers, failing before, serves all first attempts from 2 s after the cut on (449 of 449, 452 of 452, 449 of 449, and 450 of 450 at a VM that starts cut off), as the others, and all when the links return.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -337,6 +337,34 @@
 	}
 }
 
+// ForgetFailures forgets what failed requests have shown of the targets. It is called when the
+// VM's own links were at fault.
+func (b *Balancer) ForgetFailures(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.states {
+		if s.history != &emptyHistory {
+			s.failureRate, s.ejections, s.ejectedUntil, s.silentSince = 0, 0, time.Time{}, now
+		}
+	}
+	for _, p := range b.services {
+		p.refreshed = time.Time{}
+	}
+}
+
+// Usable returns the targets that may be sent requests by their registration and signals.
+func (b *Balancer) Usable() []*target.Target {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make([]*target.Target, 0, len(b.states))
+	for _, s := range b.states {
+		if s.usable() {
+			list = append(list, s.Target)
+		}
+	}
+	return list
+}
+
 // rttWeight is the weight of a round trip time above the known one. A shorter one replaces the
 // known one at once, as only queues and lost packets make round trips longer.
 const rttWeight = 0.05
--- a/core/balance/retry.go
+++ b/core/balance/retry.go
@@ -61,6 +61,15 @@
 	c.requests[c.bucket%retryBuckets]++
 }
 
+// Withdraw undoes a Request that another VM counts.
+func (b *RetryBudget) Withdraw(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.counts(now, service)
+	i := c.bucket % retryBuckets
+	c.requests[i] = max(0, c.requests[i]-1)
+}
+
 // Retry reports whether a request to the service may be retried, and counts the retry.
 func (b *RetryBudget) Retry(now time.Time, service string) bool {
 	b.mu.Lock()
--- a/core/callers/meter.go
+++ b/core/callers/meter.go
@@ -61,6 +61,13 @@
 	return m.published
 }
 
+// Average returns the average traffic as of the last call of Traffic.
+func (m *Meter) Average() member.Traffic {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.average
+}
+
 // changed reports whether an average is so far from the published value that it has to be
 // published.
 func changed(published, average float64) bool {
--- a/core/callers/named.go
+++ b/core/callers/named.go
@@ -30,6 +30,9 @@
 	// minKnownRate is the traffic in requests per second below which the region's
 	// traffic counts as unknown: all VMs may just have started.
 	minKnownRate = 20
+	// reachingFactor is how many times the region's traffic the VMs that reach upstreams must be
+	// able to carry for the others not to be named: callers that leave these come at once.
+	reachingFactor = 2
 	// defaultLinkMbps and defaultCores are assumed for a VM that publishes none.
 	defaultLinkMbps, defaultCores = 1000.0, 1.0
 )
@@ -45,6 +48,7 @@
 		sum.Requests += vm.Traffic.Requests
 		sum.Bytes += vm.Traffic.Bytes
 	}
+	vms = reaching(vms, sum)
 	if sum.Requests < minKnownRate {
 		return maxCapacity(vms, member.Traffic{Requests: minKnownRate, Bytes: defaultRequestBytes * minKnownRate})
 	}
@@ -64,6 +68,38 @@
 	return vmsOf(list[:count])
 }
 
+// reaching returns the VMs that reach upstreams, or all if those could not carry the traffic: the
+// others relay their callers' requests.
+func reaching(vms []*member.VM, sum member.Traffic) []*member.VM {
+	var list []*member.VM
+	multiple := 0.0
+	for _, vm := range vms {
+		if !vm.CutOff {
+			list = append(list, vm)
+			multiple += capacityMultiple(vm.Capacity, sum)
+		}
+	}
+	if len(list) == 0 || sum.Requests >= minKnownRate && multiple < reachingFactor {
+		return vms
+	}
+	return list
+}
+
+// Spare returns how many more requests per second a VM can carry than its callers send,
+// if a request and its response have bytes on average; 0: unknown.
+func Spare(vm *member.VM, bytes float64) float64 {
+	if bytes <= 0 {
+		bytes = defaultRequestBytes
+	}
+	return max(0, Carries(vm.Capacity, bytes)-vm.Traffic.Requests)
+}
+
+// Carries returns how many requests per second a VM can carry if a request and its response have
+// bytes on average.
+func Carries(c member.Capacity, bytes float64) float64 {
+	return capacityMultiple(c, member.Traffic{Requests: 1, Bytes: bytes})
+}
+
 // defaultRequestBytes is the assumed size of the bodies of a request and its response
 // where the traffic is unknown.
 const defaultRequestBytes = 10_000
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -145,6 +145,10 @@
 	Capacity Capacity
 	// Traffic is the load by callers.
 	Traffic Traffic
+	// CutOff says that the VM reaches no upstream.
+	CutOff bool
+	// Relays says that the VM serves requests that other VMs relay, as their header fields say.
+	Relays bool
 	// PlatformTrip is the round trip to the platform; 0: not known.
 	PlatformTrip time.Duration
 }
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -9,6 +9,7 @@
 
 	"auburnlatch/core/balance"
 	"auburnlatch/core/verdict"
+	"auburnlatch/io/forward"
 	"auburnlatch/io/lifecycle"
 )
 
@@ -61,8 +62,13 @@
 	}
 	now, req, resp := time.Now(), res.request, res.response
 	f := v.requestFields(now, req)
-	f["Target"], f["TargetZone"], f["Status"] = resp.lease.Target.ID, resp.lease.Target.Zone, resp.resp.StatusCode
-	f["Owner"], f["Ahead"], f["Slots"] = resp.lease.Owner, int(resp.lease.Ahead), resp.lease.Target.Slots
+	f["Status"] = resp.resp.StatusCode
+	if resp.through != "" {
+		f["Through"] = resp.through
+	} else {
+		f["Target"], f["TargetZone"] = resp.lease.Target.ID, resp.lease.Target.Zone
+		f["Owner"], f["Ahead"], f["Slots"] = resp.lease.Owner, int(resp.lease.Ahead), resp.lease.Target.Slots
+	}
 	if resp.lease.RTT > 0 {
 		f["TripMs"] = resp.lease.RTT.Milliseconds()
 	}
@@ -146,6 +152,9 @@
 	if req.keyPrint != "" {
 		f["Key"], f["RulesSureMs"] = req.keyPrint, req.rulesAge.Milliseconds()
 	}
+	if req.relayed != "" {
+		f["RelayedFrom"], f["Relay"] = req.http.Header.Get(forward.HeaderRelayFrom), req.relayed
+	}
 	if req.team != nil {
 		f["Team"] = req.team.Name
 	}
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -45,6 +45,8 @@
 			copies.logChange(t.Head(now), v.cfg.Load().LeaveWithin)
 		}
 		v.upstreams.Sweep(now, v.targets.has)
+		v.relaying.pool.Sweep(now, func(string) bool { return true })
+		v.relaying.traffic.Traffic(now)
 		v.idle.closeOlder(now, v.idleTimeout())
 	})
 }
@@ -76,7 +78,7 @@
 	cfg := v.cfg.Load()
 	return &member.VM{
 		Name: cfg.Name, Zone: cfg.Zone, Leaving: v.leaving.Load(), Dispatches: v.Ready(),
-		Capacity: cfg.Capacity, Traffic: v.traffic.Traffic(now), PlatformTrip: v.platformRTT(),
+		Capacity: cfg.Capacity, Traffic: v.traffic.Traffic(now), CutOff: v.cutOff(), Relays: true, PlatformTrip: v.platformRTT(),
 		Address: member.Address{Name: cfg.Name, Zone: cfg.Zone, Caller: cfg.FrontAddr, Peer: cfg.PeerAddr, Leaving: v.leaving.Load()},
 	}
 }
@@ -92,7 +94,7 @@
 // budget, if an input has changed. The computation iterates over all VMs.
 func (v *VM) updateActive(now time.Time) {
 	self := v.self(now)
-	inputs := activeInputs{ready: self.Dispatches, traffic: self.Traffic, peers: v.peersHash(now)}
+	inputs := activeInputs{ready: self.Dispatches, cutOff: self.CutOff, traffic: self.Traffic, peers: v.peersHash(now)}
 	if v.activeCache.Load() != nil && v.activeInputs == inputs {
 		return
 	}
@@ -106,6 +108,7 @@
 // activeInputs is what the active VMs depend on.
 type activeInputs struct {
 	ready   bool
+	cutOff  bool
 	traffic member.Traffic
 	peers   uint64
 }
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -28,6 +28,7 @@
 	platformCalls  atomic.Int64
 	platformErrors atomic.Int64
 	discarded      atomic.Int64
+	reachChecks    atomic.Int64
 
 	mu      sync.Mutex
 	reasons map[verdict.Reason]int64
@@ -78,6 +79,13 @@
 	ConnectionsOpened          int64
 	// ConnectionsFailed could not be opened. ConnectionsReused counts requests on open ones.
 	ConnectionsFailed, ConnectionsReused int64
+	// CutOff means that the VM reaches no upstream, and ReachChecks counts how often it checked.
+	CutOff      bool
+	ReachChecks int64
+	// Relayed counts the requests that other VMs answered for this one, RelayRefused those that
+	// none could, and RelayedTraffic is the requests per second that others relay to this one.
+	Relayed, RelayRefused int64
+	RelayedTraffic        float64
 	// UpstreamsHeardMs is how long ago any upstream answered a request; -1: never.
 	UpstreamsHeardMs              int64
 	PlatformCalls, PlatformErrors int64
@@ -114,6 +122,8 @@
 		TargetsAgeMs: v.replicas[TableTargets].Head(now).Age.Milliseconds(),
 		LiveVMs:      len(v.members.Live(now)), Placements: v.balancer.PlacementCount(), Poison: v.guard.Ledger().Counts(), GivenUpByReason: make(map[verdict.Reason]int64),
 	}
+	f.CutOff, f.ReachChecks = v.cutOff(), c.reachChecks.Load()
+	f.Relayed, f.RelayRefused, f.RelayedTraffic = v.relaying.sent.Load(), v.relaying.refused.Load(), v.relaying.traffic.Average().Requests
 	conns := v.upstreams.Connections()
 	f.ConnectionsOpened, f.ConnectionsFailed, f.ConnectionsReused = conns.Opened, conns.Failed, conns.Reused
 	f.UpstreamsHeardMs = heardMillis(now, conns.Answered)
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"auburnlatch/core/balance"
 	"auburnlatch/core/verdict"
 	"auburnlatch/io/forward"
@@ -33,21 +35,30 @@
 	body []byte
 	rest io.ReadCloser // What exceeds the buffer; nil if nothing does.
 	// lease is the lease on the target that responded, and tries is the number of targets
-	// tried, including that one.
-	lease balance.Lease
-	tries int
+	// tried, including that one. If through is set, they are those of that VM.
+	lease   balance.Lease
+	tries   int
+	through string
 }
 
 // proxy sends a request to an upstream and returns its response. It retries only
 // requests that have not run or may run twice, within the route's attempts, the
 // retry budget and the deadline.
 func (v *VM) proxy(ctx context.Context, req *request) (*response, *verdict.Error) {
-	v.retries.Request(time.Now(), req.service)
+	if req.through {
+		return v.relay(ctx, req, forward.First)
+	}
+	if req.relayed != forward.Retry {
+		v.retries.Request(time.Now(), req.service)
+	}
 	var tried []string
 	var last *response
 	var lastErr *verdict.Error
 	sent := 0
 	for range maxTries {
+		if v.cutOff() {
+			return v.relayStarted(ctx, req, sent, last, lastErr)
+		}
 		trial, refused := v.guard.Admit(time.Now(), req.identity)
 		if refused != nil {
 			if !mayHaveRun(last, lastErr) {
@@ -98,6 +109,33 @@
 	return nil, lastErr
 }
 
+// relayStarted relays a request that this VM has begun to serve. sent is the number of upstreams
+// that it was sent to, and last and lastErr are their outcome.
+func (v *VM) relayStarted(ctx context.Context, req *request, sent int, last *response, lastErr *verdict.Error) (*response, *verdict.Error) {
+	kind := forward.First
+	if sent > 0 {
+		kind = forward.Retry
+	}
+	e := verdict.New(verdict.NotRun, verdict.ReasonUnreachable, cutOffRetryAfter)
+	var r *response
+	if req.relayed == "" {
+		if kind == forward.First {
+			now := time.Now()
+			v.retries.Withdraw(now, req.service)
+			v.returnLimit(now, req)
+		}
+		r, e = v.relay(ctx, req, kind)
+	}
+	if mayHaveRun(r, e) || !mayHaveRun(last, lastErr) {
+		last.discard()
+		return r, e
+	}
+	if last != nil {
+		return last, nil
+	}
+	return nil, lastErr
+}
+
 // mayHaveRun reports whether an attempt with the given outcome may have run.
 func mayHaveRun(r *response, e *verdict.Error) bool {
 	return r != nil || e != nil && e.Verdict != verdict.NotRun
@@ -123,7 +161,7 @@
 	if !reached(e) {
 		return true
 	}
-	return sent < max(1, req.route.Attempts) && v.retries.Retry(now, req.service)
+	return sent < req.attempts() && v.retries.Retry(now, req.service)
 }
 
 // reached reports whether the request was sent to an upstream. If it was not, sending
@@ -165,13 +203,17 @@
 // try sends a request to one upstream.
 func (v *VM) try(ctx context.Context, req *request, lease balance.Lease) (*response, *verdict.Error) {
 	call, began := v.upstreamCall(req, lease), time.Now()
-	resp, err := v.upstreams.Send(ctx, call, dialTimeout)
+	resp, err := v.send(ctx, req, call)
 	if err != nil {
 		e := verdict.As(err)
-		v.balancer.Done(time.Now(), lease, balance.Outcome{
+		outcome := balance.Outcome{
 			Failed: e.Reason == verdict.ReasonUnreachable || e.Reason == verdict.ReasonBroken, Unreachable: e.Reason == verdict.ReasonUnreachable,
 			Unanswered: e.Verdict == verdict.MaybeRan, NotSent: e.Reason == verdict.ReasonWithheld,
-		})
+		}
+		if v.reach.monitor.Disturbed(began) {
+			outcome = balance.Outcome{NotSent: e.Verdict == verdict.NotRun}
+		}
+		v.balancer.Done(time.Now(), lease, outcome)
 		v.unanswered(req, lease, began, e)
 		v.requests.attemptFailed(v, req, lease, 0, e)
 		return nil, e
@@ -188,7 +230,7 @@
 	r, err := readResponse(resp)
 	outcome := balance.Outcome{Answered: true, Load: parseLoad(resp.Header.Get(v.protocol.Load)), Connect: call.Connect}
 	if err != nil {
-		outcome.Failed = ctx.Err() == nil
+		outcome.Failed = ctx.Err() == nil && !v.reach.monitor.Disturbed(began)
 		v.balancer.Done(time.Now(), lease, outcome)
 		e := truncatedError(ctx, err)
 		v.unanswered(req, lease, began, e)
@@ -220,6 +262,32 @@
 	return r, nil
 }
 
+// errLinksLost is the cause of the failure of a request that waited for a response when the VM
+// lost its links to the upstreams.
+var errLinksLost = errors.New("the VM has lost its links to the upstreams")
+
+// send sends a request to its upstream. An idempotent one is given up if the VM loses its links to
+// the upstreams, so that it can be relayed.
+func (v *VM) send(ctx context.Context, req *request, call *upstream.Call) (*http.Response, error) {
+	began, waitCtx := time.Now(), ctx
+	v.reach.begin(began)
+	if req.idempotent() {
+		var cancel context.CancelFunc
+		waitCtx, cancel = context.WithCancel(ctx)
+		defer context.AfterFunc(v.reach.lost.Context(), cancel)()
+	}
+	resp, err := v.upstreams.Send(waitCtx, call, dialTimeout)
+	if e := verdict.As(err); err != nil && waitCtx.Err() != nil && ctx.Err() == nil {
+		reason := verdict.ReasonUnreachable
+		if e.Verdict != verdict.NotRun {
+			reason = verdict.ReasonBroken
+		}
+		err = verdict.Wrap(errLinksLost, e.Verdict, reason, cutOffRetryAfter)
+	}
+	v.reach.end(began, time.Now(), call, err)
+	return resp, err
+}
+
 // refusal returns the error of a response that says that the request did not
 // run, or nil.
 func (v *VM) refusal(resp *http.Response) *verdict.Error {
@@ -244,14 +312,9 @@
 
 // upstreamCall returns the request as it is sent to a target.
 func (v *VM) upstreamCall(req *request, lease balance.Lease) *upstream.Call {
-	h := req.http.Header.Clone()
-	forward.StripHopByHop(h)
-	forward.StripReserved(h)
+	h := v.outgoingHeader(req)
 	setTeam(h, v.protocol.Team, v.table.Load(), req.team)
-	h.Del("Expect")
-	h.Del("Content-Length")
 	h.Set(v.protocol.ExpectTarget, lease.Target.ID)
-	h.Set(v.protocol.DeadlineMillis, strconv.FormatInt(max(1, time.Until(req.deadline).Milliseconds()), 10))
 	return &upstream.Call{
 		Target: lease.Target.Incarnation(), Addr: lease.Target.Addr,
 		Method: req.http.Method, URI: req.http.RequestURI, Host: req.http.Host, Header: h,
@@ -261,6 +324,18 @@
 	}
 }
 
+// outgoingHeader returns the header fields of a request that are passed on, with the time that is
+// left for it.
+func (v *VM) outgoingHeader(req *request) http.Header {
+	h := req.http.Header.Clone()
+	forward.StripHopByHop(h)
+	forward.StripReserved(h)
+	h.Del("Expect")
+	h.Del("Content-Length")
+	h.Set(v.protocol.DeadlineMillis, strconv.FormatInt(max(1, time.Until(req.deadline).Milliseconds()), 10))
+	return h
+}
+
 // readResponse reads a response up to the size of the buffer.
 func readResponse(resp *http.Response) (*response, error) {
 	var buf bytes.Buffer
@@ -286,10 +361,15 @@
 func (r *response) relay(w http.ResponseWriter) {
 	h := w.Header()
 	leaving := h.Get("Connection")
+	rules := h.Get(forward.HeaderRules)
 	for name, values := range r.resp.Header {
 		h[name] = values
 	}
 	forward.StripHopByHop(h)
+	forward.StripReserved(h)
+	if rules != "" {
+		h.Set(forward.HeaderRules, rules)
+	}
 	if leaving != "" {
 		h.Set("Connection", leaving)
 	}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -57,6 +57,15 @@
 	team *team.Team
 	// keyPrint is the fingerprint of the key.
 	keyPrint string
+	// rules is the version of the rules in force.
+	rules uint64
+	// relayed says what is known of a request that another VM relays; empty if it comes from a
+	// caller of this one.
+	relayed forward.RelayKind
+	// through says that it is to be relayed to another VM, as this one reaches no upstream.
+	through bool
+	// charged says that it was counted against its team's limit.
+	charged bool
 	// rulesAge is how long ago the rules were verified to be the newest, as of reading the request.
 	rulesAge time.Duration
 }
@@ -64,6 +73,14 @@
 // idempotent reports whether the request may run more than once.
 func (r *request) idempotent() bool { return r.route.Kind == route.Idempotent }
 
+// attempts returns how many upstreams the request may be sent to.
+func (r *request) attempts() int {
+	if r.relayed == forward.Retry {
+		return 1
+	}
+	return max(1, r.route.Attempts)
+}
+
 // ServeHTTP serves one request of a caller.
 func (v *VM) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	v.inFlight.Add(1)
@@ -79,7 +96,12 @@
 		res = v.serve(r.Context(), r)
 		defer res.stop()
 	}
-	v.traffic.Add(res.bytes())
+	if res.request.relayed == "" {
+		v.traffic.Add(res.bytes())
+	} else {
+		v.relaying.traffic.Add(res.bytes())
+		w.Header().Set(forward.HeaderRules, strconv.FormatUint(res.request.rules, 10))
+	}
 	if (v.leaving.Load() || res.err != nil && res.err.Reason == verdict.ReasonNotSure) && conn.mayClose() {
 		w.Header().Set("Connection", "close")
 	}
@@ -107,7 +129,7 @@
 	}
 	res.readyAt = time.Now()
 	if e == nil && res.err != nil && res.err.Verdict == verdict.NotRun {
-		v.limits.Return(res.readyAt, req.team)
+		v.returnLimit(res.readyAt, req)
 	}
 	return res
 }
@@ -116,6 +138,11 @@
 func (v *VM) admit(r *http.Request) (*request, *verdict.Error) {
 	req := &request{started: time.Now(), http: r, id: r.Header.Get(v.protocol.RequestID)}
 	v.awaitCopies(r.Context(), req.started)
+	if req.relayed = parseRelay(r.Header); req.relayed != "" {
+		if e := v.admitRelayed(r.Context(), req); e != nil {
+			return req, e
+		}
+	}
 	req.rulesAge = v.rulesAge(clock.SinceBoot())
 	table := v.table.Load()
 	if table == nil || !v.targets.known() {
@@ -125,7 +152,7 @@
 	if rt == nil {
 		return req, v.unknownError(req, table, verdict.ReasonNoService)
 	}
-	req.route = rt
+	req.route, req.rules = rt, table.Config.Version
 	if e := v.authenticate(req, table); e != nil {
 		return req, e
 	}
@@ -138,11 +165,15 @@
 	if err := req.read(limits.MaxBodyBytes); err != nil {
 		return req, verdict.Wrap(err, verdict.NotRun, verdict.ReasonCanceled, 0)
 	}
+	req.identity = v.identity(req)
+	if req.relayed == "" && v.cutOff() {
+		req.through = true
+		return req, nil
+	}
 	if e := v.limit(req); e != nil {
 		return req, e
 	}
 	req.service = rt.Pick(req.key, &v.splits)
-	req.identity = v.identity(req)
 	return req, nil
 }
 
--- a/io/entry/teams.go
+++ b/io/entry/teams.go
@@ -118,9 +118,18 @@
 	if wait, ok := v.limits.Take(time.Now(), req.team); !ok {
 		return verdict.New(verdict.NotRun, verdict.ReasonOverLimit, wait)
 	}
+	req.charged = true
 	return nil
 }
 
+// returnLimit undoes limit for a request that did not run here.
+func (v *VM) returnLimit(now time.Time, req *request) {
+	if req.charged {
+		req.charged = false
+		v.limits.Return(now, req.team)
+	}
+}
+
 // setTeam sets a request's team in its header. It removes the caller's key, and any value
 // that the caller set for the team, under any spelling of the field's name.
 func setTeam(h http.Header, field string, table *route.Table, t *team.Team) {
--- a/io/forward/header.go
+++ b/io/forward/header.go
@@ -14,6 +14,15 @@
 	HeaderCaller   = "Auburnlatch-Caller"
 	HeaderReplayed = "Auburnlatch-Replayed"
 
+	// HeaderRelay marks a request that a VM relays for its caller, as First or Retry. A
+	// caller that sets it is refused sooner and retried less, and gains nothing.
+	HeaderRelay = "Auburnlatch-Relay"
+	// HeaderRelayFrom names the VM that relays a request.
+	HeaderRelayFrom = "Auburnlatch-Relay-From"
+	// HeaderRules is the version of the rules that must be in force for a relayed request, and
+	// in its response the version by which it was handled.
+	HeaderRules = "Auburnlatch-Rules"
+
 	headerMode    = "Auburnlatch-Mode"
 	headerOrigin  = "Auburnlatch-Origin"
 	headerPrint   = "Auburnlatch-Print"
@@ -22,6 +31,17 @@
 	reservedPrefix = "Auburnlatch-"
 )
 
+// RelayKind says what is known of a relayed request.
+type RelayKind string
+
+const (
+	// First has not been sent to any upstream. The receiver counts and treats it like a request
+	// of its own callers.
+	First RelayKind = "First"
+	// Retry has been sent to an upstream before, and sending it once more has been counted.
+	Retry RelayKind = "Retry"
+)
+
 // hopByHop are the fields that concern a single connection (RFC 9110, section 7.6.1).
 var hopByHop = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer",
--- a/io/lifecycle/lifecycle.go
+++ b/io/lifecycle/lifecycle.go
@@ -50,6 +50,33 @@
 // Share returns the given part of d, where 1 is all of it.
 func Share(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
 
+// Broadcast ends the work of all that wait at a moment. The zero value is ready to use.
+type Broadcast struct {
+	mu     sync.Mutex
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// Context returns a context that ends with the next call of Signal.
+func (b *Broadcast) Context() context.Context {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ctx == nil {
+		b.ctx, b.cancel = context.WithCancel(context.Background())
+	}
+	return b.ctx
+}
+
+// Signal ends the present context.
+func (b *Broadcast) Signal() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ctx != nil {
+		b.cancel()
+		b.ctx = nil
+	}
+}
+
 // Serving runs the servers of a process and collects their errors.
 type Serving struct {
 	// Failed receives the error of each server that ended before Stop.
--- /dev/null
+++ b/io/upstream/contact.go
@@ -0,0 +1,86 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"auburnlatch/core/reach"
+)
+
+// maxHealthBody bounds how much of the response to a health check is read, in bytes.
+const maxHealthBody = 4 << 10
+
+// Contact attempts to have the wanted contact with an upstream on a new connection, until ctx ends,
+// and returns the one that it had. For reach.Heard it sends a health check to path, if that is not
+// empty. A connection that can carry requests is kept for reuse.
+func (p *Pool) Contact(ctx context.Context, target, addr, path string, wanted reach.Contact) reach.Contact {
+	raw, err := p.dial(ctx, "tcp", addr)
+	if err != nil {
+		return reach.None
+	}
+	p.opened.Add(1)
+	defer context.AfterFunc(ctx, func() { raw.Close() })()
+	c := &conn{Conn: raw, r: bufio.NewReaderSize(raw, readBuffer)}
+	if wanted == reach.Heard && path != "" {
+		return p.contactByCheck(ctx, target, c, addr, path)
+	}
+	contact := reach.Accepted
+	if wanted > reach.Accepted {
+		if !staysOpen(raw) || raw.SetReadDeadline(time.Time{}) != nil {
+			c.Close()
+			return reach.None
+		}
+		contact = reach.Open
+	}
+	c.usedAt, c.keepAlive = time.Now(), defaultKeepAlive
+	p.pushIdle(target, c)
+	return contact
+}
+
+// contactByCheck sends a health check on a new connection.
+func (p *Pool) contactByCheck(ctx context.Context, target string, c *conn, addr, path string) reach.Contact {
+	resp, err := c.checkHealth(addr, path)
+	switch {
+	case err == nil:
+		p.keep(target, c, resp)
+		return reach.Heard
+	case ctx.Err() != nil:
+		return reach.Open
+	default:
+		c.Close()
+		return reach.None
+	}
+}
+
+// checkHealth sends a health check and reads the response.
+func (c *conn) checkHealth(addr, path string) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+addr+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	if err := req.Write(c); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(c.r, req)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.CopyN(io.Discard, resp.Body, maxHealthBody)
+	if err == nil {
+		resp.Close = true // There is more.
+	}
+	return resp, nil
+}
+
+// keep keeps the connection of a response that has been read for reuse, if it may be reused.
+func (p *Pool) keep(target string, c *conn, resp *http.Response) {
+	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || c.r.Buffered() > 0 {
+		c.Close()
+		return
+	}
+	c.usedAt, c.keepAlive = time.Now(), keepAliveFor(resp.Header)
+	p.pushIdle(target, c)
+}
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"auburnlatch/core/verdict"
+	"auburnlatch/io/lifecycle"
 )
 
 const (
@@ -44,6 +45,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// abortDials ends the opening of connections.
+	abortDials lifecycle.Broadcast
 }
 
 // Opened returns the number of connections opened so far.
@@ -76,6 +79,9 @@
 	return &Pool{dial: o.dial, idle: make(map[string][]*conn)}
 }
 
+// AbortDials ends all attempts of Send to open a connection that are in progress.
+func (p *Pool) AbortDials() { p.abortDials.Signal() }
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var err error
 	if cerr := raw.Control(func(fd uintptr) {
@@ -88,7 +94,7 @@
 
 // Send sends a request once and returns the response, whose body the caller
 // closes. The verdict of an error states whether the request may have run.
-// dialWithin is the timeout for opening a connection.
+// dialWithin is the timeout for opening a connection; if it is 0, none is opened.
 func (p *Pool) Send(ctx context.Context, call *Call, dialWithin time.Duration) (*http.Response, error) {
 	c, err := p.get(ctx, call, dialWithin)
 	if err != nil {
@@ -129,8 +135,12 @@
 		}
 		c.Close()
 	}
+	if dialWithin <= 0 {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonUnreachable, defaultRetryAfter)
+	}
 	dctx, cancel := context.WithTimeout(ctx, dialWithin)
 	defer cancel()
+	defer context.AfterFunc(p.abortDials.Context(), cancel)()
 	raw, err := p.dial(dctx, "tcp", call.Addr)
 	if err != nil {
 		reason := verdict.ReasonUnreachable
@@ -182,15 +192,22 @@
 		return Unknown
 	}
 	defer raw.Close()
-	if err := raw.SetReadDeadline(time.Now().Add(listenCheckTime)); err != nil {
-		return Unknown
-	}
-	if _, err := raw.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+	if !staysOpen(raw) {
 		return Unknown
 	}
 	return Listens
 }
 
+// staysOpen reports whether a new connection stays open for listenCheckTime. A proxy whose
+// upstream cannot be reached closes it at once.
+func staysOpen(c net.Conn) bool {
+	if err := c.SetReadDeadline(time.Now().Add(listenCheckTime)); err != nil {
+		return false
+	}
+	_, err := c.Read(make([]byte, 1))
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // popIdle removes and returns the most recently used idle connection to a target, or
 // returns nil if there is none.
 func (p *Pool) popIdle(target string) *conn {
@@ -214,12 +231,17 @@
 // Sweep closes connections that have been idle for longer than their keep-alive
 // time, and all idle connections to targets that no longer exist.
 func (p *Pool) Sweep(now time.Time, exists func(target string) bool) {
+	p.sweep(func(target string, c *conn) bool { return !exists(target) || now.Sub(c.usedAt) > c.keepAlive })
+}
+
+// sweep closes the idle connections for which drop returns true.
+func (p *Pool) sweep(drop func(target string, c *conn) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for target, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if !exists(target) || now.Sub(c.usedAt) > c.keepAlive {
+			if drop(target, c) {
 				c.Close()
 				continue
 			}
@@ -232,6 +254,11 @@
 	}
 }
 
+// CloseIdle closes the idle connections that have not been used since a time.
+func (p *Pool) CloseIdle(since time.Time) {
+	p.sweep(func(_ string, c *conn) bool { return c.usedAt.Before(since) })
+}
+
 // responseBody is the body of a response. Close keeps the connection for reuse if
 // the body has been read to its end, and closes it otherwise.
 type responseBody struct {
--- a/io/wire/member.go
+++ b/io/wire/member.go
@@ -141,7 +141,8 @@
 		Traffic:  member.Traffic{Requests: m.GetTraffic().GetRequests(), Bytes: m.GetTraffic().GetBytes()},
 
 		PlatformTrip: time.Duration(m.GetPlatformTripMicros()) * time.Microsecond,
-		Held:         map[string]int{}, Acks: map[string]uint64{}, Gone: map[string]uint64{}, Health: map[string]string{},
+		CutOff:       m.GetCutOff(), Relays: m.GetRelays(),
+		Held: map[string]int{}, Acks: map[string]uint64{}, Gone: map[string]uint64{}, Health: map[string]string{},
 	}
 	for _, h := range m.GetHeld() {
 		vm.Held[h.GetTarget()] = int(h.GetSlots())
@@ -167,6 +168,7 @@
 	if vm.Capacity != (member.Capacity{}) {
 		m.Capacity = &schema.VmCapacity{LinkMbps: vm.Capacity.LinkMbps, Cores: vm.Capacity.Cores}
 	}
+	m.CutOff, m.Relays = vm.CutOff, vm.Relays
 	m.PlatformTripMicros = uint32(min(vm.PlatformTrip, time.Hour) / time.Microsecond)
 	if vm.Traffic != (member.Traffic{}) {
 		m.Traffic = &schema.VmTraffic{Requests: vm.Traffic.Requests, Bytes: vm.Traffic.Bytes}
