Judge crashes of upstreams only while the VM reaches others

What callers saw: nothing at once; where a VM that had lost its links was refused connections, all VMs suspected 84 to 120 requests that had been in flight there of crashing upstreams, and would have tried them one at a time, up to a ban.

Cause: a refused connection counted as an upstream's crash, whoever's fault it was, and crashes are told to all VMs. Now the VM confirms that another upstream accepts a connection. If none does it probes again when its links are back: what has crashed still refuses connections then, so that a request that crashed all upstreams at once is found as before.

TestCutOffVMSuspectsNoRequest failed before. TestCrashIsJudgedWhenLinksAreBack holds both sides.

--- a/core/poison/runs.go
+++ b/core/poison/runs.go
@@ -145,6 +145,19 @@
 	return probe
 }
 
+// Refused records that an upstream refused a connection. probe reports whether the caller has to
+// probe whether the upstream has crashed.
+func (l *Ledger) Refused(now time.Time, target string) (probe bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.upstream(now, target)
+	if u.crashed || u.probing {
+		return false
+	}
+	u.probing = true
+	return true
+}
+
 // Left records that the VM abandoned a request before a response: its deadline passed, or its
 // caller left. If the upstream turns out to have crashed, the request may have caused it.
 func (l *Ledger) Left(now time.Time, r Run) {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -126,7 +126,7 @@
 	v.relaying.pool = upstream.NewPool()
 	v.peerClient = peer.NewClient(peer.WithExchangesCounted(&v.sent))
 	v.balancer = balance.New(cfg.Name, cfg.Region, cfg.Zone, balance.WithNews(v.signalPlacements))
-	var guardOpts []quarantine.Option
+	guardOpts := []quarantine.Option{quarantine.WithLinks(&v.reach)}
 	if cfg.FirstStart {
 		guardOpts = append(guardOpts, quarantine.WithFirstStart())
 		v.limits.AssumeNoPriorTraffic()
--- a/io/entry/reach.go
+++ b/io/entry/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,7 @@
 	checkStagger = 50 * time.Millisecond
 	// recheckTargets is how many upstreams a VM that is cut off tries at a time.
 	recheckTargets = 2
+	awaitTick      = 50 * time.Millisecond
 )
 
 // reachability finds out whether the VM is cut off from all upstreams.
@@ -32,8 +34,9 @@
 	monitor reach.Monitor
 	wake    chan struct{} // Signals that a check may be due.
 	// lost ends the wait for responses that will hardly come.
-	lost     lifecycle.Broadcast
-	cutOffAt atomic.Int64 // In Unix nanoseconds.
+	lost       lifecycle.Broadcast
+	confirming sync.Mutex
+	cutOffAt   atomic.Int64 // In Unix nanoseconds.
 }
 
 // signal wakes the loop.
@@ -88,12 +91,35 @@
 	}
 }
 
+// Confirm implements quarantine.Links. That a connection is accepted suffices where the one in
+// question was refused. Calls are serialized, as one connection answers all.
+func (r *reachability) Confirm(ctx context.Context, since time.Time) bool {
+	r.confirming.Lock()
+	defer r.confirming.Unlock()
+	if r.monitor.CutOff() || r.monitor.ReachedSince(since) {
+		return !r.monitor.CutOff()
+	}
+	began := time.Now()
+	if r.contact(ctx, r.targets(reach.CheckTargets), reach.Accepted) >= reach.Accepted {
+		r.monitor.Reached(began)
+		return true
+	}
+	r.check(ctx)
+	return !r.monitor.CutOff()
+}
+
 // targets returns n upstreams to check.
 func (r *reachability) targets(n int) []*target.Target {
 	cfg := r.vm.cfg.Load()
 	return reach.Spread(r.vm.balancer.Usable(), reach.Place{Zone: cfg.Zone, Region: cfg.Region}, n, r.monitor.HasFailed, rand.IntN)
 }
 
+// Await implements quarantine.Links.
+func (r *reachability) Await(ctx context.Context) {
+	for r.monitor.CutOff() && lifecycle.Sleep(ctx, awaitTick) {
+	}
+}
+
 // contact returns the first wanted contact with any of the targets, or else the highest.
 func (r *reachability) contact(ctx context.Context, list []*target.Target, wanted reach.Contact) reach.Contact {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
--- a/io/quarantine/crash.go
+++ b/io/quarantine/crash.go
@@ -24,6 +24,8 @@
 	// whether the upstream has crashed. They are probePause apart.
 	maxProbes  = 3
 	probePause = 200 * time.Millisecond
+	// maxLinksWait bounds how long a probe waits for the VM's links.
+	maxLinksWait = time.Minute
 	// maxLogged bounds the requests listed in the log line of one crash, and the upstreams
 	// listed in that of one ban.
 	maxLogged = 8
@@ -50,8 +52,12 @@
 func (g *Guard) Unanswered(ctx context.Context, now time.Time, req *poison.Request, a Attempt, e *verdict.Error) {
 	run := poison.Run{Target: a.Upstream.ID, Began: a.Began, Ended: now, Alone: req.Alone}
 	switch {
-	case e.Reason == verdict.ReasonMisdirected, e.Reason == verdict.ReasonUnreachable && errors.Is(e.Err, syscall.ECONNREFUSED):
+	case e.Reason == verdict.ReasonMisdirected:
 		g.crashed(now, a.Upstream)
+	case e.Reason == verdict.ReasonUnreachable && errors.Is(e.Err, syscall.ECONNREFUSED):
+		if g.ledger.Refused(now, a.Upstream.ID) {
+			g.probe(ctx, a.Upstream, false)
+		}
 	case e.Verdict == verdict.NotRun:
 	case e.Reason == verdict.ReasonDeadline || e.Reason == verdict.ReasonCanceled:
 		run.Print = req.Print()
@@ -134,14 +140,24 @@
 	g.probes.Start(ctx, (&crashProbe{guard: g, upstream: u, lapsed: lapsed}).run)
 }
 
-// run probes until the result is known, maxProbes times at most.
+// run probes until the result is known, maxProbes times at most. While the VM reaches no upstream
+// at all, it waits: what crashed in that time still refuses connections afterwards.
 func (p *crashProbe) run(ctx context.Context) {
 	g := p.guard
 	if !lifecycle.Sleep(ctx, p.after) {
 		return
 	}
-	for range maxProbes {
-		switch g.prober.Listens(ctx, p.upstream.Addr, probeTimeout) {
+	for probes := 0; probes < maxProbes; probes++ {
+		began := time.Now()
+		found := g.prober.Listens(ctx, p.upstream.Addr, probeTimeout)
+		if found != upstream.Listens && !g.links.Confirm(ctx, began) {
+			probes--
+			if !p.awaitLinks(ctx) {
+				return
+			}
+			continue
+		}
+		switch found {
 		case upstream.Refuses:
 			g.crashed(time.Now(), p.upstream)
 			return
@@ -160,3 +176,15 @@
 	}
 	g.ledger.NotCrashed(time.Now(), p.upstream.ID, false)
 }
+
+// awaitLinks waits until the VM reaches an upstream. It reports whether the probe is to go on.
+func (p *crashProbe) awaitLinks(ctx context.Context) bool {
+	waitCtx, cancel := context.WithTimeout(ctx, maxLinksWait)
+	defer cancel()
+	p.guard.links.Await(waitCtx)
+	if waitCtx.Err() != nil {
+		p.guard.ledger.NotCrashed(time.Now(), p.upstream.ID, false)
+		return false
+	}
+	return true
+}
--- a/io/quarantine/doc.go
+++ b/io/quarantine/doc.go
@@ -63,6 +63,15 @@
 	Listens(ctx context.Context, addr string, within time.Duration) upstream.Listening
 }
 
+// Links knows of the VM's own connections to upstreams.
+type Links interface {
+	// Confirm reports whether the VM reaches other upstreams, by a connection that it began to
+	// open after since. If there is none, it tries.
+	Confirm(ctx context.Context, since time.Time) bool
+	// Await waits until the VM reaches an upstream, or ctx ends.
+	Await(ctx context.Context)
+}
+
 // Guard is one VM's quarantine. It is safe for concurrent use.
 type Guard struct {
 	self      string
@@ -70,6 +79,7 @@
 	fleet     Fleet
 	store     BanStore
 	prober    Prober
+	links     Links
 	log       *logrus.Entry
 	newsReady chan struct{}
 	probes    lifecycle.Group
@@ -86,12 +96,25 @@
 // load.
 func WithFirstStart() Option { return func(g *Guard) { g.firstStart = true } }
 
+// WithLinks has refused connections count only while the VM reaches other upstreams: otherwise its
+// own links may be at fault.
+func WithLinks(l Links) Option { return func(g *Guard) { g.links = l } }
+
+// anyLinks is used without WithLinks.
+type anyLinks struct{}
+
+// Confirm implements Links.
+func (anyLinks) Confirm(context.Context, time.Time) bool { return true }
+
+// Await implements Links.
+func (anyLinks) Await(context.Context) {}
+
 // WithCrashHandler has f called with each upstream that has crashed, possibly more than once.
 func WithCrashHandler(f func(Upstream)) Option { return func(g *Guard) { g.onCrash = f } }
 
 // New returns a Guard without bans for the VM named self.
 func New(self string, f Fleet, b BanStore, p Prober, log *logrus.Entry, opts ...Option) *Guard {
-	g := &Guard{self: self, fleet: f, store: b, prober: p, log: log, newsReady: make(chan struct{}, 1), started: time.Now(), onCrash: func(Upstream) {}}
+	g := &Guard{self: self, fleet: f, store: b, prober: p, links: anyLinks{}, log: log, newsReady: make(chan struct{}, 1), started: time.Now(), onCrash: func(Upstream) {}}
 	g.ledger = poison.NewLedger(poison.WithNews(g.notify), poison.WithTrialOffset(g.trialOffset))
 	for _, opt := range opts {
 		opt(g)
