--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -69,7 +69,7 @@
 	readerCache   atomic.Pointer[cachedReaders]
 	peerAddrCache atomic.Pointer[peerAddrSet]
 	upstreams     *upstream.Pool
-	reach         reachability
+	links         *upstream.Links
 	relaying      requestRelay
 	splits        route.SplitCounts
 	guard         *quarantine.Guard
@@ -122,11 +122,11 @@
 	for _, name := range []string{TableRules, TableTargets} {
 		v.replicas[name] = replica.NewTable(name, func(key string, a, b []byte) bool { return p.Same(name, key, a, b) })
 	}
-	v.reach = reachability{vm: v, wake: make(chan struct{}, 1)}
+	v.links = upstream.NewLinks(linkObserver{v})
 	v.relaying.pool = upstream.NewPool()
 	v.peerClient = peer.NewClient(peer.WithExchangesCounted(&v.sent))
 	v.balancer = balance.New(cfg.Name, cfg.Region, cfg.Zone, balance.WithNews(v.signalPlacements))
-	guardOpts := []quarantine.Option{quarantine.WithLinks(&v.reach)}
+	guardOpts := []quarantine.Option{quarantine.WithLinks(v.links)}
 	if cfg.FirstStart {
 		guardOpts = append(guardOpts, quarantine.WithFirstStart())
 		v.limits.AssumeNoPriorTraffic()
@@ -206,7 +206,7 @@
 // startLoops starts all background loops.
 func (v *VM) startLoops(ctx context.Context, datagrams *peer.Datagrams) {
 	for _, loop := range []func(context.Context){
-		v.rttLoop, v.heartbeatLoop, v.reach.loop, v.rulesLoop, v.targetsLoop, v.applyLoop, v.addressLoop, v.requests.loop, v.sentLoop,
+		v.rttLoop, v.heartbeatLoop, v.links.Loop, v.rulesLoop, v.targetsLoop, v.applyLoop, v.addressLoop, v.requests.loop, v.sentLoop,
 		(&pusher{vm: v}).loop, (&placementPublisher{vm: v, peer: datagrams}).loop, (&demandPublisher{vm: v, peer: datagrams}).loop, (&noticePublisher{vm: v, peer: datagrams}).loop, datagrams.Run,
 	} {
 		v.background.Start(ctx, loop)
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -28,7 +28,6 @@
 	platformCalls  atomic.Int64
 	platformErrors atomic.Int64
 	discarded      atomic.Int64
-	reachChecks    atomic.Int64
 
 	mu      sync.Mutex
 	reasons map[verdict.Reason]int64
@@ -122,7 +121,7 @@
 		TargetsAgeMs: v.replicas[TableTargets].Head(now).Age.Milliseconds(),
 		LiveVMs:      len(v.members.Live(now)), Placements: v.balancer.PlacementCount(), Poison: v.guard.Ledger().Counts(), GivenUpByReason: make(map[verdict.Reason]int64),
 	}
-	f.CutOff, f.ReachChecks = v.cutOff(), c.reachChecks.Load()
+	f.CutOff, f.ReachChecks = v.cutOff(), v.links.Checks()
 	f.Relayed, f.RelayRefused, f.RelayedTraffic = v.relaying.sent.Load(), v.relaying.refused.Load(), v.relaying.traffic.Average().Requests
 	conns := v.upstreams.Connections()
 	f.ConnectionsOpened, f.ConnectionsFailed, f.ConnectionsReused = conns.Opened, conns.Failed, conns.Reused
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -210,7 +210,7 @@
 			Failed: e.Reason == verdict.ReasonUnreachable || e.Reason == verdict.ReasonBroken, Unreachable: e.Reason == verdict.ReasonUnreachable,
 			Unanswered: e.Verdict == verdict.MaybeRan, NotSent: e.Reason == verdict.ReasonWithheld,
 		}
-		if v.reach.monitor.Disturbed(began) {
+		if v.links.Disturbed(began) {
 			outcome = balance.Outcome{NotSent: e.Verdict == verdict.NotRun}
 		}
 		v.balancer.Done(time.Now(), lease, outcome)
@@ -230,7 +230,7 @@
 	r, err := readResponse(resp)
 	outcome := balance.Outcome{Answered: true, Load: parseLoad(resp.Header.Get(v.protocol.Load)), Connect: call.Connect}
 	if err != nil {
-		outcome.Failed = ctx.Err() == nil && !v.reach.monitor.Disturbed(began)
+		outcome.Failed = ctx.Err() == nil && !v.links.Disturbed(began)
 		v.balancer.Done(time.Now(), lease, outcome)
 		e := truncatedError(ctx, err)
 		v.unanswered(req, lease, began, e)
@@ -270,11 +270,11 @@
 // the upstreams, so that it can be relayed.
 func (v *VM) send(ctx context.Context, req *request, call *upstream.Call) (*http.Response, error) {
 	began, waitCtx := time.Now(), ctx
-	v.reach.begin(began)
+	v.links.Begin(began)
 	if req.idempotent() {
 		var cancel context.CancelFunc
 		waitCtx, cancel = context.WithCancel(ctx)
-		defer context.AfterFunc(v.reach.lost.Context(), cancel)()
+		defer context.AfterFunc(v.links.Silent(), cancel)()
 	}
 	resp, err := v.upstreams.Send(waitCtx, call, dialTimeout)
 	if e := verdict.As(err); err != nil && waitCtx.Err() != nil && ctx.Err() == nil {
@@ -284,7 +284,7 @@
 		}
 		err = verdict.Wrap(errLinksLost, e.Verdict, reason, cutOffRetryAfter)
 	}
-	v.reach.end(began, time.Now(), call, err)
+	v.links.End(began, time.Now(), call.Addr, call.Connect > 0, err)
 	return resp, err
 }
 
