Own inventory: a VM that reaches no upstream passes its requests on

What callers saw: at a VM that dispatches to its zone's upstreams and had lost its links to them, 0 of 40 and 0 of 2 first attempts were served from 2 s after the cut on, 39 of 39 and 38 of 38 at another; the zone's VMs took upstreams for down that they reached themselves.

Cause, as in the daemon for the platform: what the VM's own connections showed counted as the state of the upstreams. It kept its slots, and published failed probes. Now upstream.Links watches its requests and probes; while it is cut off it holds no slots, so that the zone's other VMs do and are passed its requests, reports nothing of upstreams, and counts nothing against them. Failed probes count as failures to reach.

A zone all of whose VMs are cut off has no slots, as if its upstreams were down: the weights move under the cap.

--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -215,6 +215,19 @@
 	}
 }
 
+// ForgetFailures forgets what failed requests and probes have shown of the upstreams. It is called
+// when the VM's own links were at fault.
+func (p *Pool) ForgetFailures(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range p.allocations {
+		a.failures = 0
+		if a.state == Down {
+			a.state, a.stateAt = Up, now // Not by setState: the upstream is not cold.
+		}
+	}
+}
+
 // Dispatchers returns the names of the VMs that dispatch the service in this
 // zone, best first.
 func (p *Pool) Dispatchers(serviceName string) []string {
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -61,8 +61,8 @@
 	// any response after which a VM is cut off though it can open connections.
 	unansweredFactor = 4
 	// failedBeforeCheck is the number of upstreams that could not be reached in a row after
-	// which a check is due: a few may have crashed.
-	failedBeforeCheck = 3
+	// which a check is due: one may have crashed.
+	failedBeforeCheck = 2
 	// CheckTargets is the number of upstreams that a check tries, and minCheckTargets the least
 	// number by which it can tell a crashed upstream from lost links.
 	CheckTargets    = 6
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -80,12 +80,12 @@
 		at      time.Duration
 		want    Change
 	}{
-		{"nothing can be reached", fail(3), None, 3, 450 * ms, Lost},
-		{"another upstream responds", fail(3), Heard, 3, 450 * ms, Unchanged},
-		{"another upstream accepts a connection", fail(3), Open, 3, 450 * ms, Unchanged},
+		{"nothing can be reached", fail(2), None, 3, 450 * ms, Lost},
+		{"another upstream responds", fail(2), Heard, 3, 450 * ms, Unchanged},
+		{"another upstream accepts a connection", fail(2), Open, 3, 450 * ms, Unchanged},
 		{"the only upstream has crashed", fail(1), None, 1, 450 * ms, Unchanged},
 		{"a response arrives during the check", func(m *Monitor) { m.Answered(at(200*ms), ms, false) }, None, 3, 450 * ms, Unchanged},
-		{"old connections go on while new ones fail", func(m *Monitor) { fail(3)(m); m.Answered(at(200*ms), ms, false) }, None, 3, 450 * ms, Lost},
+		{"old connections go on while new ones fail", func(m *Monitor) { fail(2)(m); m.Answered(at(200*ms), ms, false) }, None, 3, 450 * ms, Lost},
 		{"connections are accepted and nothing arrives for 0.5 s", func(*Monitor) {}, Open, 3, 500 * ms, Unchanged},
 		{"connections are accepted and nothing arrives for 1.3 s", func(*Monitor) {}, Open, 3, 1300 * ms, Lost},
 	} {
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -9,8 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"auburnlatch/core/balance"
 	"auburnlatch/core/verdict"
 	"auburnlatch/io/forward"
@@ -262,28 +260,14 @@
 	return r, nil
 }
 
-// errLinksLost is the cause of the failure of a request that waited for a response when the VM
-// lost its links to the upstreams.
-var errLinksLost = errors.New("the VM has lost its links to the upstreams")
-
 // send sends a request to its upstream. An idempotent one is given up if the VM loses its links to
 // the upstreams, so that it can be relayed.
 func (v *VM) send(ctx context.Context, req *request, call *upstream.Call) (*http.Response, error) {
-	began, waitCtx := time.Now(), ctx
+	began := time.Now()
 	v.links.Begin(began)
-	if req.idempotent() {
-		var cancel context.CancelFunc
-		waitCtx, cancel = context.WithCancel(ctx)
-		defer context.AfterFunc(v.links.Silent(), cancel)()
-	}
-	resp, err := v.upstreams.Send(waitCtx, call, dialTimeout)
-	if e := verdict.As(err); err != nil && waitCtx.Err() != nil && ctx.Err() == nil {
-		reason := verdict.ReasonUnreachable
-		if e.Verdict != verdict.NotRun {
-			reason = verdict.ReasonBroken
-		}
-		err = verdict.Wrap(errLinksLost, e.Verdict, reason, cutOffRetryAfter)
-	}
+	resp, err := v.links.Do(ctx, req.idempotent(), func(ctx context.Context) (*http.Response, error) {
+		return v.upstreams.Send(ctx, call, dialTimeout)
+	})
 	v.links.End(began, time.Now(), call.Addr, call.Connect > 0, err)
 	return resp, err
 }
--- a/io/route/router.go
+++ b/io/route/router.go
@@ -94,6 +94,7 @@
 	VMs        VMs
 	Directory  Directory
 	Guard      Guard
+	Links      *upstream.Links // nil: not watched.
 
 	nextRemote atomic.Uint64 // Rotates the VM of another zone that is tried first.
 }
@@ -347,7 +348,9 @@
 	if rules := r.Pool.Rules(req.Service); rules != nil {
 		shed = rules.ShedStatuses
 	}
-	resp, err := r.Upstreams.Send(ctx, t, shed, hr)
+	resp, err := r.Links.Do(ctx, req.Idempotent, func(ctx context.Context) (*http.Response, error) {
+		return r.Upstreams.Send(ctx, t, shed, hr)
+	})
 	if err != nil {
 		done(err)
 		return nil, err
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -13,6 +13,7 @@
 
 	"auburnlatch/core/inventory"
 	"auburnlatch/core/verdict"
+	"auburnlatch/io/lifecycle"
 )
 
 // Limits of the client.
@@ -31,6 +32,9 @@
 type Client struct {
 	transport *http.Transport
 	dial      Dial
+	links     *Links // nil: not watched.
+	// abortDials ends the opening of connections.
+	abortDials lifecycle.Broadcast
 }
 
 // Dial opens a connection, as net.Dialer.DialContext does.
@@ -39,7 +43,13 @@
 // Option configures a Client or a Pool.
 type Option func(*options)
 
-type options struct{ dial Dial }
+type options struct {
+	dial  Dial
+	links *Links
+}
+
+// WithLinks has a Client record in l what its requests to upstreams show of the VM's links.
+func WithLinks(l *Links) Option { return func(o *options) { o.links = l } }
 
 // WithDial sets the function that opens connections.
 func WithDial(dial Dial) Option { return func(o *options) { o.dial = dial } }
@@ -50,8 +60,12 @@
 	for _, opt := range opts {
 		opt(o)
 	}
-	return &Client{dial: o.dial, transport: &http.Transport{
+	c := &Client{dial: o.dial, links: o.links}
+	c.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
+			defer context.AfterFunc(c.abortDials.Context(), cancel)()
 			conn, err := o.dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
@@ -60,9 +74,13 @@
 		},
 		MaxIdleConnsPerHost: idlePerUpstream, IdleConnTimeout: idleTimeout,
 		ExpectContinueTimeout: continueTimeout, DisableCompression: true,
-	}}
+	}
+	return c
 }
 
+// AbortDials ends all attempts to open a connection that are in progress.
+func (c *Client) AbortDials() { c.abortDials.Signal() }
+
 // Listens checks whether a process accepts connections at an address. It opens one and
 // closes it shortly afterwards.
 func (c *Client) Listens(ctx context.Context, addr string, within time.Duration) Listening {
@@ -76,7 +94,7 @@
 // caller closes. With a status in shed the target states that it did not run
 // the request.
 func (c *Client) Send(ctx context.Context, t *inventory.Target, shed []int, req *http.Request) (*http.Response, error) {
-	resp, err := c.RoundTrip(ctx, t.Addr, req)
+	resp, err := c.roundTripWatched(ctx, t.Addr, req, c.links)
 	if err != nil {
 		return nil, err
 	}
@@ -101,9 +119,26 @@
 	return "upstream shed the request, retry after " + e.RetryAfter.String()
 }
 
+// roundTripWatched is RoundTrip to an upstream. It records in links what that shows of them; nil:
+// nothing is recorded.
+func (c *Client) roundTripWatched(ctx context.Context, addr string, req *http.Request, links *Links) (*http.Response, error) {
+	var sent writeTracker
+	if links == nil {
+		return c.roundTrip(ctx, addr, req, &sent)
+	}
+	began := time.Now()
+	links.Begin(began)
+	resp, err := c.roundTrip(ctx, addr, req, &sent)
+	links.End(began, time.Now(), addr, sent.opened(), err)
+	return resp, err
+}
+
 // RoundTrip sends one request to an address, exactly once, and returns the response.
 func (c *Client) RoundTrip(ctx context.Context, addr string, req *http.Request) (*http.Response, error) {
-	var sent writeTracker
+	return c.roundTrip(ctx, addr, req, &writeTracker{})
+}
+
+func (c *Client) roundTrip(ctx context.Context, addr string, req *http.Request, sent *writeTracker) (*http.Response, error) {
 	out := req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sent.gotConn}))
 	to := *req.URL
 	to.Scheme, to.Host = "http", addr
@@ -164,6 +199,7 @@
 type trackedConn struct {
 	conn   *countingConn
 	before int64
+	reused bool
 }
 
 func (s *writeTracker) gotConn(info httptrace.GotConnInfo) {
@@ -173,7 +209,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conns = append(s.conns, trackedConn{conn, conn.writes.Load()})
+	s.conns = append(s.conns, trackedConn{conn, conn.writes.Load(), info.Reused})
+}
+
+// opened reports whether the last connection was opened for the request.
+func (s *writeTracker) opened() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns) > 0 && !s.conns[len(s.conns)-1].reused
 }
 
 func (s *writeTracker) wroteAny() bool {
--- a/io/upstream/contact.go
+++ b/io/upstream/contact.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"auburnlatch/core/inventory"
 	"auburnlatch/core/reach"
 )
 
@@ -40,6 +41,28 @@
 	return contact
 }
 
+// Contact is like Pool.Contact for an upstream of the inventory. No connection is kept.
+func (c *Client) Contact(ctx context.Context, t *inventory.Target, wanted reach.Contact) reach.Contact {
+	if wanted == reach.Heard {
+		if _, err := c.probe(ctx, t, nil); err == nil {
+			return reach.Heard
+		}
+	}
+	raw, err := c.dial(ctx, "tcp", t.Addr)
+	if err != nil {
+		return reach.None
+	}
+	defer raw.Close()
+	switch {
+	case wanted == reach.Accepted:
+		return reach.Accepted
+	case staysOpen(raw):
+		return reach.Open
+	default:
+		return reach.None
+	}
+}
+
 // contactByCheck sends a health check on a new connection.
 func (p *Pool) contactByCheck(ctx context.Context, target string, c *conn, addr, path string) reach.Contact {
 	resp, err := c.checkHealth(addr, path)
--- a/io/upstream/links.go
+++ b/io/upstream/links.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"auburnlatch/core/reach"
 	"auburnlatch/core/verdict"
 	"auburnlatch/io/lifecycle"
@@ -62,9 +65,28 @@
 // Checks returns the number of checks so far.
 func (l *Links) Checks() int64 { return l.checks.Load() }
 
-// Silent returns a context that ends when the VM is cut off and requests that are in flight will
-// hardly be answered.
-func (l *Links) Silent() context.Context { return l.silent.Context() }
+// errLinksLost is the cause of the failure of a request that waited for a response when the VM lost
+// its links.
+var errLinksLost = errors.New("the VM has lost its links to the upstreams")
+
+// Do has send send a request to an upstream and return its response. If giveUp is set and the VM
+// loses its links, the request is given up, so that it can be sent again. A nil Links never is
+// cut off.
+func (l *Links) Do(ctx context.Context, giveUp bool, send func(context.Context) (*http.Response, error)) (*http.Response, error) {
+	if l == nil || !giveUp {
+		return send(ctx)
+	}
+	waitCtx, cancel := context.WithCancel(ctx)
+	defer context.AfterFunc(l.silent.Context(), cancel)()
+	resp, err := send(waitCtx)
+	if err == nil || waitCtx.Err() == nil || ctx.Err() != nil {
+		return resp, err
+	}
+	if verdict.Of(err) == verdict.NotRun {
+		return nil, verdict.Wrap(errLinksLost, verdict.NotRun, verdict.ReasonUnreachable, defaultRetryAfter)
+	}
+	return nil, verdict.Wrap(errLinksLost, verdict.MaybeRan, verdict.ReasonBroken, defaultRetryAfter)
+}
 
 // Begin records that a request is sent to an upstream.
 func (l *Links) Begin(now time.Time) {
--- a/io/upstream/probe.go
+++ b/io/upstream/probe.go
@@ -23,13 +23,18 @@
 // Probe queries the target's health endpoint. It returns an error if there is no
 // response or not a valid one; the caller decides what follows from that.
 func (c *Client) Probe(ctx context.Context, t *inventory.Target) (dispatch.Health, error) {
+	return c.probe(ctx, t, c.links)
+}
+
+// probe is Probe, recorded in links if these are not nil.
+func (c *Client) probe(ctx context.Context, t *inventory.Target, links *Links) (dispatch.Health, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Addr+"/health", nil)
 	if err != nil {
 		return dispatch.Down, errors.Wrap(err, "probe")
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := c.roundTripWatched(ctx, t.Addr, req, links)
 	if err != nil {
 		return dispatch.Down, errors.Wrap(err, "probe")
 	}
--- a/io/vm/fleet_test.go
+++ b/io/vm/fleet_test.go
@@ -64,14 +64,20 @@
 	mu   sync.Mutex
 	cut  map[string]bool
 	open map[net.Conn]string
+	// silent makes new connections to an address that is cut hang rather than fail.
+	silent bool
 }
 
 var errCut = errors.New("network is cut")
 
 func (n *network) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	n.mu.Lock()
-	cut := n.cut[addr]
+	cut, silent := n.cut[addr], n.silent
 	n.mu.Unlock()
+	if cut && silent {
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+	}
 	if cut {
 		return nil, &net.OpError{Op: "dial", Net: network, Err: errCut}
 	}
--- a/io/vm/health.go
+++ b/io/vm/health.go
@@ -60,6 +60,14 @@
 	maps.DeleteFunc(r.failed, func(target string, _ int) bool { return !probed[target] })
 }
 
+// forget deletes all results.
+func (r *healthRecord) forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.states)
+	clear(r.failed)
+}
+
 // reports returns the states other than Up, which the VM publishes to its peers.
 func (r *healthRecord) reports() map[string]string {
 	r.mu.Lock()
@@ -110,8 +118,9 @@
 // run probes the upstream and records the outcome.
 func (p *probe) run(ctx context.Context) {
 	defer p.wg.Done()
+	began := time.Now()
 	h, err := p.vm.upstreams.Probe(ctx, p.target)
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || p.vm.links.Disturbed(began) {
 		return
 	}
 	state, before := p.vm.health.record(p.target.Name, h, err)
--- a/io/vm/heartbeat.go
+++ b/io/vm/heartbeat.go
@@ -38,7 +38,7 @@
 
 // startLoops starts the background loops.
 func (v *VM) startLoops(ctx context.Context) {
-	for _, loop := range []func(context.Context){v.heartbeatLoop, v.configLoop, v.listLoop, v.steerLoop, v.probeLoop, v.sweepLoop} {
+	for _, loop := range []func(context.Context){v.heartbeatLoop, v.configLoop, v.listLoop, v.steerLoop, v.probeLoop, v.links.Loop, v.sweepLoop} {
 		v.background.Start(ctx, loop)
 	}
 }
@@ -72,7 +72,7 @@
 		return
 	}
 	v.table.PublishUsage(now, member.Usage{
-		VM: v.cfg.Name, Settled: view.Synced && !v.pool.Pending(), Services: serviceLoads(v.pool.Services(now)), Demands: v.meter.Sample(now),
+		VM: v.cfg.Name, Settled: v.synced(now) && !v.pool.Pending(), Services: serviceLoads(v.pool.Services(now)), Demands: v.meter.Sample(now),
 	})
 	if v.represents(now, 1) {
 		roster, load := v.table.Summarize(now)
@@ -91,9 +91,15 @@
 	}
 }
 
+// synced reports whether this VM knows enough of its zone's state to take slots.
+func (v *VM) synced(now time.Time) bool {
+	return v.table.Synced(now, member.JoinHold{Listed: v.joinHold(), Unlisted: v.cfg.Timing.JoinHold})
+}
+
 // view returns what this VM knows of its zone, for the pool.
 func (v *VM) view(now time.Time, inv *inventory.Inventory) dispatch.View {
-	synced := v.table.Synced(now, member.JoinHold{Listed: v.joinHold(), Unlisted: v.cfg.Timing.JoinHold})
+	// A VM that reaches no upstream takes no slots, so that the others of its zone do.
+	synced := v.synced(now) && !v.links.CutOff()
 	view := dispatch.View{
 		Targets: inv.ZoneTargets(v.cfg.Zone), Services: inv.Services,
 		Live: v.table.Dispatching(now, synced), Seq: v.table.NextSeq(), Synced: synced,
--- a/io/vm/vm.go
+++ b/io/vm/vm.go
@@ -69,6 +69,7 @@
 	peers     *peer.Client
 	peerSrv   *peer.Server
 	upstreams *upstream.Client
+	links     *upstream.Links
 	router    *route.Router
 	guard     *quarantine.Guard
 	callers   *caller.Server
@@ -114,16 +115,19 @@
 	v := &VM{
 		cfg: cfg, log: log, incarnation: uint64(now.UnixMilli()), started: now,
 		pool: dispatch.NewPool(cfg.Name), platform: client, claims: platform.NewClaims(client),
-		peers: peer.NewClient(peer.WithDial(peer.Dial(o.dial))), upstreams: upstream.NewClient(toUpstream),
+		peers:   peer.NewClient(peer.WithDial(peer.Dial(o.dial))),
 		config:  newConfig(platform.NewInventoryStore(client), log),
 		refresh: make(chan struct{}, 1),
 	}
+	v.links = upstream.NewLinks(linkObserver{v})
+	v.upstreams = upstream.NewClient(toUpstream, upstream.WithLinks(v.links))
 	v.work, v.cancelWork = context.WithCancel(context.Background())
 	v.table = member.NewTable(cfg.Name, cfg.Zone, v.incarnation, now, member.WithFailAfter(cfg.Timing.FailAfter))
 	v.peerSrv = peer.NewServer(v.table, v.config, &v.rows)
 	generations := &generations{}
-	v.guard = quarantine.New(cfg.Name, fleetView{v}, platform.NewBans(client), v.upstreams, log, quarantine.WithCrashHandler(generations.next))
+	v.guard = quarantine.New(cfg.Name, fleetView{v}, platform.NewBans(client), v.upstreams, log, quarantine.WithCrashHandler(generations.next), quarantine.WithLinks(v.links))
 	v.router = &route.Router{
+		Links: v.links,
 		Guard: &routeGuard{Guard: v.guard, generations: generations, work: v.work},
 		Self:  cfg.Name, Zone: cfg.Zone, Pool: v.pool, Rows: &v.rows, Meter: &v.meter, Budget: &v.budget, Reach: &v.reach,
 		Upstreams: v.upstreams, VMs: forward.NewClient(toUpstream), Directory: v,
