--- a/io/entry/cutoff_test.go
+++ b/io/entry/cutoff_test.go
@@ -38,6 +38,12 @@
 	answers   []*answers // By VM.
 	callers   sync.WaitGroup
 	stop      chan struct{}
+	// change, if set, changes the settings of the VMs that are started.
+	change func(*settings.Entry)
+	// onRequest and handle, if set, are called with each request at an upstream. handle reports
+	// whether it has responded.
+	onRequest func(*http.Request)
+	handle    func(http.ResponseWriter, *http.Request) bool
 }
 
 // zones are the zones of the VMs and upstreams of a cutFleet, and their regions.
@@ -58,6 +64,12 @@
 	var served atomic.Int64
 	for i := range 9 {
 		u := startUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+			if f.onRequest != nil {
+				f.onRequest(r)
+			}
+			if f.handle != nil && f.handle(w, r) {
+				return
+			}
 			body, _ := io.ReadAll(r.Body)
 			<-time.After(10 * time.Millisecond)
 			if served.Add(1)%closeEvery == 0 {
@@ -81,6 +93,10 @@
 		if i > 0 {
 			cfg.Seeds = []string{f.vms[0].cfg.PeerAddr}
 		}
+		cfg.Regions = map[string]string{"z": "r", "y": "r", "x": "q", "w": "p"}
+		if f.change != nil {
+			f.change(cfg)
+		}
 	}, entry.WithUpstreamDial(l.dial))
 	f.vms, f.links, f.answers = append(f.vms, v), append(f.links, l), append(f.answers, &answers{})
 	return v
@@ -101,6 +117,7 @@
 		ready(f.t, v)
 		eventually(f.t, "the VMs know each other", func() bool { return v.Figures(time.Now()).LiveVMs == n })
 	}
+	<-time.After(time.Second) // They also know that the others are ready.
 }
 
 // answer is the result of a first attempt.
