Soak: VMs cut off from all upstreams

The proxies tell the VMs apart by the sockets of their processes. Some requests go to a route with a home.

It only confirms refusals now.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -129,20 +129,20 @@
 	}
 	m.usual += time.Duration(usualWeight * float64(took-m.usual))
 	if opened {
+		clear(m.failed)
 		m.reached(now.Add(-took))
 	}
 }
 
-// Reached records that a connection was opened from at on.
+// Reached records that a connection was accepted that was opened from at on.
 func (m *Monitor) Reached(at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reached(at)
 }
 
-// reached records that a new connection was opened from at on.
+// reached is Reached for callers that hold the lock.
 func (m *Monitor) reached(at time.Time) {
-	clear(m.failed)
 	if at.After(m.reachedAt) {
 		m.reachedAt = at
 	}
@@ -243,15 +243,18 @@
 	switch {
 	case m.cutOff && (c == Heard || c == Open && !m.unanswered):
 		m.cutOff, m.unanswered, m.regainedAt, m.waitingSince = false, false, now, time.Time{}
+		clear(m.failed)
 		m.reached(began)
 		return Regained
 	case m.cutOff:
 		return Unchanged
 	case c == Heard:
 		m.heard(now)
+		clear(m.failed)
 		m.reached(began)
 		return Unchanged
 	case c == Open:
+		clear(m.failed)
 		m.reached(began)
 		m.unanswered = m.isUnanswered(now)
 		m.cutOff = m.unanswered
--- a/io/quarantine/crash.go
+++ b/io/quarantine/crash.go
@@ -150,7 +150,7 @@
 	for probes := 0; probes < maxProbes; probes++ {
 		began := time.Now()
 		found := g.prober.Listens(ctx, p.upstream.Addr, probeTimeout)
-		if found != upstream.Listens && !g.links.Confirm(ctx, began) {
+		if found == upstream.Unknown && g.links.CutOff() || found == upstream.Refuses && !g.links.Confirm(ctx, began) {
 			probes--
 			if !p.awaitLinks(ctx) {
 				return
--- a/io/quarantine/doc.go
+++ b/io/quarantine/doc.go
@@ -65,7 +65,9 @@
 
 // Links knows of the VM's own connections to upstreams.
 type Links interface {
-	// Confirm reports whether the VM reaches other upstreams, by a connection that it began to
+	// CutOff reports whether the VM is known to reach no upstream.
+	CutOff() bool
+	// Confirm reports whether other upstreams accept connections, by one that the VM began to
 	// open after since. If there is none, it tries.
 	Confirm(ctx context.Context, since time.Time) bool
 	// Await waits until the VM reaches an upstream, or ctx ends.
@@ -103,6 +105,9 @@
 // anyLinks is used without WithLinks.
 type anyLinks struct{}
 
+// CutOff implements Links.
+func (anyLinks) CutOff() bool { return false }
+
 // Confirm implements Links.
 func (anyLinks) Confirm(context.Context, time.Time) bool { return true }
 
--- a/io/quarantine/links_test.go
+++ b/io/quarantine/links_test.go
@@ -29,9 +29,9 @@
 	return l.found
 }
 
-func (l *brokenLinks) Confirm(context.Context, time.Time) bool {
-	return !time.Now().Before(l.returnAt)
-}
+func (l *brokenLinks) CutOff() bool { return time.Now().Before(l.returnAt) }
+
+func (l *brokenLinks) Confirm(context.Context, time.Time) bool { return !l.CutOff() }
 
 func (l *brokenLinks) Await(ctx context.Context) {
 	select {
--- a/io/upstream/links.go
+++ b/io/upstream/links.go
@@ -170,9 +170,9 @@
 	}
 }
 
-// Confirm reports whether the VM reaches upstreams, by a connection that it began to open after
-// since. If there is none, it tries. That a connection is accepted suffices, as the one in question
-// was refused. Calls are serialized, as one connection answers all.
+// Confirm reports whether other upstreams accept connections, by one that the VM began to open
+// after since. If there is none, it tries. That suffices where the connection in question was
+// refused. Calls are serialized, as one connection answers all.
 func (l *Links) Confirm(ctx context.Context, since time.Time) bool {
 	l.confirming.Lock()
 	defer l.confirming.Unlock()
--- a/tools/soak/chaos.go
+++ b/tools/soak/chaos.go
@@ -243,6 +243,10 @@
 	if once {
 		method, path, body = http.MethodPost, "/post/1", strings.Repeat("x", c.rnd.IntN(30_000))
 	}
+	home := c.fleet.homes && once && c.rnd.IntN(4) == 0
+	if home {
+		path = standin.HomePath
+	}
 	v := c.fleet.vms[c.rnd.IntN(len(c.fleet.vms))]
 	// The body cannot be rewound, so net/http does not retry the request.
 	req, err := http.NewRequest(method, "http://"+v.front+path, struct{ io.Reader }{strings.NewReader(body)})
@@ -261,6 +265,9 @@
 		req.Header.Set("Cookie", fmt.Sprint("X-Affinity-Key=", c.number))
 	}
 	c.fleet.ledger.recordRequest(id, v, once)
+	if home {
+		c.fleet.ledger.recordHome(id)
+	}
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return
@@ -311,8 +318,17 @@
 	if cmd.Restores {
 		injecting.Go(func() { stores.run(ctx, end) })
 	}
+	cuts := &cutter{fleet: f, rnd: rand.New(rand.NewPCG(seed, 6000))}
+	if cmd.Cuts {
+		injecting.Go(func() { cuts.run(ctx, end) })
+	}
 	ch.run(end)
 	injecting.Wait()
+	if cmd.Cuts {
+		<-time.After(settleTime)
+		cuts.runLast()
+		<-time.After(observeTime)
+	}
 	calm := time.Now().Add(settleTime)
 	<-time.After(time.Until(calm))
 	wait.Add(1)
@@ -330,6 +346,10 @@
 		r.restores = stores.count
 		r.broken = append(r.broken, f.judgeStore()...)
 	}
+	if cmd.Cuts {
+		r.cuts = cuts.count
+		r.broken = append(r.broken, cuts.judge(f.ledger)...)
+	}
 	r.broken = append(r.broken, f.unexpectedExits()...)
 	for _, err := range ch.errs {
 		r.broken = append(r.broken, "the soak itself failed: "+err.Error())
--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -43,6 +43,13 @@
 	return startIgnoringHangup(cmd)
 }
 
+// pid returns the ID of the process that was last started.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
 // signal sends a signal to the process that was last started.
 func (p *process) signal(s os.Signal) {
 	p.mu.Lock()
@@ -93,6 +100,8 @@
 	poisons      atomic.Int64 // Number of poison requests sent.
 	acceptAlways bool         // See proxy.acceptAlways.
 	objects      bool         // Requests concern an object of their caller.
+	homes        bool         // Some requests go to a route with a home.
+	links        links
 
 	mu       sync.Mutex
 	versions []version
@@ -122,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, ledger: newLedger(), acceptAlways: c.Taking, objects: c.Restores, evacuated: make(map[string]bool)}
+	f := &fleet{dir: dir, ledger: newLedger(), acceptAlways: c.Taking, objects: c.Restores || c.Cuts, homes: c.Cuts, evacuated: make(map[string]bool)}
 	if f.storeAddr, err = freeport.Addr(); err != nil {
 		return nil, err
 	}
@@ -164,7 +173,7 @@
 	if err != nil {
 		return err
 	}
-	path, err := startProxy(listen, f.acceptAlways)
+	path, err := startProxy(listen, f.acceptAlways, &f.links)
 	if err != nil {
 		return err
 	}
@@ -186,7 +195,7 @@
 	if err != nil {
 		return err
 	}
-	toStore, err := startProxy(f.storeAddr, false)
+	toStore, err := startProxy(f.storeAddr, false, nil)
 	if err != nil {
 		return err
 	}
@@ -203,7 +212,13 @@
 	v := &vm{front: a[0], directory: a[2], store: toStore, logs: &lockedBuffer{}}
 	v.process = &process{name: name, out: v.logs, args: func() []string { return []string{daemon, "--settings", path} }}
 	f.vms = append(f.vms, v)
-	return v.start()
+	if err := v.start(); err != nil {
+		return err
+	}
+	f.links.mu.Lock()
+	defer f.links.mu.Unlock()
+	f.links.vms = f.vms
+	return nil
 }
 
 // setConfig writes the next version of the rules. If it fails, the version may have been
--- a/tools/soak/ledger.go
+++ b/tools/soak/ledger.go
@@ -14,6 +14,7 @@
 	atMostOnce bool // Must run at most once.
 	probe      bool // Probes the rules in force; 404 is a valid response.
 	poison     bool // Crashes each upstream that runs it.
+	home       bool // May run only in region n.
 	status     int  // 0 if no complete response was received.
 	intact     bool // The response is complete and belongs to the request.
 	arrivals   int  // Arrivals at upstreams, including refused ones.
@@ -74,6 +75,13 @@
 	l.entry(id).poison = true
 }
 
+// recordHome records that a request may run only in the home of its route.
+func (l *ledger) recordHome(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entry(id).home = true
+}
+
 // poisonRuns returns how often upstreams have started to run a poison request.
 func (l *ledger) poisonRuns() (n int) {
 	l.mu.Lock()
@@ -138,7 +146,7 @@
 	lastAsked, lastOK int
 
 	probed, versions, repeats int
-	restores                  int // Of the store.
+	restores, cuts            int
 	poisoned                  int // Runs of poison requests.
 	began                     time.Time
 	injected                  []injectedFault
--- a/tools/soak/notices.go
+++ b/tools/soak/notices.go
@@ -172,6 +172,14 @@
 		l.unexpected = append(l.unexpected, line)
 		return
 	}
+	var number int
+	if _, err := fmt.Sscanf(upstream, "i-%d-", &number); err != nil {
+		l.unexpected = append(l.unexpected, line)
+		return
+	}
+	if _, region := zoneOf(number); l.entry(id).home && region != standin.HomeRegion {
+		l.unexpected = append(l.unexpected, "a request outside of its home: "+line)
+	}
 	g := l.incarnation(upstream)
 	g.arrivals = append(g.arrivals, arrival{time.Unix(0, nanos), l.entry(id)})
 }
--- a/tools/soak/proxy.go
+++ b/tools/soak/proxy.go
@@ -34,14 +34,15 @@
 	acceptAlways bool
 	target       string
 	mode         atomic.Int32
+	links        *links // nil if it is not a proxy to an upstream.
 }
 
-func startProxy(to string, acceptAlways bool) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func startProxy(to string, acceptAlways bool, l *links) (*proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{l: l, listenAddr: l.Addr().String(), target: to, acceptAlways: acceptAlways}
+	p := &proxy{l: listener, listenAddr: listener.Addr().String(), target: to, acceptAlways: acceptAlways, links: l}
 	go p.run()
 	return p, nil
 }
@@ -68,8 +69,14 @@
 			}
 			continue
 		}
-		go (&stream{proxy: p, from: c, to: up}).run()
-		go (&stream{proxy: p, from: up, to: c, back: true}).run()
+		both := &pair{vm: c, upstream: up}
+		if p.links != nil && !p.links.accept(both) {
+			resetConn(c)
+			resetConn(up)
+			continue
+		}
+		go (&stream{proxy: p, pair: both, from: c, to: up}).run()
+		go (&stream{proxy: p, pair: both, from: up, to: c, back: true}).run()
 	}
 }
 
@@ -104,6 +111,7 @@
 // stream forwards one direction of a connection.
 type stream struct {
 	proxy    *proxy
+	pair     *pair
 	from, to net.Conn
 	back     bool
 }
@@ -111,6 +119,9 @@
 // run copies data until either end is closed. Data read in mode silent is lost, as on a
 // path that drops packets for good.
 func (s *stream) run() {
+	if s.proxy.links != nil {
+		defer s.proxy.links.remove(s.pair)
+	}
 	defer s.from.Close()
 	defer s.to.Close()
 	buf := make([]byte, 32<<10)
@@ -131,6 +142,9 @@
 // pass forwards a chunk according to the mode and reports whether the connection stays
 // open.
 func (s *stream) pass(p []byte) bool {
+	if s.proxy.links != nil && s.proxy.links.drops(s.pair) {
+		return true
+	}
 	switch m := mode(s.proxy.mode.Load()); {
 	case m == reset:
 		resetConn(s.from)
