Relayed requests: no retry after one that may have run; a bound on checks; docs

A VM through which a request was lost may have used all its attempts, so it is not sent again. Checks consider at most 512 upstreams: the VM with 9,999 of them checks four times a second while it is cut off.

--- a/core/reach/spread.go
+++ b/core/reach/spread.go
@@ -10,11 +10,16 @@
 // Place is an availability zone and its region.
 type Place struct{ Zone, Region string }
 
+// maxConsidered bounds the targets that Spread chooses from, at random, as there may be thousands.
+const maxConsidered = 512
+
 // Spread returns up to n targets to check whether a VM reaches any upstream: of as many
 // availability zones and services as possible, so that the failure of one does not look like lost
 // links. The VM's own zone comes first, then its region. Targets that skip reports are used only
-// if there are no others. intn returns a random number below its argument.
+// if there are no others. intn returns a random number below its argument. It reorders targets.
 func Spread(targets []*target.Target, from Place, n int, skip func(addr string) bool, intn func(int) int) []*target.Target {
+	shuffle(targets, min(len(targets), maxConsidered), intn)
+	targets = targets[:min(len(targets), maxConsidered)]
 	zones := make(map[string][]*target.Target)
 	skipped := make(map[*target.Target]bool)
 	for _, t := range targets {
@@ -22,12 +27,8 @@
 		skipped[t] = skip(t.Addr)
 	}
 	order := make([]string, 0, len(zones))
-	for zone, list := range zones {
+	for zone := range zones {
 		order = append(order, zone)
-		for i := range list {
-			j := i + intn(len(list)-i)
-			list[i], list[j] = list[j], list[i]
-		}
 	}
 	slices.SortFunc(order, func(a, b string) int {
 		return cmp.Or(cmp.Compare(distance(zones[a][0], from), distance(zones[b][0], from)), cmp.Compare(a, b))
@@ -59,6 +60,14 @@
 	return chosen
 }
 
+// shuffle moves n random targets to the beginning.
+func shuffle(list []*target.Target, n int, intn func(int) int) {
+	for i := range n {
+		j := i + intn(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+	}
+}
+
 // rank orders what is skipped last.
 func rank(skipped bool) int {
 	if skipped {
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -117,10 +117,13 @@
 	e := verdict.New(verdict.NotRun, verdict.ReasonUnreachable, cutOffRetryAfter)
 	var r *response
 	if req.relayed == "" {
+		// The other VM counts what is sent there.
+		now := time.Now()
 		if kind == forward.First {
-			now := time.Now()
 			v.retries.Withdraw(now, req.service)
 			v.returnLimit(now, req)
+		} else {
+			v.limits.Return(now, req.team)
 		}
 		r, e = v.relay(ctx, req, kind)
 	}
--- a/io/entry/relay.go
+++ b/io/entry/relay.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"auburnlatch/core/callers"
 	"auburnlatch/core/member"
 	"auburnlatch/core/relay"
@@ -128,7 +126,8 @@
 	return sum.Bytes / sum.Requests
 }
 
-// relay sends a request through another VM and returns the response.
+// relay sends a request through another VM and returns the response. If the request may have run,
+// that VM has used the attempts, and none is left.
 func (v *VM) relay(ctx context.Context, req *request, kind forward.RelayKind) (*response, *verdict.Error) {
 	last := verdict.New(verdict.NotRun, verdict.ReasonUnreachable, cutOffRetryAfter)
 	var tried []string
@@ -154,13 +153,9 @@
 		}
 		v.requests.relayFailed(v, req, c, e)
 		last = e
-		if again {
-			continue
-		}
-		if e.Reason != verdict.ReasonBroken || kind != forward.First || !v.mayRetry(ctx, req, e, 1) {
+		if !again {
 			break
 		}
-		kind = forward.Retry
 	}
 	v.relaying.refused.Add(1)
 	return nil, last
@@ -301,5 +296,5 @@
 	if e.Err != nil {
 		f["Err"] = e.Err
 	}
-	l.log.WithFields(logrus.Fields(f)).Info("RelayFailed")
+	l.log.WithFields(f).Info("RelayFailed")
 }
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -94,7 +94,7 @@
 
 // Send sends a request once and returns the response, whose body the caller
 // closes. The verdict of an error states whether the request may have run.
-// dialWithin is the timeout for opening a connection; if it is 0, none is opened.
+// dialWithin is the timeout for opening a connection.
 func (p *Pool) Send(ctx context.Context, call *Call, dialWithin time.Duration) (*http.Response, error) {
 	c, err := p.get(ctx, call, dialWithin)
 	if err != nil {
@@ -135,9 +135,6 @@
 		}
 		c.Close()
 	}
-	if dialWithin <= 0 {
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonUnreachable, defaultRetryAfter)
-	}
 	dctx, cancel := context.WithTimeout(ctx, dialWithin)
 	defer cancel()
 	defer context.AfterFunc(p.abortDials.Context(), cancel)()
