Links: check again after a crash was judged while the VM is cut off

Cause: Confirm found that the VM is cut off, from another goroutine than the loop that checks again; the loop waited for a request, and a VM that is cut off sends none to upstreams. It is woken now. TestLinksAreRegainedAfterConfirm failed before.

--- a/io/upstream/links.go
+++ b/io/upstream/links.go
@@ -164,6 +164,7 @@
 		if l.monitor.Silent(now) {
 			l.silent.Signal()
 		}
+		l.signal() // Confirm may have found it, while the loop waits for a request.
 	case reach.Regained:
 		l.observer.LinksRegained(ctx, now, time.Unix(0, l.lostAt.Load()))
 	case reach.Unchanged:
