Links: a check that every upstream answers and none runs

The check now asks for an incarnation that no upstream is: any of them rejects it. TestCutOffVMServesItsCallers/unanswered failed before.

--- a/io/entry/cutoff_test.go
+++ b/io/entry/cutoff_test.go
@@ -265,7 +265,7 @@
 // Guards against a VM that loses its links to all upstreams, while callers and other VMs reach it,
 // and fails its callers until the links return.
 func TestCutOffVMServesItsCallers(t *testing.T) {
-	for name, state := range map[string]linkState{"silent": linksSilent, "reset": linksReset, "refused": linksRefused} {
+	for name, state := range map[string]linkState{"silent": linksSilent, "reset": linksReset, "refused": linksRefused, "unanswered": linksUnanswered} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newCutFleet(t)
@@ -281,6 +281,9 @@
 			<-time.After(3 * time.Second)
 			end := time.Now()
 			f.endCalls()
+			if f.vms[0].Figures(time.Now()).CutOff {
+				t.Error("the VM takes itself for cut off when its links are back")
+			}
 			f.requireServed("from 2 s after the cut", 0, 1, 0.9, cut.Add(2*time.Second), cut.Add(5*time.Second))
 			f.requireServed("from 5 s after the cut", 0, 1, 0.95, cut.Add(5*time.Second), returned)
 			f.requireServed("when the links are back", 0, 1, 0.95, returned, end.Add(-objective))
--- a/io/entry/reach.go
+++ b/io/entry/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,22 +22,25 @@
 	var list []upstream.Probe
 	for _, t := range reach.Spread(v.balancer.Usable(), reach.Place{Zone: cfg.Zone, Region: cfg.Region}, n, failed, rand.IntN) {
 		list = append(list, func(ctx context.Context, wanted reach.Contact) reach.Contact {
-			return v.upstreams.Contact(ctx, t.Incarnation(), t.Addr, v.healthPath(t), wanted)
+			return v.upstreams.Contact(ctx, t.Incarnation(), t.Addr, v.check(t), wanted)
 		})
 	}
 	return list
 }
 
-// healthPath returns the path of a target's health checks, "" if it is not known.
-func (v *VM) healthPath(t *target.Target) string {
-	table := v.table.Load()
-	if table == nil {
-		return ""
-	}
-	if s := table.Service(t.Service); s != nil {
-		return s.HealthPath
+// noTarget is the ID of no upstream. Any upstream rejects a request for it.
+const noTarget = "none"
+
+// check returns a request to which a target responds and that it does not run.
+func (v *VM) check(t *target.Target) upstream.Check {
+	c := upstream.Check{Path: "/", Header: make(http.Header)}
+	c.Header.Set(v.protocol.ExpectTarget, noTarget)
+	if table := v.table.Load(); table != nil {
+		if s := table.Service(t.Service); s != nil && s.HealthPath != "" {
+			c.Path = s.HealthPath
+		}
 	}
-	return ""
+	return c
 }
 
 // LinksLost implements upstream.LinkObserver. Connections that are being opened are given up, so
--- a/io/entry/links_test.go
+++ b/io/entry/links_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -19,6 +21,8 @@
 	linksReset
 	// linksRefused refuse new connections. Open ones go on.
 	linksRefused
+	// linksUnanswered accept new connections, as a proxy does, and drop everything on all.
+	linksUnanswered
 )
 
 // userTimeout is how long written bytes may stay unacknowledged, as TCP_USER_TIMEOUT says.
@@ -43,7 +47,7 @@
 			c.flush()
 		case linksReset:
 			c.fail(syscall.ECONNRESET)
-		case linksSilent, linksRefused:
+		case linksSilent, linksRefused, linksUnanswered:
 		}
 	}
 	if l.cond != nil {
@@ -51,6 +55,9 @@
 	}
 }
 
+// drops reports whether data is dropped.
+func (l *links) drops() bool { return l.state == linksSilent || l.state == linksUnanswered }
+
 // dial opens a connection, as net.Dialer.DialContext does.
 func (l *links) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	l.mu.Lock()
@@ -62,7 +69,7 @@
 		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
 	case linksReset, linksRefused:
 		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
-	case linksUp:
+	case linksUp, linksUnanswered:
 	}
 	raw, err := (&net.Dialer{}).DialContext(ctx, network, addr)
 	if err != nil {
@@ -89,9 +96,12 @@
 // Read implements net.Conn.
 func (c *linkConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
 	c.links.mu.Lock()
 	defer c.links.mu.Unlock()
-	for c.links.state == linksSilent && c.err == nil {
+	for c.links.drops() && c.err == nil {
 		c.links.cond.Wait()
 	}
 	if c.err != nil {
@@ -107,7 +117,7 @@
 	switch {
 	case c.err != nil:
 		return 0, c.err
-	case c.links.state == linksSilent:
+	case c.links.drops():
 		if len(c.pending) == 0 {
 			time.AfterFunc(userTimeout, c.expire)
 		}
--- a/io/upstream/contact.go
+++ b/io/upstream/contact.go
@@ -14,10 +14,18 @@
 // maxHealthBody bounds how much of the response to a health check is read, in bytes.
 const maxHealthBody = 4 << 10
 
+// Check is a request that shows whether an upstream responds and that it does not run.
+type Check struct {
+	// Path is that of its health checks.
+	Path string
+	// Header has the field by which any upstream rejects the request.
+	Header http.Header
+}
+
 // Contact attempts to have the wanted contact with an upstream on a new connection, until ctx ends,
-// and returns the one that it had. For reach.Heard it sends a health check to path, if that is not
-// empty. A connection that can carry requests is kept for reuse.
-func (p *Pool) Contact(ctx context.Context, target, addr, path string, wanted reach.Contact) reach.Contact {
+// and returns the one that it had. For reach.Heard it sends a check; any response counts. A
+// connection that can carry requests is kept for reuse.
+func (p *Pool) Contact(ctx context.Context, target, addr string, check Check, wanted reach.Contact) reach.Contact {
 	raw, err := p.dial(ctx, "tcp", addr)
 	if err != nil {
 		return reach.None
@@ -25,8 +33,8 @@
 	p.opened.Add(1)
 	defer context.AfterFunc(ctx, func() { raw.Close() })()
 	c := &conn{Conn: raw, r: bufio.NewReaderSize(raw, readBuffer)}
-	if wanted == reach.Heard && path != "" {
-		return p.contactByCheck(ctx, target, c, addr, path)
+	if wanted == reach.Heard {
+		return p.contactByCheck(ctx, target, c, addr, check)
 	}
 	contact := reach.Accepted
 	if wanted > reach.Accepted {
@@ -63,9 +71,9 @@
 	}
 }
 
-// contactByCheck sends a health check on a new connection.
-func (p *Pool) contactByCheck(ctx context.Context, target string, c *conn, addr, path string) reach.Contact {
-	resp, err := c.checkHealth(addr, path)
+// contactByCheck sends a check on a new connection.
+func (p *Pool) contactByCheck(ctx context.Context, target string, c *conn, addr string, check Check) reach.Contact {
+	resp, err := c.check(addr, check)
 	switch {
 	case err == nil:
 		p.keep(target, c, resp)
@@ -78,12 +86,15 @@
 	}
 }
 
-// checkHealth sends a health check and reads the response.
-func (c *conn) checkHealth(addr, path string) (*http.Response, error) {
-	req, err := http.NewRequest(http.MethodGet, "http://"+addr+path, nil)
+// check sends a check and reads the response.
+func (c *conn) check(addr string, check Check) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+addr+check.Path, nil)
 	if err != nil {
 		return nil, err
 	}
+	for name, values := range check.Header {
+		req.Header[name] = values
+	}
 	if err := req.Write(c); err != nil {
 		return nil, err
 	}
