--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -15,7 +15,7 @@
 //	m.End(now)
 //	if _, due := m.CheckDue(now); due {
 //		list := reach.Spread(targets, here, reach.CheckTargets, m.HasFailed, rand.IntN)
-//		... // Attempt to reach them until the contact with one is m.Wanted(now).
+//		... // Attempt to reach them until one responds.
 //		change := m.Checked(now, began, contact, len(list))
 //	}
 //	if m.CutOff() { ... }
@@ -93,9 +93,7 @@
 	// that a check opened.
 	reachedAt time.Time
 
-	cutOff bool
-	// unanswered says that connections can be opened while the VM is cut off.
-	unanswered bool
+	cutOff     bool
 	regainedAt time.Time
 }
 
@@ -214,18 +212,8 @@
 	return 0, true
 }
 
-// Wanted returns the contact that a check needs to show that the VM is not cut off.
-func (m *Monitor) Wanted(now time.Time) Contact {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.unanswered || m.isUnanswered(now) {
-		return Heard
-	}
-	return Open
-}
-
-// isUnanswered reports whether requests have waited for so long that connections alone no longer
-// show that the VM reaches upstreams.
+// isUnanswered reports whether requests have waited for so long that connections alone do not show
+// that the VM reaches upstreams.
 func (m *Monitor) isUnanswered(now time.Time) bool {
 	return m.inFlight > 0 && m.silentFor(now) > max(maxSilence, unansweredFactor*m.usual)
 }
@@ -241,23 +229,19 @@
 	defer m.mu.Unlock()
 	m.checkedAt = now
 	switch {
-	case m.cutOff && (c == Heard || c == Open && !m.unanswered):
-		m.cutOff, m.unanswered, m.regainedAt, m.waitingSince = false, false, now, time.Time{}
-		clear(m.failed)
-		m.reached(began)
-		return Regained
-	case m.cutOff:
-		return Unchanged
 	case c == Heard:
 		m.heard(now)
 		clear(m.failed)
 		m.reached(began)
+		if !m.cutOff {
+			return Unchanged
+		}
+		m.cutOff, m.regainedAt, m.waitingSince = false, now, time.Time{}
+		return Regained
+	case m.cutOff:
 		return Unchanged
-	case c == Open:
-		clear(m.failed)
-		m.reached(began)
-		m.unanswered = m.isUnanswered(now)
-		m.cutOff = m.unanswered
+	case c > None:
+		m.cutOff = m.isUnanswered(now)
 	case targets >= minCheckTargets:
 		// A response during the check shows that the links are up, unless only connections that
 		// were open before go on.
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -104,7 +104,7 @@
 }
 
 // Guards against a VM that stays cut off when its links are back, and against one that takes
-// connections that a proxy accepts for links that are back.
+// connections that a proxy accepts for links that are back, as they may be reset later.
 func TestRegained(t *testing.T) {
 	for _, tc := range []struct {
 		name       string
@@ -113,7 +113,7 @@
 		want       Change
 	}{
 		{"still nothing", false, None, Unchanged},
-		{"a connection", false, Open, Regained},
+		{"a connection", false, Open, Unchanged},
 		{"a response", false, Heard, Regained},
 		{"a connection, as before", true, Open, Unchanged},
 		{"a response after connections only", true, Heard, Regained},
--- a/io/upstream/contact.go
+++ b/io/upstream/contact.go
@@ -36,17 +36,9 @@
 	if wanted == reach.Heard {
 		return p.contactByCheck(ctx, target, c, addr, check)
 	}
-	contact := reach.Accepted
-	if wanted > reach.Accepted {
-		if !staysOpen(raw) || raw.SetReadDeadline(time.Time{}) != nil {
-			c.Close()
-			return reach.None
-		}
-		contact = reach.Open
-	}
 	c.usedAt, c.keepAlive = time.Now(), defaultKeepAlive
 	p.pushIdle(target, c)
-	return contact
+	return reach.Accepted
 }
 
 // Contact is like Pool.Contact for an upstream of the inventory. No connection is kept.
--- a/io/upstream/links.go
+++ b/io/upstream/links.go
@@ -153,7 +153,7 @@
 	}
 	l.checks.Add(1)
 	probes := l.observer.Probes(n, l.monitor.HasFailed)
-	found := contact(ctx, probes, l.monitor.Wanted(began))
+	found := contact(ctx, probes, reach.Heard)
 	if ctx.Err() != nil {
 		return
 	}
--- a/io/upstream/links_test.go
+++ b/io/upstream/links_test.go
@@ -44,7 +44,7 @@
 			t.Errorf("cut off: %v, found %d times", l.CutOff(), f.lost)
 		}
 		<-time.After(time.Second)
-		f.contact.Store(int32(reach.Open))
+		f.contact.Store(int32(reach.Heard))
 		<-time.After(time.Second)
 		if l.CutOff() || f.regained != 1 {
 			t.Errorf("a second after the links returned: cut off %v, regained %d times", l.CutOff(), f.regained)
