Soak: a body that no VM may have is refused, not served

The only VM left was in s, which may not have them. The check requires that these are refused, and counts them as before where a VM is left that may have them.

--- a/tools/soak/cut.go
+++ b/tools/soak/cut.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"auburnlatch/platform/standin"
 )
 
 // cutMode is how a VM is cut off from all upstreams.
@@ -251,7 +253,9 @@
 			if c.lastVMs[e.vm] {
 				i = 1
 			}
-			if of[i]++; e.status == 200 && e.intact {
+			// What no VM may be sent is refused.
+			refused := i == 1 && e.home && !c.relayable(e.vm) && e.status == 503
+			if of[i]++; refused || e.status == 200 && e.intact {
 				n[i]++
 			}
 		}
@@ -263,4 +267,19 @@
 	return broken
 }
 
+// relayable reports whether a VM that is cut off may send the body of a request with a home to any
+// that is not: one of the home or of its own region.
+func (c *cutter) relayable(from string) bool {
+	regions := make(map[string]string) // By VM.
+	for i, v := range c.fleet.vms {
+		_, regions[v.name] = zoneOf(i)
+	}
+	for name, region := range regions {
+		if !c.lastVMs[name] && (region == standin.HomeRegion || region == regions[from]) {
+			return true
+		}
+	}
+	return false
+}
+
 func share(n, of int) float64 { return float64(n) / max(1, float64(of)) }
