--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -22,6 +22,8 @@
 	Ahead float64
 	// Owner reports whether the target is the owner of the request's object.
 	Owner bool
+	// Warm reports whether the target is believed to have handled the object recently.
+	Warm bool
 	// RTT is the usual round trip time to the target, 0 if unknown.
 	RTT time.Duration
 	// limited reports whether the request took a token of the target's rate limit.
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -45,6 +45,9 @@
 	Allowed func(region string) bool
 	// Urgent requests have the highest priority on the service.
 	Urgent bool
+	// Depth is the most requests for each of its slots that the target may have; 0: the default
+	// for urgent or other requests.
+	Depth float64
 	// Idempotent requests may be trial requests to a suspect upstream.
 	Idempotent bool
 	// Objective is the response time objective, and Within what is left of it; 0: unknown.
@@ -87,7 +90,7 @@
 	if s.inFlight == 0 {
 		s.silentSince = now
 	}
-	lease := Lease{Target: s.Target, state: s, route: route, sentAt: now, Ahead: s.outstanding(now), Owner: owner, RTT: b.rtt(s)}
+	lease := Lease{Target: s.Target, state: s, route: route, sentAt: now, Ahead: s.outstanding(now), Owner: owner, Warm: owner, RTT: b.rtt(s)}
 	lease.limited = s.limited() && s.signals.limit.Take(now, b.senderRank(s))
 	s.inFlight++
 	return lease, nil
@@ -153,17 +156,25 @@
 	if b.disabled[Depth] {
 		return true
 	}
-	depth := normalDepth
-	if req.Urgent {
-		depth = urgentDepth
-	}
 	outstanding := s.outstanding(now)
-	if outstanding >= depth*float64(s.Slots) {
+	if outstanding >= req.depth()*float64(s.Slots) {
 		return false
 	}
 	return req.Within == 0 || outstanding < uncheckedDepth*float64(s.Slots) || s.expectedLatency(now, b.rtt(s)) < req.Within
 }
 
+// depth returns the most requests for each of its slots that a target may have.
+func (r *Request) depth() float64 {
+	switch {
+	case r.Depth > 0:
+		return r.Depth
+	case r.Urgent:
+		return urgentDepth
+	default:
+		return normalDepth
+	}
+}
+
 // eligible reports whether a target may be sent the request, apart from its room and from
 // suspicion.
 func (b *Balancer) eligible(now time.Time, s *state, req Request) bool {
--- a/core/balance/state.go
+++ b/core/balance/state.go
@@ -10,6 +10,8 @@
 // Load is the load that an upstream reports in a response, in requests.
 type Load struct {
 	Running, Waiting, Slots int
+	// Pace is how long work takes now, relative to the usual time; 0: not reported.
+	Pace float64
 }
 
 // state is what this VM knows of one target.
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 
 	"auburnlatch/core/route"
@@ -99,6 +100,13 @@
 	}
 }
 
+func TestRanks(t *testing.T) {
+	tbl := table(t, &route.Route{Name: "1", Host: "h", Prefix: "/1/", Priority: 2}, &route.Route{Name: "2", Host: "h", Prefix: "/2/"}, &route.Route{Name: "3", Host: "h", Prefix: "/3/", Priority: 2})
+	if got := tbl.Ranks(); !slices.Equal(got, []int{0, 2}) {
+		t.Errorf("Ranks = %v, want [0 2]", got)
+	}
+}
+
 func manyRoutes(n int) *route.Config {
 	cfg := &route.Config{Services: []*route.Service{{Name: "a"}}}
 	for i := range n {
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,8 @@
 	services map[string]*Service
 	// topPriority is the highest priority of each service's routes.
 	topPriority map[string]int
+	// ranks are the priorities of all routes, sorted.
+	ranks []int
 }
 
 // host has the routes of one host, by prefix.
@@ -41,6 +44,8 @@
 			return nil, errors.Wrapf(err, "route %q", r.Name)
 		}
 	}
+	slices.Sort(t.ranks)
+	t.ranks = slices.Compact(t.ranks)
 	if cfg.Teams != nil {
 		dir, err := team.NewDirectory(cfg.Teams)
 		if err != nil {
@@ -66,6 +71,7 @@
 			t.topPriority[p.Service] = r.Priority
 		}
 	}
+	t.ranks = append(t.ranks, r.Priority)
 	h := t.hosts[r.Host]
 	if h == nil {
 		h = &host{routes: make(map[string]*Route)}
@@ -109,5 +115,8 @@
 // the routes to a service.
 func (t *Table) TopPriority(service string) int { return t.topPriority[service] }
 
+// Ranks returns the distinct priorities of all routes, the highest first.
+func (t *Table) Ranks() []int { return t.ranks }
+
 // HasHost reports whether the host has any route.
 func (t *Table) HasHost(name string) bool { return t.hosts[name] != nil }
--- a/io/settings/entry.go
+++ b/io/settings/entry.go
@@ -53,6 +53,19 @@
 	Capacity member.Capacity
 	// FirstStart means that all VMs start for the first time, before there are callers.
 	FirstStart bool
+	// Load has the switches of the decisions under load.
+	Load LoadSwitches
+}
+
+// LoadSwitches has the switches of the decisions under load.
+type LoadSwitches struct {
+	// Admission is admission by rank and team. Auto: on if routes have three ranks or more.
+	Admission Switch
+	// SecondSends are second sends of overdue requests. Auto: on for services whose upstreams
+	// report their pace.
+	SecondSends Switch
+	// Pace is the use of the pace that upstreams report. Auto: on if they report it.
+	Pace Switch
 }
 
 // Defaults and limits of an entry VM's settings.
@@ -108,6 +121,9 @@
 			LinkMbps: m.GetCapacity().GetLinkMbps(), Cores: m.GetCapacity().GetCpuShare() * m.GetCapacity().GetCores(),
 		},
 	}
+	s.Load = LoadSwitches{
+		Admission: c.toggle("Load/Admission", m.GetLoad().GetAdmission()), SecondSends: c.toggle("Load/SecondSends", m.GetLoad().GetSecondSends()), Pace: c.toggle("Load/Pace", m.GetLoad().GetPace()),
+	}
 	c.require(s.Name != "", "Name", "is missing; use a name that no other VM has")
 	c.require(s.Regions[s.Zone] != "", "Zone", fmt.Sprintf("%q is not in Regions; use an availability zone listed there", s.Zone))
 	c.require(s.Region == s.Regions[s.Zone], "Region", fmt.Sprintf("%q is not the region of zone %q, which is %q", s.Region, s.Zone, s.Regions[s.Zone]))
--- a/io/settings/entry_test.go
+++ b/io/settings/entry_test.go
@@ -36,6 +36,7 @@
 		{`"RetryRatio": 0.2`, `"StopGrace": "soon"`, `f:6: Bounds.StopGrace: "soon" is not a duration`},
 		{`"RetryRatio": 0.2`, `"Ratio": 2`, "Ratio"},
 		{`"Bounds"`, `"Capacity": {"LinkMbps": -1}, "Bounds"`, "Capacity.LinkMbps: must not be below 0"},
+		{`"Bounds"`, `"Load": {"Pace": "yes"}, "Bounds"`, `Load.Pace: "yes" is not On, Off or Auto`},
 	} {
 		_, err := settings.ParseEntry("f", []byte(strings.Replace(validEntry, tc.old, tc.new, 1)))
 		if err == nil || !strings.Contains(err.Error(), tc.want) {
@@ -78,3 +79,22 @@
 		t.Errorf("got %+v, want %+v", cfg.Capacity, want)
 	}
 }
+
+func TestParseEntryLoad(t *testing.T) {
+	text := strings.Replace(validEntry, `"Bounds"`, `"Load": {"Admission": "On", "SecondSends": "Off", "Pace": "Auto"}, "Bounds"`, 1)
+	cfg, err := settings.ParseEntry("f", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := (settings.LoadSwitches{Admission: settings.On, SecondSends: settings.Off}); cfg.Load != want {
+		t.Errorf("got %+v, want %+v", cfg.Load, want)
+	}
+	for _, tc := range []struct {
+		s          settings.Switch
+		auto, want bool
+	}{{settings.Auto, true, true}, {settings.Auto, false, false}, {settings.On, false, true}, {settings.Off, true, false}} {
+		if got := tc.s.Enabled(tc.auto); got != tc.want {
+			t.Errorf("Switch(%d).Enabled(%v) = %v", tc.s, tc.auto, got)
+		}
+	}
+}
