--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -417,6 +417,24 @@
 	}
 }
 
+func TestUtilizationFollowsReports(t *testing.T) {
+	now := time.Now()
+	b := newVM("n", newTargets(4, map[string]int{"n": 1}))
+	if got := b.Utilization(now, "s"); got != 0 {
+		t.Errorf("without reports: %v, want 0", got)
+	}
+	for range 200 {
+		l := choose(t, b, now, balance.Request{Service: "s", Key: "k"})
+		b.Done(now, l, balance.Outcome{Answered: true, Load: &balance.Load{Running: 4, Waiting: 2, Slots: 4}})
+	}
+	if got := b.Utilization(now, "s"); got < 1.4 || got > 1.5 {
+		t.Errorf("got %v, want 1.5", got)
+	}
+	if got := b.Utilization(now.Add(time.Minute), "s"); got != 0 {
+		t.Errorf("a minute later: %v, want 0", got)
+	}
+}
+
 func TestCensus(t *testing.T) {
 	targets := newTargets(1, map[string]int{"north": 4})
 	targets[0].Usable = false
--- a/core/balance/dump.go
+++ b/core/balance/dump.go
@@ -50,6 +50,25 @@
 	return list
 }
 
+// Utilization returns the number of requests for each slot of a service, running and waiting, as
+// its targets reported it; 0: unknown.
+func (b *Balancer) Utilization(now time.Time, service string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.services[service]
+	if p == nil {
+		return 0
+	}
+	requests, slots := 0.0, 0.0
+	for _, r := range p.regions {
+		if load := b.regionLoads[regionLoadKey{service, r.region}]; load != nil {
+			requests += load.utilization(now) * float64(r.slots)
+			slots += float64(r.slots)
+		}
+	}
+	return requests / max(1, slots)
+}
+
 // Census counts a service's targets by what keeps requests from them.
 type Census struct {
 	// Usable targets are registered, not leaving and not in an evacuated zone. The other counts
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -47,6 +47,11 @@
 	key      string
 	started  time.Time
 	deadline time.Time
+	// callerDeadline is the caller's own deadline, zero if it named none. It may be later than
+	// deadline, which is bounded by the route's timeout.
+	callerDeadline time.Time
+	// returned says that the caller was refused before and has come back.
+	returned bool
 	http     *http.Request
 	body     []byte
 	rest     io.Reader // What exceeds the buffer.
@@ -201,6 +206,7 @@
 	left := defaultDeadline
 	if ms, err := strconv.ParseFloat(req.http.Header.Get(v.protocol.DeadlineMillis), 64); err == nil && ms > 0 && ms < math.MaxInt32 {
 		left = time.Duration(ms * float64(time.Millisecond))
+		req.callerDeadline = req.started.Add(left)
 	}
 	if t := req.route.Timeout; t > 0 {
 		left = min(left, t)
