--- /dev/null
+++ b/core/admission/doc.go
@@ -0,0 +1,96 @@
+// Package admission decides which requests are sent on while a service has more requests than
+// slots. It has no network and no clock: the present time is an argument.
+//
+// A Controller returns, for each request, the depth up to which an upstream may be filled for
+// it, in requests for each slot. The caller sends the request to an upstream below that depth,
+// or refuses it at once. All VMs see the load that upstreams report, so equal depths make them
+// agree without messages.
+//
+// # Order
+//
+// Requests are ordered by rank, then by whether their team is within its share, then by whether
+// the caller has come back after a refusal. The depth never increases along this order:
+//
+//   - The highest rank with traffic at the service may fill upstreams as long as its requests
+//     are expected to be in time.
+//   - A lower rank may fill them as long as requests of higher ranks still find them in time,
+//     less what those of higher ranks occupy within one service time (trunk reservation). Ranks
+//     without traffic at the service reserve nothing.
+//   - A rank that is served much less often than all requests is starved: until it is not, it
+//     and the ranks above it have the same depth.
+//   - Teams of one rank have max-min fair shares with their limits as weights: of a team whose
+//     use of its limit is above the fair level, the part above is ordered last in its rank. The
+//     level follows from the fraction of the rank that is served, as in core-stateless fair
+//     queueing (Stoica, Shenker, Zhang 1998).
+//   - Returned requests go first only up to a part of their rank, so that callers who claim to
+//     have come back cannot starve others.
+//
+// A request always finds an upstream that has fewer than MinDepth requests for each slot open,
+// whatever its rank and team.
+//
+// # Usage
+//
+//	var c admission.Controller
+//	req := admission.Request{Service: "billing", Rank: 2, ID: id, Use: demand / limit, Objective: objective, Within: left}
+//	d := c.Decide(now, utilization, req)
+//	sent := outstanding < d.Depth*slots // Depth 0: too little is known yet.
+//	c.Record(now, req, d, sent)
+//	...
+//	c.Answered(now, req, serviceTime)
+package admission
+
+import "time"
+
+const (
+	// MinDepth is the least depth of any request: no slot idles while a request that may run
+	// there is refused, and half a request for each slot waits to follow, as VMs know the load
+	// of upstreams only from their last responses.
+	MinDepth = 1.5
+	// SharedDepth is the most depth of a request that others go before. Up to it the balancer
+	// does not compare a request's time left with the wait, so no request of a higher rank is
+	// refused for its shorter objective where one of a lower rank is sent.
+	SharedDepth = 2.0
+	// MaxDepth is the most depth of any request.
+	MaxDepth = 3.0
+)
+
+// Request has the properties of a request on which its depth depends.
+type Request struct {
+	Service string
+	// Rank is its priority; 0 is the highest.
+	Rank int
+	// ID identifies the request. Which requests of a team are above its share depends on it.
+	ID string
+	// Use is the demand of its team over all VMs relative to the team's limit; 0: unknown.
+	Use float64
+	// Returned says that the caller was refused before and has come back.
+	Returned bool
+	// Objective is the response time objective, and Within what is left of it; 0: none.
+	Objective, Within time.Duration
+}
+
+// Decision is how a request is admitted.
+type Decision struct {
+	// Depth is the most requests for each slot that an upstream may have for the request to be
+	// sent there. 0: the demand is not known yet.
+	Depth float64
+	// AboveShare says that the request is in the part of its team's demand above its share.
+	AboveShare bool
+	// Returned says that the request goes before others of its rank and team as returned.
+	Returned bool
+}
+
+// Share is what the requests of one rank at one service asked for and were given.
+type Share struct {
+	Service string
+	Rank    int
+	// Asked and Sent are requests per second, as moving averages.
+	Asked, Sent float64
+	// Level is the use of their limits up to which teams are within their shares; 0: all are.
+	Level float64
+	// Starved says that the rank was served much less often than all requests.
+	Starved bool
+	// RefusedWithin and RefusedAbove count refusals since the start, of teams within and above
+	// their shares, and RefusedReturned those of them whose caller had come back.
+	RefusedWithin, RefusedAbove, RefusedReturned int64
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"auburnlatch/core/admission"
 	"auburnlatch/core/balance"
 	"auburnlatch/core/callers"
 	"auburnlatch/core/member"
@@ -61,6 +62,7 @@
 	balancer     *balance.Balancer
 	retries      balance.RetryBudget
 	limits       ratelimit.Limiter
+	admission    admission.Controller
 	collector    ratelimit.Collector
 	activeAddrs  atomic.Pointer[[]string] // See findActiveAddrs.
 	activeCache  atomic.Pointer[activeVMs]
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -116,6 +117,9 @@
 			f["PausedTargets"] = c.Paused
 		}
 	}
+	if e.Reason == verdict.ReasonNoCapacity {
+		maps.Copy(f, v.admissionFields(req, now))
+	}
 	l.log.WithFields(f).Info("RequestGivenUp")
 }
 
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/sirupsen/logrus"
 
+	"auburnlatch/core/admission"
 	"auburnlatch/core/lease"
 	"auburnlatch/core/poison"
 	"auburnlatch/core/verdict"
@@ -99,9 +100,12 @@
 	RulesSureMs int64
 	// LimitsHeardMs is how long ago totals of the teams' demand were received.
 	LimitsHeardMs int64
-	LiveVMs       int
-	Placements    int // Objects with a known placement.
-	Poison        poison.Counts
+	// Admission has what each rank asked for and was given, by service; nil unless requests are
+	// admitted by rank.
+	Admission  []admission.Share
+	LiveVMs    int
+	Placements int // Objects with a known placement.
+	Poison     poison.Counts
 	// ControlSent is the bytes sent to other VMs, by subject.
 	ControlSent     peer.Sent
 	ControlBytesIn  int64
@@ -128,6 +132,7 @@
 	f.UpstreamsHeardMs = heardMillis(now, conns.Answered)
 	f.RulesSureMs = v.rulesAge(clock.SinceBoot()).Milliseconds()
 	f.LimitsHeardMs = min(v.limits.Age(now), lease.Never).Milliseconds()
+	f.Admission = v.admission.Shares(now)
 	f.ControlSent = v.sent.Sent()
 	f.ControlBytesIn, f.ControlBytesOut = v.peerClient.Traffic()
 	if t := v.table.Load(); t != nil {
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -64,7 +64,11 @@
 			}
 			break
 		}
+		req.decision = v.decide(req, time.Now())
 		lease, err := v.acquire(req, tried, trial)
+		if len(tried) == 0 {
+			v.recordDecision(req, err == nil)
+		}
 		if err != nil {
 			trial.Done()
 			if last == nil && lastErr == nil {
@@ -183,11 +187,8 @@
 	table := v.table.Load()
 	want := balance.Request{
 		Service: req.service, Route: req.route.Name, Key: req.key, Idempotent: req.idempotent(),
-		Urgent: req.team.EffectivePriority(req.route.Priority) <= table.TopPriority(req.service),
-	}
-	if within := req.route.Objective; within > 0 {
-		want.Objective = within
-		want.Within = max(time.Millisecond, within-now.Sub(req.started))
+		Urgent: req.team.EffectivePriority(req.route.Priority) <= table.TopPriority(req.service), Depth: req.decision.Depth,
+		Objective: req.route.Objective, Within: req.within(now),
 	}
 	if want.Key == "" || !req.route.Sticky {
 		want.Key, want.Single = req.id, true
@@ -247,6 +248,7 @@
 		outcome.Refused = n.RetryAfter == 0 && (outcome.Load == nil || outcome.Load.Running < outcome.Load.Slots)
 	default:
 		outcome.Failed = resp.StatusCode >= http.StatusInternalServerError && resp.StatusCode != http.StatusGatewayTimeout
+		v.recordServiceTime(req, lease, time.Since(began))
 	}
 	v.balancer.Done(time.Now(), lease, outcome)
 	if e != nil {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"auburnlatch/core/admission"
 	"auburnlatch/core/poison"
 	"auburnlatch/core/route"
 	"auburnlatch/core/team"
@@ -52,6 +53,8 @@
 	callerDeadline time.Time
 	// returned says that the caller was refused before and has come back.
 	returned bool
+	// decision is how it is admitted to the upstream that is chosen next.
+	decision admission.Decision
 	http     *http.Request
 	body     []byte
 	rest     io.Reader // What exceeds the buffer.
@@ -78,6 +81,14 @@
 // idempotent reports whether the request may run more than once.
 func (r *request) idempotent() bool { return r.route.Kind == route.Idempotent }
 
+// within returns what is left of the route's objective, at least a millisecond; 0: it has none.
+func (r *request) within(now time.Time) time.Duration {
+	if r.route.Objective <= 0 {
+		return 0
+	}
+	return max(time.Millisecond, r.route.Objective-now.Sub(r.started))
+}
+
 // attempts returns how many upstreams the request may be sent to.
 func (r *request) attempts() int {
 	if r.relayed == forward.Retry {
