--- a/core/admission/depth.go
+++ b/core/admission/depth.go
@@ -2,78 +2,90 @@
 
 import "time"
 
+// fullShortage is the utilization from which on all room that is needed is reserved.
+const fullShortage = 1.25
+
 // depth returns the depth for a request of class k of rank r, of whose objective within is left.
 func (s *service) depth(r *rank, k class, utilization float64, within time.Duration) float64 {
-	if d, ok := s.starvedDepth(r, k); ok {
-		return d
+	if s.equalized(r, k) {
+		return SharedDepth
 	}
-	base := s.baseDepth(r, within)
-	return max(MinDepth, base-s.loadBefore(r, k, utilization))
+	most := s.mostDepth(r, within)
+	reserved := max(MinDepth, min(most, s.tolerableDepth(r))-s.loadBefore(r, k))
+	return most - shortage(utilization)*(most-reserved)
+}
+
+// shortage returns how far room is reserved, from 0 to 1. While upstreams have less than one
+// request for each slot on average, room is not short, and a full one is chance.
+func shortage(utilization float64) float64 {
+	return min(1, max(0, (utilization-1)/(fullShortage-1)))
 }
 
-// starvedDepth returns the depth while r or a lower rank is starved. A starved rank must find
-// what the ranks above it find, and not more. Those of its teams that are above their shares have
-// no part in that.
-func (s *service) starvedDepth(r *rank, k class) (float64, bool) {
+// equalized reports whether r or a lower rank is starved, and class k of r may have no more depth
+// than the starved rank. That finds what the ranks above it find, except for the part of its
+// teams' demand above their shares.
+func (s *service) equalized(r *rank, k class) bool {
 	for _, low := range s.ranks {
-		if low.number < r.number || !s.starved(low) {
-			continue
-		}
-		if low != r || k <= newWithin {
-			return SharedDepth, true
+		if low.Compare(r.Rank) >= 0 && s.starved(low) && (low != r || k <= newWithin) {
+			return true
 		}
 	}
-	return 0, false
+	return false
 }
 
-// baseDepth returns the depth up to which a request that follows a rank's request waits no longer
-// than higher ranks, or the request itself if there are none, can bear.
-func (s *service) baseDepth(r *rank, within time.Duration) float64 {
-	base, highest := SharedDepth, true
-	serviceTime := float64(s.serviceTime())
+// mostDepth returns the depth of a rank while no room is reserved. Only the highest rank with
+// traffic may exceed SharedDepth, as long as it has time to wait.
+func (s *service) mostDepth(r *rank, within time.Duration) float64 {
 	for _, high := range s.ranks {
-		if high.number >= r.number {
+		if high.Compare(r.Rank) >= 0 {
 			break
 		}
-		if !s.hasTraffic(high) {
-			continue
+		if s.hasTraffic(high) {
+			return SharedDepth
 		}
-		highest = false
-		if high.objective > 0 {
-			base = min(base, float64(high.objective)/serviceTime)
-		}
-	}
-	if !highest {
-		return base
 	}
 	if within == 0 {
 		return MaxDepth
 	}
-	return min(MaxDepth, max(SharedDepth, float64(within)/serviceTime))
+	return min(MaxDepth, max(SharedDepth, float64(within)/float64(s.serviceTime())))
+}
+
+// tolerableDepth returns the depth at which requests of higher ranks are still expected to be in
+// time.
+func (s *service) tolerableDepth(r *rank) float64 {
+	depth := MaxDepth
+	for _, high := range s.ranks {
+		if high.Compare(r.Rank) >= 0 {
+			break
+		}
+		if s.hasTraffic(high) && high.objective > 0 {
+			depth = min(depth, float64(high.objective)/float64(s.serviceTime()))
+		}
+	}
+	return depth
 }
 
 // loadBefore returns how many requests for each slot arrive, within one service time, that go
-// before class k of rank r. It is the load of those requests relative to that which the
-// upstreams carry.
-func (s *service) loadBefore(r *rank, k class, utilization float64) float64 {
+// before class k of rank r: their load relative to that which the upstreams carry.
+func (s *service) loadBefore(r *rank, k class) float64 {
 	mean, before, carried := s.serviceTime(), 0.0, 0.0
 	for _, other := range s.ranks {
-		serviceTime := other.serviceTime
+		serviceTime := float64(other.serviceTime)
 		if serviceTime == 0 {
-			serviceTime = mean
+			serviceTime = float64(mean)
 		}
-		carried += other.sent * float64(serviceTime)
+		carried += other.sent * serviceTime
 		switch {
-		case other.number < r.number:
-			before += other.askedCount() * float64(serviceTime)
 		case other == r:
 			for _, n := range r.asked[:k] {
-				before += n * float64(serviceTime)
+				before += n * serviceTime
 			}
+		case other.Compare(r.Rank) < 0:
+			before += other.askedCount() * serviceTime
 		}
 	}
 	if carried == 0 {
 		return 0
 	}
-	return before / carried * min(1, utilization)
+	return before / carried
 }
--- a/io/entry/admission.go
+++ b/io/entry/admission.go
@@ -27,11 +27,17 @@
 // admissionRequest returns what the admission of a request depends on.
 func (v *VM) admissionRequest(req *request, now time.Time) admission.Request {
 	return admission.Request{
-		Service: req.service, Rank: req.team.EffectivePriority(req.route.Priority), ID: req.id, Use: v.limitUse(now, req.team),
+		Service: req.service, Rank: rankOf(req), ID: req.id, Use: v.limitUse(now, req.team),
 		Returned: req.returned, Objective: req.route.Objective, Within: req.within(now),
 	}
 }
 
+// rankOf returns a request's rank. Where teams have priorities, those of routes order the requests
+// of teams of one priority.
+func rankOf(req *request) admission.Rank {
+	return admission.Rank{Priority: req.team.EffectivePriority(req.route.Priority), Route: req.route.Priority}
+}
+
 // decide returns how a request is admitted, or the zero Decision where ranks are not used.
 func (v *VM) decide(req *request, now time.Time) admission.Decision {
 	if !v.admitsByRank(v.table.Load()) {
@@ -77,9 +83,9 @@
 	if !v.admitsByRank(v.table.Load()) {
 		return nil
 	}
-	d := req.decision
+	d, rank := req.decision, rankOf(req)
 	return logrus.Fields{
-		"Rank": req.team.EffectivePriority(req.route.Priority), "Depth": d.Depth, "Use": v.limitUse(now, req.team),
+		"Priority": rank.Priority, "RoutePriority": rank.Route, "Depth": d.Depth, "Use": v.limitUse(now, req.team),
 		"AboveShare": d.AboveShare, "Returned": req.returned,
 	}
 }
