--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -62,14 +62,14 @@
 		s.decay(now)
 		for _, r := range s.ranks {
 			list = append(list, Share{
-				Service: name, Rank: r.number, Asked: r.askedCount() / timeConstant.Seconds(), Sent: r.sent / timeConstant.Seconds(),
+				Service: name, Rank: r.Rank, Asked: r.askedCount() / timeConstant.Seconds(), Sent: r.sent / timeConstant.Seconds(),
 				Level: r.level(), Starved: s.starved(r),
 				RefusedWithin: r.refusedWithin, RefusedAbove: r.refusedAbove, RefusedReturned: r.refusedReturned,
 			})
 		}
 	}
 	slices.SortFunc(list, func(a, b Share) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Rank, b.Rank))
+		return cmp.Or(cmp.Compare(a.Service, b.Service), a.Rank.Compare(b.Rank))
 	})
 	return list
 }
--- a/core/admission/demand.go
+++ b/core/admission/demand.go
@@ -40,9 +40,9 @@
 
 // rank is the recent demand of one rank for one service.
 type rank struct {
-	number int
-	asked  [numClasses]float64
-	sent   float64
+	Rank
+	asked [numClasses]float64
+	sent  float64
 	// uses is the number of requests by the use of their team, see useBucket. The first element
 	// includes requests whose team's use is unknown.
 	uses [useBuckets]float64
@@ -74,25 +74,25 @@
 	}
 }
 
-// rank returns the rank with the given number, or nil if it has not been seen.
-func (s *service) rank(number int) *rank {
-	i, ok := s.find(number)
+// rank returns the demand of a rank, or nil if it has not been seen.
+func (s *service) rank(k Rank) *rank {
+	i, ok := s.find(k)
 	if !ok {
 		return nil
 	}
 	return s.ranks[i]
 }
 
-func (s *service) ensureRank(number int) *rank {
-	i, ok := s.find(number)
+func (s *service) ensureRank(k Rank) *rank {
+	i, ok := s.find(k)
 	if !ok {
-		s.ranks = slices.Insert(s.ranks, i, &rank{number: number})
+		s.ranks = slices.Insert(s.ranks, i, &rank{Rank: k})
 	}
 	return s.ranks[i]
 }
 
-func (s *service) find(number int) (int, bool) {
-	return slices.BinarySearchFunc(s.ranks, number, func(r *rank, number int) int { return r.number - number })
+func (s *service) find(k Rank) (int, bool) {
+	return slices.BinarySearchFunc(s.ranks, k, func(r *rank, k Rank) int { return r.Compare(k) })
 }
 
 // askedCount returns the number of recent requests of all ranks.
--- a/core/admission/doc.go
+++ b/core/admission/doc.go
@@ -31,7 +31,7 @@
 // # Usage
 //
 //	var c admission.Controller
-//	req := admission.Request{Service: "billing", Rank: 2, ID: id, Use: demand / limit, Objective: objective, Within: left}
+//	req := admission.Request{Service: "billing", Rank: admission.Rank{Priority: 2}, ID: id, Use: demand / limit, Objective: objective, Within: left}
 //	d := c.Decide(now, utilization, req)
 //	sent := outstanding < d.Depth*slots // Depth 0: too little is known yet.
 //	c.Record(now, req, d, sent)
@@ -39,7 +39,10 @@
 //	c.Answered(now, req, serviceTime)
 package admission
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// MinDepth is the least depth of any request: no slot idles while a request that may run
@@ -54,11 +57,23 @@
 	MaxDepth = 3.0
 )
 
+// Rank is the rank of a request. The highest is the zero value.
+type Rank struct {
+	// Priority is that of the request's team, or of its route if the team has none.
+	Priority int
+	// Route is the priority of its route, which orders requests of one Priority.
+	Route int
+}
+
+// Compare returns a negative number if a is higher than b, and a positive one if it is lower.
+func (a Rank) Compare(b Rank) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Route, b.Route))
+}
+
 // Request has the properties of a request on which its depth depends.
 type Request struct {
 	Service string
-	// Rank is its priority; 0 is the highest.
-	Rank int
+	Rank    Rank
 	// ID identifies the request. Which requests of a team are above its share depends on it.
 	ID string
 	// Use is the demand of its team over all VMs relative to the team's limit; 0: unknown.
@@ -83,7 +98,7 @@
 // Share is what the requests of one rank at one service asked for and were given.
 type Share struct {
 	Service string
-	Rank    int
+	Rank    Rank
 	// Asked and Sent are requests per second, as moving averages.
 	Asked, Sent float64
 	// Level is the use of their limits up to which teams are within their shares; 0: all are.
