--- a/core/model/policy.go
+++ b/core/model/policy.go
@@ -29,6 +29,15 @@
 	Done(now time.Time, vm int, lease balance.Lease, busy int)
 }
 
+// ClassPolicy is a Policy that treats classes of requests differently.
+type ClassPolicy interface {
+	Policy
+	// ChooseClass is Choose for a request of a class.
+	ChooseClass(now time.Time, vm, class int, key string, s State) (target int, lease balance.Lease)
+	// Answered reports how long the response to a request took.
+	Answered(now time.Time, vm, class int, lease balance.Lease, took time.Duration)
+}
+
 // Busy implements State.
 func (sim *simulation) Busy(target int) int { return sim.upstreams[target].busy() }
 
@@ -75,8 +84,12 @@
 
 // Choose implements Policy.
 func (p *BalancerPolicy) Choose(now time.Time, vm int, key string, _ State) (int, balance.Lease) {
+	return p.choose(now, vm, balance.Request{Service: service, Key: key, Urgent: true, Objective: p.shape.Objective, Within: p.shape.Objective})
+}
+
+func (p *BalancerPolicy) choose(now time.Time, vm int, req balance.Request) (int, balance.Lease) {
 	p.applyUpdates(now, vm)
-	l, err := p.vms[vm].Choose(now, balance.Request{Service: service, Key: key, Urgent: true, Objective: p.shape.Objective, Within: p.shape.Objective})
+	l, err := p.vms[vm].Choose(now, req)
 	if err != nil {
 		return -1, l
 	}
--- a/core/model/shape.go
+++ b/core/model/shape.go
@@ -27,6 +27,18 @@
 	Objective, Deadline time.Duration
 	// CrossRegionRTT is the RTT between regions.
 	CrossRegionRTT time.Duration
+	// Classes are the kinds of requests, if they differ; none: all are as above.
+	Classes []Class
+}
+
+// Class is a kind of requests.
+type Class struct {
+	Rank int
+	Team string
+	// Limit is the team's limit in requests per second; 0: none.
+	Limit float64
+	// WorkMiss, WorkHit and Objective are as in Shape.
+	WorkMiss, WorkHit, Objective time.Duration
 }
 
 // Load returns the rate of requests per second that occupies a fraction of all slots
@@ -41,6 +53,22 @@
 	PerSecond float64
 	// Down is the fraction of the targets that are down.
 	Down float64
+	// Mix is the number of requests of each class, relative to each other.
+	Mix []float64
+}
+
+// class returns the class of a request for a draw from [0, 1).
+func (p Phase) class(draw float64) int {
+	sum := 0.0
+	for _, n := range p.Mix {
+		sum += n
+	}
+	for i, n := range p.Mix {
+		if draw -= n / sum; draw < 0 {
+			return i
+		}
+	}
+	return 0
 }
 
 func (s Shape) region(i int) string { return fmt.Sprint("region", i%s.Regions) }
--- a/core/model/simulate.go
+++ b/core/model/simulate.go
@@ -29,6 +29,17 @@
 // Result is the outcome of a simulation by seconds.
 type Result struct {
 	Seconds []Second
+	// Classes has the seconds of each class.
+	Classes [][]Second
+}
+
+// Class returns the result of one class.
+func (r Result) Class(i int) Result { return Result{Seconds: r.Classes[i]} }
+
+// Served returns the fraction of the requests made in the seconds [from, to) that was answered.
+func (r Result) Served(from, to int) float64 {
+	s := r.sum(from, to)
+	return float64(s.InTime+s.Late) / max(1, float64(s.Asked))
 }
 
 // sum returns the sum of the seconds in [from, to).
@@ -68,6 +79,7 @@
 type request struct {
 	key   string
 	vm    int
+	class int
 	made  time.Time
 	lease balance.Lease
 }
@@ -106,6 +118,7 @@
 	events    eventqueue.Queue
 	upstreams []*upstream
 	seconds   []Second
+	classes   [][]Second
 }
 
 // Simulate simulates phases with a policy. The same arguments give the same result.
@@ -115,9 +128,13 @@
 		sim.upstreams = append(sim.upstreams, &upstream{cached: map[string]*list.Element{}, lru: list.New()})
 	}
 	end := sim.schedule(phases)
-	sim.seconds = make([]Second, int(end.Sub(Start)/time.Second)+1)
+	n := int(end.Sub(Start)/time.Second) + 1
+	sim.seconds = make([]Second, n)
+	for range shape.Classes {
+		sim.classes = append(sim.classes, make([]Second, n))
+	}
 	sim.events.RunAll()
-	return Result{Seconds: sim.seconds}
+	return Result{Seconds: sim.seconds, Classes: sim.classes}
 }
 
 // schedule adds the events of all phases and returns when the last phase ends.
@@ -130,6 +147,9 @@
 			now = now.Add(time.Duration(sim.rnd.ExpFloat64() / ph.PerSecond * float64(time.Second)))
 			r := &request{key: fmt.Sprint("object", sim.rnd.IntN(sim.shape.Objects)), made: now}
 			r.vm = sim.vmFor(r.key)
+			if len(ph.Mix) > 0 {
+				r.class = ph.class(sim.rnd.Float64())
+			}
 			sim.events.Add(now, func(now time.Time) { sim.arrive(now, r) })
 		}
 	}
@@ -145,21 +165,42 @@
 	return sim.rnd.IntN(perRegion)*sim.shape.Regions + object%sim.shape.Regions
 }
 
-// second returns the counts of the second in which the request was made.
-func (sim *simulation) second(r *request) *Second { return &sim.seconds[r.made.Sub(Start)/time.Second] }
+// count adds to the counts of the second in which the request was made.
+func (sim *simulation) count(r *request, add func(*Second)) {
+	i := r.made.Sub(Start) / time.Second
+	add(&sim.seconds[i])
+	if len(sim.classes) > 0 {
+		add(&sim.classes[r.class][i])
+	}
+}
+
+// class returns the class of a request.
+func (s Shape) class(r *request) Class {
+	if len(s.Classes) == 0 {
+		return Class{WorkMiss: s.WorkMiss, WorkHit: s.WorkHit, Objective: s.Objective}
+	}
+	return s.Classes[r.class]
+}
 
 // arrive is the arrival of a request at its VM, which chooses a target.
 func (sim *simulation) arrive(now time.Time, r *request) {
-	sim.second(r).Asked++
-	i, lease := sim.policy.Choose(now, r.vm, r.key, sim)
+	sim.count(r, func(s *Second) { s.Asked++ })
+	i, lease := sim.choose(now, r)
 	if i < 0 {
-		sim.second(r).Refused++
+		sim.count(r, func(s *Second) { s.Refused++ })
 		return
 	}
 	r.lease = lease
 	sim.events.Add(now.Add(sim.rtt(r.vm, i)/2), func(now time.Time) { sim.receive(now, r, i) })
 }
 
+func (sim *simulation) choose(now time.Time, r *request) (int, balance.Lease) {
+	if p, ok := sim.policy.(ClassPolicy); ok {
+		return p.ChooseClass(now, r.vm, r.class, r.key, sim)
+	}
+	return sim.policy.Choose(now, r.vm, r.key, sim)
+}
+
 // rtt returns the round-trip time between a VM and a target.
 func (sim *simulation) rtt(vm, i int) time.Duration {
 	if vm%sim.shape.Regions == i%sim.shape.Regions {
@@ -184,10 +225,11 @@
 func (sim *simulation) startWork(now time.Time, r *request, i int) {
 	u := sim.upstreams[i]
 	u.running++
-	work := sim.shape.WorkMiss
+	class := sim.shape.class(r)
+	work := class.WorkMiss
 	if u.access(r.key, sim.shape.CacheSize) {
-		work = sim.shape.WorkHit
-		sim.second(r).Hits++
+		work = class.WorkHit
+		sim.count(r, func(s *Second) { s.Hits++ })
 	}
 	work = time.Duration(float64(work) * (1 - workJitter + 2*workJitter*sim.rnd.Float64()))
 	sim.events.Add(now.Add(work), func(now time.Time) { sim.finishWork(now, r, i) })
@@ -215,11 +257,14 @@
 		took := now.Sub(r.made)
 		switch {
 		case refused:
-			sim.second(r).Refused++
-		case took <= sim.shape.Objective:
-			sim.second(r).InTime++
+			sim.count(r, func(s *Second) { s.Refused++ })
+		case took <= sim.shape.class(r).Objective:
+			sim.count(r, func(s *Second) { s.InTime++ })
 		case took <= sim.shape.Deadline:
-			sim.second(r).Late++
+			sim.count(r, func(s *Second) { s.Late++ })
+		}
+		if p, ok := sim.policy.(ClassPolicy); ok && !refused {
+			p.Answered(now, r.vm, r.class, r.lease, took)
 		}
 		sim.policy.Done(now, r.vm, r.lease, busy)
 	})
