--- a/core/admission/depth.go
+++ b/core/admission/depth.go
@@ -11,7 +11,7 @@
 		return SharedDepth
 	}
 	most := s.mostDepth(r, within)
-	reserved := max(MinDepth, min(most, s.tolerableDepth(r))-s.loadBefore(r, k))
+	reserved := max(MinDepth, min(s.tolerableDepth(r), most-s.loadBefore(r, k)))
 	return most - shortage(utilization)*(most-reserved)
 }
 
--- a/core/admission/doc.go
+++ b/core/admission/doc.go
@@ -13,9 +13,10 @@
 //
 //   - The highest rank with traffic at the service may fill upstreams as long as its requests
 //     are expected to be in time.
-//   - A lower rank may fill them as long as requests of higher ranks still find them in time,
-//     less what those of higher ranks occupy within one service time (trunk reservation). Ranks
-//     without traffic at the service reserve nothing.
+//   - A lower rank may fill them as long as requests of higher ranks are still in time there,
+//     and as there is room for those that arrive within one service time (trunk reservation).
+//     Ranks without traffic at the service reserve nothing, nor does any while upstreams have
+//     less than one request for each slot on average.
 //   - A rank that is served much less often than all requests is starved: until it is not, it
 //     and the ranks above it have the same depth.
 //   - Teams of one rank have max-min fair shares with their limits as weights: of a team whose
@@ -25,8 +26,8 @@
 //   - Returned requests go first only up to a part of their rank, so that callers who claim to
 //     have come back cannot starve others.
 //
-// A request always finds an upstream that has fewer than MinDepth requests for each slot open,
-// whatever its rank and team.
+// Whatever its rank and team, a request is sent to an upstream that has an idle slot as far as the
+// VM knows.
 //
 // # Usage
 //
@@ -45,10 +46,9 @@
 )
 
 const (
-	// MinDepth is the least depth of any request: no slot idles while a request that may run
-	// there is refused, and half a request for each slot waits to follow, as VMs know the load
-	// of upstreams only from their last responses.
-	MinDepth = 1.5
+	// MinDepth is the least depth of any request: none is refused at an upstream that is believed
+	// to have an idle slot.
+	MinDepth = 1.0
 	// SharedDepth is the most depth of a request that others go before. Up to it the balancer
 	// does not compare a request's time left with the wait, so no request of a higher rank is
 	// refused for its shorter objective where one of a lower rank is sent.
