--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -31,7 +31,7 @@
 		return Decision{}
 	}
 	d := Decision{AboveShare: r.aboveShare(req), Returned: req.Returned && r.returnCredit >= 1}
-	d.Depth = s.depth(r, classOf(d), utilization, req.Within)
+	d.Depth = s.depth(r, classOf(d), utilization, req)
 	return d
 }
 
--- a/core/admission/demand.go
+++ b/core/admission/demand.go
@@ -15,6 +15,9 @@
 	// minKnown is the number of recent requests to a service below which too little is known of
 	// its demand.
 	minKnown = 8
+	// minRecent is the count from which on a rank has had a recent request: one within three times
+	// timeConstant.
+	minRecent = 0.05
 	// minTraffic is the part of a service's recent requests from which on a rank has traffic
 	// there.
 	minTraffic = 0.02
@@ -138,6 +141,9 @@
 	return r.sent/asked < starvedFraction*sent/max(1, s.askedCount())
 }
 
+// recent reports whether the rank has had any recent request.
+func (r *rank) recent() bool { return r.askedCount() >= minRecent }
+
 func (r *rank) askedCount() float64 {
 	sum := 0.0
 	for _, n := range r.asked {
--- a/core/admission/depth.go
+++ b/core/admission/depth.go
@@ -1,17 +1,20 @@
 package admission
 
-import "time"
-
 // fullShortage is the utilization from which on all room that is needed is reserved.
 const fullShortage = 1.25
 
-// depth returns the depth for a request of class k of rank r, of whose objective within is left.
-func (s *service) depth(r *rank, k class, utilization float64, within time.Duration) float64 {
+// depth returns the depth for a request of class k of rank r.
+func (s *service) depth(r *rank, k class, utilization float64, req Request) float64 {
 	if s.equalized(r, k) {
 		return SharedDepth
 	}
-	most := s.mostDepth(r, k, within)
-	reserved := max(MinDepth, min(s.tolerableDepth(r), most-s.loadBefore(r, k)))
+	most := s.mostDepth(r, k, req)
+	// Where room is reserved, only the highest rank may exceed SharedDepth.
+	reserved := most
+	if s.hasRecentAbove(r) {
+		reserved = SharedDepth
+	}
+	reserved = max(MinDepth, min(s.tolerableDepth(r), reserved-s.loadBefore(r, k)))
 	return most - shortage(utilization)*(most-reserved)
 }
 
@@ -33,9 +36,10 @@
 	return false
 }
 
-// mostDepth returns the depth of a rank while no room is reserved. Only teams within their shares
-// and of the highest rank with traffic may exceed SharedDepth, as long as they have time to wait.
-func (s *service) mostDepth(r *rank, k class, within time.Duration) float64 {
+// mostDepth returns the depth while no room is reserved. Only requests of teams within their
+// shares, and for which no higher rank has a shorter objective, may exceed SharedDepth, as long
+// as they have time to wait.
+func (s *service) mostDepth(r *rank, k class, req Request) float64 {
 	if k > newWithin {
 		return SharedDepth
 	}
@@ -43,14 +47,27 @@
 		if high.Compare(r.Rank) >= 0 {
 			break
 		}
-		if s.hasTraffic(high) {
+		if high.recent() && high.objective > 0 && (req.Objective == 0 || high.objective < req.Objective) {
 			return SharedDepth
 		}
 	}
-	if within == 0 {
+	if req.Within == 0 {
 		return MaxDepth
 	}
-	return min(MaxDepth, max(SharedDepth, float64(within)/float64(s.serviceTime())))
+	return min(MaxDepth, max(SharedDepth, float64(req.Within)/float64(s.serviceTime())))
+}
+
+// hasRecentAbove reports whether a higher rank than r has had any recent request.
+func (s *service) hasRecentAbove(r *rank) bool {
+	for _, high := range s.ranks {
+		if high.Compare(r.Rank) >= 0 {
+			return false
+		}
+		if high.recent() {
+			return true
+		}
+	}
+	return false
 }
 
 // tolerableDepth returns the depth at which requests of higher ranks are still expected to be in
--- a/core/admission/doc.go
+++ b/core/admission/doc.go
@@ -49,8 +49,8 @@
 	// MinDepth is the least depth of any request: none is refused at an upstream that is believed
 	// to have an idle slot.
 	MinDepth = 1.0
-	// SharedDepth is the most depth of a request that others go before. Up to it the balancer
-	// does not compare a request's time left with the wait, so no request of a higher rank is
+	// SharedDepth is the most depth of a request with a longer objective than those of a higher
+	// rank. Up to it the balancer does not compare the time left with the wait, so no request is
 	// refused for its shorter objective where one of a lower rank is sent.
 	SharedDepth = 2.0
 	// MaxDepth is the most depth of any request.
