Poison: answered runs lead to exclusive trials after two crashes

Cause: runs that were answered count for no ban unless they were exclusive trials, and the same count decided when a request is restricted to exclusive trials. So two crashes in a row under answered runs left it in ordinary trials, which prove nothing; it took a third.

Crashes in a row are counted apart for the restriction now, answered or not. What a ban is based on is unchanged, so no innocent request is banned for it; the first exclusive trial comes one crash earlier.

TestAnsweredRunsLeadToExclusiveTrials failed before (five runs, four now). TestAnswersBeforeACrashCountAsCrashes, changed: the exclusive trial is required one crash earlier and the ban after three runs instead of four.

--- a/core/poison/answer_test.go
+++ b/core/poison/answer_test.go
@@ -45,13 +45,13 @@
 func TestAnswersBeforeACrashCountAsCrashes(t *testing.T) {
 	l := poison.NewLedger()
 	crash(l, 100, "i-0", "killer")
-	for i := range 4 {
+	for i := range 3 {
 		ms, target := 1000*(i+1), fmt.Sprint("i-", i+1)
 		trial, refused := l.Admit(at(ms), printOf("killer"))
 		if refused != nil {
 			t.Fatalf("run %d is rejected: %v", i, refused)
 		}
-		if i >= 2 && !trial.Alone {
+		if i >= 1 && !trial.Alone {
 			t.Errorf("run %d, after %d crashes, is not an exclusive trial", i, i+1)
 		}
 		l.Served(at(ms+30), poison.Run{Print: printOf("killer"), Target: target, Began: at(ms), Ended: at(ms + 30), Alone: trial.Alone})
@@ -153,6 +153,29 @@
 	}
 }
 
+// Guards against a poison request that crashes upstreams in ordinary trials again and again, since
+// each answers it before it crashes.
+func TestAnsweredRunsLeadToExclusiveTrials(t *testing.T) {
+	l := poison.NewLedger()
+	l.ServedUnsuspected(poison.Run{Target: "i-0", Began: at(100), Ended: at(180)}, requestOf("killer"))
+	crash(l, 200, "i-0", "bystander")
+	sent := 0
+	for ; !banned(l, 1000*(sent+1), "killer") && sent < 10; sent++ {
+		ms, target := 1000*(sent+1), fmt.Sprint("i-", sent+1)
+		trial, refused := l.Admit(at(ms), printOf("killer"))
+		if refused != nil {
+			t.Fatalf("run %d is rejected: %v", sent, refused)
+		}
+		l.Served(at(ms+30), poison.Run{Print: printOf("killer"), Target: target, Began: at(ms), Ended: at(ms + 30), Alone: trial.Alone})
+		trial.Done()
+		l.Crashed(at(ms+130), target)
+		l.Tick(at(ms + 900))
+	}
+	if sent != 4 {
+		t.Errorf("banned after %d runs in trials, want one ordinary trial and three exclusive ones", sent)
+	}
+}
+
 // Guards against a poison request that is never suspected, since each upstream answers it
 // before it crashes.
 func TestAnsweredRequestsAreSuspectedOfCrashes(t *testing.T) {
--- a/core/poison/suspect.go
+++ b/core/poison/suspect.go
@@ -13,7 +13,7 @@
 	// service's upstreams crash by themselves, one in a thousand sees three such crashes in
 	// a row.
 	banThreshold = 3
-	// exclusiveAfter is how many consecutive crashes restrict a request to exclusive trials,
+	// exclusiveAfter is how many sequential crashes restrict a request to exclusive trials,
 	// and exclusiveAfterTotal how many in all. After a single crash most suspects are
 	// innocent: of a popular request, all runs but one would be rejected until the first is
 	// answered.
@@ -79,9 +79,12 @@
 // tally counts the crashes that are not attributed to a ban.
 type tally struct {
 	total int
-	// consecutive counts crashes whose run began after the previous crash, or that came
-	// minCrashGap or more after it. Answered runs count only if they were exclusive trials:
-	// with many callers, a request is answered at any time.
+	// sequential counts crashes whose run began after the previous crash, or that came
+	// minCrashGap or more after it.
+	sequential int
+	// consecutive counts those among them that a ban may be based on. Answered runs count
+	// only if they were exclusive trials: with many callers, a request is answered at any
+	// time.
 	consecutive int
 	// proven says that there are enough consecutive crashes for a ban, and that an
 	// exclusive trial was among the last.
@@ -90,23 +93,32 @@
 
 // needsExclusive reports whether the request is restricted to exclusive trials.
 func (t tally) needsExclusive() bool {
-	return t.consecutive >= exclusiveAfter || t.total >= exclusiveAfterTotal
+	return t.sequential >= exclusiveAfter || t.total >= exclusiveAfterTotal
+}
+
+// follows reports whether the crash during r cannot have had the same cause as one at last.
+func (r Run) follows(last time.Time) bool {
+	return !r.Began.Before(last) || r.Ended.Sub(last) >= minCrashGap
 }
 
 // tally counts crashes, which are ordered by time.
 func (l *Ledger) tally(crashes []Run) (t tally) {
-	var last time.Time
+	var lastSequential, lastConsecutive time.Time
 	for _, r := range crashes {
 		if l.isAttributed(r.Target) {
 			continue
 		}
 		t.total++
+		if r.follows(lastSequential) {
+			t.sequential++
+			lastSequential = r.Ended
+		}
 		if r.evidence() == 0 {
 			continue
 		}
-		if !r.Began.Before(last) || r.Ended.Sub(last) >= minCrashGap {
+		if r.follows(lastConsecutive) {
 			t.consecutive++
-			last = r.Ended
+			lastConsecutive = r.Ended
 		}
 		t.proven = t.proven || t.consecutive >= banThreshold && r.Alone
 	}
