Poison: crashes seen by other VMs count for this VM's lost runs at once

Cause: the poison request crashed six of eight upstreams within 0.2 s. A VM that finds no upstream that accepts connections takes refused ones for a fault of its own links and waits with its probes, here until after the ban. VMs whose probes came a moment earlier told the crashes with the look-up in flight. The VMs that had sent the poison request went on waiting for their own probes, so all VMs judged by crashes that only the look-up explained.

News of a crash now also counts for the runs of this VM at that upstream that have no response, as it did for those answered just before. Each VM judges its own runs by its own clock, as before, and a VM still needs a crash that some VM has proved.

TestPopularRequestIsNotBannedWhileAVMIsCutOff and TestRunsCountForCrashesSeenElsewhere failed before.

--- a/core/poison/rival_test.go
+++ b/core/poison/rival_test.go
@@ -96,3 +96,28 @@
 		t.Error("a request with one crash in an exclusive trial, and responses before four other crashes, is banned")
 	}
 }
+
+// Guards against a ban of a popular request in place of the poison request that crashed nearly all
+// upstreams, while the VM that sent it reaches none and so cannot tell that they crashed.
+func TestPopularRequestIsNotBannedWhileAVMIsCutOff(t *testing.T) {
+	cutOff, other := poison.NewLedger(), poison.NewLedger()
+	for _, r := range burst() {
+		if r.Print == printOf("killer") {
+			cutOff.ConnectionLost(r.Ended, r)
+			continue
+		}
+		other.ConnectionLost(r.Ended, r)
+		other.Crashed(r.Ended, r.Target)
+	}
+	cutOff.MergeNews(at(1200), other.TakeNews())
+	other.MergeNews(at(1230), cutOff.TakeNews())
+	for i, l := range []*poison.Ledger{cutOff, other} {
+		l.Tick(at(2000))
+		if banned(l, 2000, "popular") {
+			t.Errorf("VM %d bans the popular request", i)
+		}
+		if !l.Knows(printOf("killer").Head) {
+			t.Errorf("VM %d does not suspect the poison request", i)
+		}
+	}
+}
--- a/core/poison/runs.go
+++ b/core/poison/runs.go
@@ -56,10 +56,14 @@
 type upstreamRuns struct {
 	// broken runs lost their connection; abandoned ones were given up by the VM.
 	broken, abandoned []Run
-	lastUsed          time.Time
-	probing           bool // A probe is to find out whether the upstream has crashed.
-	crashed           bool
-	// crashedAt is when this VM saw the first sign of the crash, if crashed.
+	// reported says that another VM saw the crash, and implicated are the runs that count
+	// for that reason, before this VM has seen it.
+	reported   bool
+	implicated []Run
+	lastUsed   time.Time
+	probing    bool // A probe is to find out whether the upstream has crashed.
+	crashed    bool
+	// crashedAt is when this VM saw the first sign of the crash, if crashed or reported.
 	crashedAt time.Time
 }
 
@@ -134,12 +138,8 @@
 		l.implicateLate(now, u, r)
 		return false
 	}
-	var dropped bool
-	u.broken, dropped = appendRun(u.broken, r)
-	if dropped {
-		l.dropped.Runs++
-	}
 	l.markUnresolved(now, r)
+	l.record(now, u, &u.broken, r)
 	probe = !u.probing
 	u.probing = true
 	return probe
@@ -168,12 +168,20 @@
 		l.implicateLate(now, u, r)
 		return
 	}
+	l.markUnresolved(now, r)
+	l.record(now, u, &u.abandoned, r)
+}
+
+// record appends a run to a list of its upstream, or counts it if the crash is reported.
+func (l *Ledger) record(now time.Time, u *upstreamRuns, list *[]Run, r Run) {
+	if u.reported {
+		l.implicateLate(now, u, r)
+		list = &u.implicated
+	}
 	var dropped bool
-	u.abandoned, dropped = appendRun(u.abandoned, r)
-	if dropped {
+	if *list, dropped = appendRun(*list, r); dropped {
 		l.dropped.Runs++
 	}
-	l.markUnresolved(now, r)
 }
 
 // Answered records that an upstream responded to a request that was sent at began: it has
@@ -189,6 +197,7 @@
 	survived := func(r Run) bool { return now.Sub(r.Ended) > survivalMargin }
 	u.abandoned = slices.DeleteFunc(u.abandoned, survived)
 	u.broken = slices.DeleteFunc(u.broken, survived)
+	u.implicated = slices.DeleteFunc(u.implicated, survived)
 	for _, list := range [][]Run{u.abandoned, u.broken} {
 		for i := range list {
 			list[i].ConnectionLost = list[i].ConnectionLost && !list[i].Ended.Before(began)
@@ -202,7 +211,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	u := l.upstreams[target]
-	return u != nil && !u.crashed && len(l.upstream(now, target).abandoned) > 0
+	return u != nil && !u.crashed && len(l.upstream(now, target).abandoned)+len(u.implicated) > 0
 }
 
 // Crashed records that an incarnation of an upstream has crashed. It returns the runs that were
@@ -215,20 +224,42 @@
 	if u.crashed {
 		return nil
 	}
-	u.crashedAt = u.firstSign(now)
-	runs := slices.Concat(u.broken, u.abandoned, l.takeUnconfirmed(target), l.takeUnsuspected(target, u.crashedAt))
-	runs = slices.DeleteFunc(runs, func(r Run) bool { return !u.mayBeCause(r) })
-	u.broken, u.abandoned, u.probing, u.crashed = nil, nil, false, true
+	if !u.reported {
+		u.crashedAt = u.firstSign(now)
+	}
+	runs := l.takeInFlight(u, target, u.crashedAt)
 	l.implicateAll(now, runs)
+	runs = slices.Concat(u.implicated, runs)
+	u.implicated, u.probing, u.crashed = nil, false, true
 	return runs
 }
 
-// crashedElsewhere handles a crash during r that another VM saw and that no connection of this VM
-// has shown: runs of this VM that the upstream answered just before may have caused it too.
+// takeInFlight removes the runs of an upstream that do not count yet, and returns those that may
+// have caused its crash, of which the first sign was seen at first.
+func (l *Ledger) takeInFlight(u *upstreamRuns, target string, first time.Time) []Run {
+	runs := slices.Concat(u.broken, u.abandoned, l.takeUnconfirmed(target), l.takeUnsuspected(target, first))
+	u.broken, u.abandoned = nil, nil
+	return slices.DeleteFunc(runs, func(r Run) bool { return !u.mayBeCause(r) })
+}
+
+// crashedElsewhere handles a crash during r that another VM saw. Runs of this VM may have caused
+// it: those that the upstream answered just before, and those without a response. A VM that
+// reaches no other upstream cannot tell by itself whether the upstream has crashed, as after a
+// request that crashed nearly all of them.
 func (l *Ledger) crashedElsewhere(now time.Time, r Run) {
-	if u := l.upstreams[r.Target]; u == nil || !u.crashed {
-		l.implicateAll(now, slices.Concat(l.takeUnconfirmed(r.Target), l.takeUnsuspected(r.Target, r.Ended)))
+	if now.Sub(r.Ended) > crashTTL {
+		return
 	}
+	u := l.upstream(now, r.Target)
+	if u.crashed {
+		return
+	}
+	if !u.reported {
+		u.reported, u.crashedAt = true, u.firstSign(now)
+	}
+	runs := l.takeInFlight(u, r.Target, r.Ended)
+	l.implicateAll(now, runs)
+	u.implicated = append(u.implicated, runs...)
 }
 
 // implicateLate handles a run at an upstream that is already known to have crashed.
--- a/core/poison/runs_test.go
+++ b/core/poison/runs_test.go
@@ -109,3 +109,39 @@
 		t.Error("a request that was sent again after each crash is not banned")
 	}
 }
+
+// Guards against runs without a response that do not count until this VM has seen the crash itself,
+// though another VM has.
+func TestRunsCountForCrashesSeenElsewhere(t *testing.T) {
+	run := func(name, target string, began, ended int) poison.Run {
+		return poison.Run{Print: printOf(name), Target: target, Began: at(began), Ended: at(ended)}
+	}
+	l := poison.NewLedger()
+	l.ConnectionLost(at(200), run("broken", "i-1", 100, 200))
+	l.Left(at(210), run("abandoned", "i-1", 100, 210))
+	l.ConnectionLost(at(220), run("after the first sign", "i-1", 205, 220))
+	l.ConnectionLost(at(200), run("elsewhere", "i-2", 100, 200))
+	l.MergeNews(at(300), poison.News{Runs: []poison.Run{run("bystander", "i-1", 100, 200)}})
+	if probe := l.ConnectionLost(at(310), run("later", "i-1", 100, 310)); probe {
+		t.Error("a second probe is asked for while the first is pending")
+	}
+	l.Left(at(320), run("left later", "i-1", 100, 320))
+	want := map[string]bool{"broken": true, "abandoned": true, "after the first sign": false, "elsewhere": false, "bystander": true, "later": true, "left later": true}
+	for name, want := range want {
+		if got := l.Knows(printOf(name).Head); got != want {
+			t.Errorf("%s is suspected: %t, want %t", name, got, want)
+		}
+	}
+	if n := len(l.TakeNews().Runs); n != 4 {
+		t.Errorf("%d runs are propagated, want the four of this VM", n)
+	}
+	if !l.HasAbandoned(at(330), "i-1") {
+		t.Error("the upstream is not probed if its registration lapses")
+	}
+	if n := len(l.Crashed(at(400), "i-1")); n != 4 {
+		t.Errorf("%d runs are returned once this VM sees the crash, want four", n)
+	}
+	if n := len(l.TakeNews().Runs); n != 0 {
+		t.Errorf("%d runs are propagated again", n)
+	}
+}
