--- a/core/poison/news.go
+++ b/core/poison/news.go
@@ -116,13 +116,17 @@
 // SyncDone returns a channel that is closed by SetSynced.
 func (l *Ledger) SyncDone() <-chan struct{} { return l.syncDone }
 
-// Snapshot returns what a VM that has just started needs to know. Crashes attributed to a ban
+// Snapshot returns what a VM that has just started needs to know. Without the latest responses to
+// suspects, it could ban one for crashes before them. Crashes attributed to a ban
 // are left out, since the receiver could not attribute them: a ban does not list its crashes.
 func (l *Ledger) Snapshot() News {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := News{Bans: l.allBans()}
-	for _, s := range l.suspects {
+	for p, s := range l.suspects {
+		if c, ok := l.cleared[p]; ok {
+			n.Served = append(n.Served, c)
+		}
 		for _, r := range s.crashes {
 			if len(n.Runs) < maxSuspects && !l.isAttributed(r.Target) {
 				n.Runs = append(n.Runs, r)
--- a/core/poison/rival_test.go
+++ b/core/poison/rival_test.go
@@ -121,3 +121,22 @@
 		}
 	}
 }
+
+// Guards against a VM that has just started and bans a request for crashes before its response,
+// which the others know of.
+func TestStartingVMBansNobodyForCrashesBeforeAnAnswer(t *testing.T) {
+	l, started := poison.NewLedger(), poison.NewLedger()
+	for i := range 3 {
+		crash(l, 300*(i+1), fmt.Sprint("i-", i), "a")
+	}
+	l.Served(at(1000), poison.Run{Print: printOf("a"), Target: "lives", Began: at(100), Ended: at(1000)})
+	l.NotCrashed(at(1100), "lives", true)
+	started.MergeNews(at(1130), l.Snapshot())
+	started.Tick(at(2000))
+	if banned(started, 2000, "a") {
+		t.Error("banned for crashes before its response")
+	}
+	if !started.Knows(printOf("a").Head) {
+		t.Error("crashes after the run began do not count against it")
+	}
+}
--- a/io/quarantine/publisher.go
+++ b/io/quarantine/publisher.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"auburnlatch/core/poison"
 	"auburnlatch/io/lifecycle"
-	"auburnlatch/io/peer"
 )
 
 const (
@@ -27,14 +27,33 @@
 	// every pullInterval. After that, all peers know the VM and send it their news.
 	startupPulls = 3 * time.Second
 	pullInterval = 500 * time.Millisecond
+	// newsRetention is how long news is kept for peers that become known: as long as it takes
+	// until a VM that has started knows all of them.
+	newsRetention = startupPulls
 )
 
+// sender sends to other VMs, by their addresses.
+type sender interface {
+	SendPoison(addrs []string, n poison.News)
+	RequestPoison(addrs ...string)
+	SendPoisonDigest(addr string)
+}
+
 // publisher publishes this VM's news of crashes, suspects and bans to its peers.
 type publisher struct {
 	guard                *Guard
-	peer                 *peer.Datagrams
+	peer                 sender
 	comparedAt, pulledAt time.Time
 	dropped              poison.Dropped
+	recent               []sentNews
+	// informed are the peers that have been sent the recent news.
+	informed map[string]bool
+}
+
+// sentNews is news and when it was sent.
+type sentNews struct {
+	news poison.News
+	at   time.Time
 }
 
 // loop publishes news and does the periodic work, until ctx ends.
@@ -50,15 +69,44 @@
 		case now := <-ticker.C:
 			p.tick(now)
 		}
-		if n := g.ledger.TakeNews(); !n.Empty() {
-			p.peer.SendPoison(g.fleet.Peers(time.Now()), n)
-		}
+		p.publish(time.Now())
 		if !lifecycle.Sleep(ctx, publishInterval) {
 			return
 		}
 	}
 }
 
+// publish sends the news to all peers, and that of the last newsRetention to those that this VM
+// has not known before: a VM that has just started may know one peer when it sees crashes, and the
+// others only later.
+func (p *publisher) publish(now time.Time) {
+	known, added := p.peers(now)
+	p.recent = slices.DeleteFunc(p.recent, func(n sentNews) bool { return now.Sub(n.at) > newsRetention })
+	for _, n := range p.recent {
+		p.peer.SendPoison(added, n.news)
+	}
+	if n := p.guard.ledger.TakeNews(); !n.Empty() {
+		p.peer.SendPoison(slices.Concat(known, added), n)
+		n.Tried = nil // They have other results by the time that they are sent again.
+		p.recent = append(p.recent, sentNews{n, now})
+	}
+}
+
+// peers returns the addresses of the peers, those that this VM did not know at the last call apart.
+func (p *publisher) peers(now time.Time) (known, added []string) {
+	informed := make(map[string]bool)
+	for _, addr := range p.guard.fleet.Peers(now) {
+		informed[addr] = true
+		if p.informed[addr] {
+			known = append(known, addr)
+		} else {
+			added = append(added, addr)
+		}
+	}
+	p.informed = informed
+	return known, added
+}
+
 // tick does the periodic work: it judges suspects, logs what the Ledger discarded for lack
 // of room, and asks a random peer for its state or compares bans with it.
 func (p *publisher) tick(now time.Time) {
