Poison: news for VMs that started again and are known to nobody

VMs that had ended in order and started again 2.3 s before, the platform paused, knew only each other, and the others took them for gone.

News goes to the addresses of VMs that ended lately as well, and VMs that send news count as peers for 3 s, so that a VM which knows no other tells them its own news in return.

TestVMsThatStartedAgainAreToldOfCrashes fails without either of the two.

--- a/io/entry/quarantine.go
+++ b/io/entry/quarantine.go
@@ -92,9 +92,20 @@
 
 // Peers implements quarantine.Fleet.
 func (f fleet) Peers(now time.Time) []string {
+	return f.heardAddrs(now, func(s member.State) bool { return s != member.Gone })
+}
+
+// Departed implements quarantine.Fleet.
+func (f fleet) Departed(now time.Time) []string {
+	return f.heardAddrs(now, func(s member.State) bool { return s == member.Gone })
+}
+
+// heardAddrs returns the addresses of the peers heard from within silentRetention that are in some
+// state.
+func (f fleet) heardAddrs(now time.Time, wanted func(member.State) bool) []string {
 	var addrs []string
 	for _, m := range f.members.Peers(now) {
-		if m.State != member.Gone && now.Sub(m.Heard) < silentRetention {
+		if wanted(m.State) && now.Sub(m.Heard) < silentRetention {
 			addrs = append(addrs, m.VM.Address.Peer)
 		}
 	}
--- a/io/peer/datagram.go
+++ b/io/peer/datagram.go
@@ -88,6 +88,7 @@
 	limits     LimitTable
 	upstreams  UpstreamTable
 	sent       *SentCounter
+	senders    senders // Of news of poison requests.
 }
 
 // DatagramsOption configures Datagrams.
@@ -191,6 +192,7 @@
 }
 
 func (d *Datagrams) receivePoison(from netip.AddrPort, m *schema.PoisonNews) {
+	d.senders.add(time.Now(), from.String())
 	d.poison.MergeNews(time.Now(), wire.Poison(time.Now(), m))
 	if m.GetAnswer() {
 		d.poison.SetSynced()
@@ -242,6 +244,9 @@
 	})
 }
 
+// PoisonSenders returns the VMs that have sent news of such requests within sendersTTL.
+func (d *Datagrams) PoisonSenders(now time.Time) []string { return d.senders.get(now) }
+
 // forEachAddr calls f with each valid address.
 func (d *Datagrams) forEachAddr(addrs []string, f func(netip.AddrPort)) {
 	for _, addr := range addrs {
--- a/io/quarantine/bans_test.go
+++ b/io/quarantine/bans_test.go
@@ -42,6 +42,7 @@
 type zone []string
 
 func (z zone) Peers(time.Time) []string                   { return nil }
+func (z zone) Departed(time.Time) []string                { return nil }
 func (z zone) Live(time.Time) []string                    { return z }
 func (z zone) ZoneLive(time.Time) []string                { return z }
 func (z zone) SeesAllZones(time.Time, time.Duration) bool { return true }
--- a/io/quarantine/doc.go
+++ b/io/quarantine/doc.go
@@ -36,6 +36,9 @@
 	// Peers returns the addresses at which all peers that may be running receive
 	// datagrams. It includes unreachable ones, as they may become reachable again.
 	Peers(now time.Time) []string
+	// Departed returns the addresses of VMs that ended lately. They may have started again
+	// there, unknown to the others.
+	Departed(now time.Time) []string
 	// Live returns the names of the live VMs, including this one, and ZoneLive those of
 	// its availability zone.
 	Live(now time.Time) []string
--- a/io/quarantine/publisher.go
+++ b/io/quarantine/publisher.go
@@ -37,6 +37,8 @@
 	SendPoison(addrs []string, n poison.News)
 	RequestPoison(addrs ...string)
 	SendPoisonDigest(addr string)
+	// PoisonSenders returns the VMs that have sent news lately.
+	PoisonSenders(now time.Time) []string
 }
 
 // publisher publishes this VM's news of crashes, suspects and bans to its peers.
@@ -86,16 +88,20 @@
 		p.peer.SendPoison(added, n.news)
 	}
 	if n := p.guard.ledger.TakeNews(); !n.Empty() {
-		p.peer.SendPoison(slices.Concat(known, added), n)
+		p.peer.SendPoison(slices.Concat(known, added, p.guard.fleet.Departed(now)), n)
 		n.Tried = nil // They have other results by the time that they are sent again.
 		p.recent = append(p.recent, sentNews{n, now})
 	}
 }
 
 // peers returns the addresses of the peers, those that this VM did not know at the last call apart.
+// A VM that has just started knows some of them only by their news.
 func (p *publisher) peers(now time.Time) (known, added []string) {
 	informed := make(map[string]bool)
-	for _, addr := range p.guard.fleet.Peers(now) {
+	for _, addr := range slices.Concat(p.guard.fleet.Peers(now), p.peer.PoisonSenders(now)) {
+		if informed[addr] {
+			continue
+		}
 		informed[addr] = true
 		if p.informed[addr] {
 			known = append(known, addr)
--- a/io/quarantine/publisher_test.go
+++ b/io/quarantine/publisher_test.go
@@ -13,37 +13,48 @@
 // growing is a Fleet whose peers become known one after the other.
 type growing struct {
 	zone
-	peers []string
+	peers, departed []string
 }
 
 func (g *growing) Peers(time.Time) []string { return g.peers }
 
-// received is a sender that records the runs that each peer receives.
-type received map[string]int
+func (g *growing) Departed(time.Time) []string { return g.departed }
 
-func (r received) SendPoison(addrs []string, n poison.News) {
+// recorder is a sender that records the runs that each peer receives.
+type recorder struct {
+	runs    map[string]int
+	senders []string
+}
+
+func (r *recorder) SendPoison(addrs []string, n poison.News) {
 	for _, addr := range addrs {
-		r[addr] += len(n.Runs)
+		r.runs[addr] += len(n.Runs)
 	}
 }
 
-func (received) RequestPoison(...string) {}
+func (*recorder) RequestPoison(...string) {}
 
-func (received) SendPoisonDigest(string) {}
+func (*recorder) SendPoisonDigest(string) {}
 
-// Guards against crashes that most VMs never learn of, since the VM that saw them had just started
-// and knew only one peer.
-func TestPeersAreToldOfCrashesFromBeforeTheyWereKnown(t *testing.T) {
+func (r *recorder) PoisonSenders(time.Time) []string { return r.senders }
+
+// newTestPublisher returns the publisher of a VM, and a function that has an upstream crash there.
+func newTestPublisher(f Fleet, r *recorder, now time.Time) (p *publisher, crash func(target string)) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	now := time.Now()
-	fleet, got := &growing{peers: []string{"first"}}, make(received)
-	g := New("started", fleet, &memoryStore{}, nil, logrus.NewEntry(log))
-	p := &publisher{guard: g, peer: got}
-	crash := func(target string) {
+	g := New("started", f, &memoryStore{}, nil, logrus.NewEntry(log))
+	return &publisher{guard: g, peer: r}, func(target string) {
 		g.ledger.ConnectionLost(now, poison.Run{Print: poison.Print{Head: 1}, Target: target, Began: now, Ended: now})
 		g.ledger.Crashed(now, target)
 	}
+}
+
+// Guards against crashes that most VMs never learn of, since the VM that saw them had just started
+// and knew only one peer.
+func TestPeersAreToldOfCrashesFromBeforeTheyWereKnown(t *testing.T) {
+	now := time.Now()
+	fleet, got := &growing{}, make(map[string]int)
+	p, crash := newTestPublisher(fleet, &recorder{runs: got}, now)
 	for step, peers := range [][]string{{"first"}, {"first", "second"}, {"second"}, {"first", "second"}} {
 		fleet.peers = peers
 		if step == 0 {
@@ -63,3 +74,21 @@
 		t.Errorf("the runs that each peer received: %v, want one more each, and none at a peer a minute later", got)
 	}
 }
+
+// Guards against VMs that started again and found no other, and so learn of no crash, since the
+// others take them for gone.
+func TestVMsThatStartedAgainAreToldOfCrashes(t *testing.T) {
+	now := time.Now()
+	r := &recorder{runs: make(map[string]int)}
+	p, crash := newTestPublisher(&growing{departed: []string{"again"}}, r, now)
+	crash("i-1")
+	p.publish(now)
+	if r.runs["again"] != 1 {
+		t.Errorf("a VM that ended lately received %d runs, want one", r.runs["again"])
+	}
+	r.senders = []string{"sender"}
+	p.publish(now)
+	if r.runs["sender"] != 1 {
+		t.Errorf("a VM that is known only by its news received %d runs, want one", r.runs["sender"])
+	}
+}
--- a/io/vm/quarantine.go
+++ b/io/vm/quarantine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"auburnlatch/core/inventory"
+	"auburnlatch/core/member"
 	"auburnlatch/core/poison"
 	"auburnlatch/core/verdict"
 	"auburnlatch/io/quarantine"
@@ -75,6 +76,17 @@
 	return addrs
 }
 
+// Departed implements quarantine.Fleet.
+func (f fleetView) Departed(now time.Time) []string {
+	var addrs []string
+	for _, m := range f.table.Peers(now) {
+		if m.State == member.Gone {
+			addrs = append(addrs, m.VM.Address.Peer)
+		}
+	}
+	return addrs
+}
+
 // Live implements quarantine.Fleet.
 func (f fleetView) Live(now time.Time) []string {
 	var names []string
