Loads of upstreams are decoded at the edge, with the pace, and counted if unreadable

The entry VM took a load of exactly three figures and dropped any other in silence: a deployment whose upstreams report a fourth, the pace at which work goes there, ran without any load report, and no counter or line said so.

A load counts whole or not at all. One that cannot be read says nothing, is counted (LoadsUnreadable) and logged once.

--- a/io/entry/doc.go
+++ b/io/entry/doc.go
@@ -25,6 +25,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"auburnlatch/core/balance"
 	"auburnlatch/core/poison"
 	"auburnlatch/core/replica"
 	"auburnlatch/core/route"
@@ -95,8 +96,10 @@
 	// NotRun marks a response as an upstream's statement that it did not run the
 	// request.
 	NotRun string
-	// Load has the numbers of running requests, waiting requests and slots.
+	// Load has the load of the upstream that responds.
 	Load string
+	// ParseLoad decodes the values of Load. The load is nil if there are none.
+	ParseLoad func(values []string) (*balance.Load, error)
 	// Limit is how many requests per second the upstream accepts from all VMs together,
 	// as a decimal number. A response without it means that there is no limit.
 	Limit string
--- a/io/entry/fake_test.go
+++ b/io/entry/fake_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
@@ -17,6 +18,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"auburnlatch/core/balance"
 	"auburnlatch/core/poison"
 	"auburnlatch/core/replica"
 	"auburnlatch/core/route"
@@ -256,11 +258,23 @@
 func (u *upstreamServer) addr() string { return strings.TrimPrefix(u.URL, "http://") }
 
 var protocol = entry.Protocol{
-	RequestID: "Request-Id", DeadlineMillis: "Deadline-Ms", ExpectTarget: "Expect-Target", NotRun: "Not-Run", Load: "Load", Limit: "Limit", Leaving: "Leaving", Team: "Team",
+	RequestID: "Request-Id", DeadlineMillis: "Deadline-Ms", ExpectTarget: "Expect-Target", NotRun: "Not-Run", Load: "Load", ParseLoad: parseLoad, Limit: "Limit", Leaving: "Leaving", Team: "Team",
 	Key:    func(r *http.Request) string { return r.Header.Get("Object") },
 	Caller: func(r *http.Request) string { return r.Header.Get("Caller") },
 }
 
+// parseLoad decodes a load of four figures.
+func parseLoad(values []string) (*balance.Load, error) {
+	if len(values) == 0 {
+		return nil, nil
+	}
+	var l balance.Load
+	if _, err := fmt.Sscanf(values[0], "%d,%d,%d,%f", &l.Running, &l.Waiting, &l.Slots, &l.Pace); err != nil {
+		return nil, err
+	}
+	return &l, nil
+}
+
 // runningVM is a VM under test.
 type runningVM struct {
 	*entry.VM
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -28,6 +28,8 @@
 	platformCalls  atomic.Int64
 	platformErrors atomic.Int64
 	discarded      atomic.Int64
+	// loadsUnreadable counts responses with a load that could not be read.
+	loadsUnreadable atomic.Int64
 
 	mu      sync.Mutex
 	reasons map[verdict.Reason]int64
@@ -85,6 +87,9 @@
 	// none could, and RelayedTraffic is the requests per second that others relay to this one.
 	Relayed, RelayRefused int64
 	RelayedTraffic        float64
+	// LoadsUnreadable counts the responses in which an upstream reported a load that could not be
+	// read.
+	LoadsUnreadable int64
 	// UpstreamsHeardMs is how long ago any upstream answered a request; -1: never.
 	UpstreamsHeardMs              int64
 	PlatformCalls, PlatformErrors int64
@@ -125,6 +130,7 @@
 	f.Relayed, f.RelayRefused, f.RelayedTraffic = v.relaying.sent.Load(), v.relaying.refused.Load(), v.relaying.traffic.Average().Requests
 	conns := v.upstreams.Connections()
 	f.ConnectionsOpened, f.ConnectionsFailed, f.ConnectionsReused = conns.Opened, conns.Failed, conns.Reused
+	f.LoadsUnreadable = c.loadsUnreadable.Load()
 	f.UpstreamsHeardMs = heardMillis(now, conns.Answered)
 	f.RulesSureMs = v.rulesAge(clock.SinceBoot()).Milliseconds()
 	f.LimitsHeardMs = min(v.limits.Age(now), lease.Never).Milliseconds()
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"auburnlatch/core/balance"
@@ -229,7 +228,7 @@
 		v.guard.Answered(time.Now(), began, lease.Target.Incarnation())
 	}
 	r, err := readResponse(resp)
-	outcome := balance.Outcome{Answered: true, Load: parseLoad(resp.Header.Get(v.protocol.Load)), Connect: call.Connect}
+	outcome := balance.Outcome{Answered: true, Load: v.reportedLoad(lease, resp.Header), Connect: call.Connect}
 	if err != nil {
 		outcome.Failed = ctx.Err() == nil && !v.links.Disturbed(began)
 		v.balancer.Done(time.Now(), lease, outcome)
@@ -386,19 +385,3 @@
 func bodyAllowed(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
-
-// parseLoad parses the load that an upstream reports: running, waiting, slots.
-func parseLoad(text string) *balance.Load {
-	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
-		return nil
-	}
-	var n [3]int
-	for i, part := range parts {
-		var err error
-		if n[i], err = strconv.Atoi(strings.TrimSpace(part)); err != nil {
-			return nil
-		}
-	}
-	return &balance.Load{Running: n[0], Waiting: n[1], Slots: n[2]}
-}
