Expected time at an upstream: from its route's usual time, the queue and the pace

Choices at a queue took the wait from a moving mean of each upstream's answers, which starts at zero, mixes warm and new objects, and knows nothing of the pace. With many VMs each has few samples of an upstream, so requests stayed in queues in which all were late.

Services whose upstreams report their pace (Load.Pace; Auto) now use the usual time of the route's requests, for warm and new objects apart, relative to the upstream, times its pace, which counts for less with age and for nothing after 0.6 s. Lease.Warm is what the VM believes; Lease.Expected is the time. Choices for all other services are as before.

Not kept: leaving an owner that is expected late for a candidate in time.

--- a/core/balance/ablate.go
+++ b/core/balance/ablate.go
@@ -30,6 +30,9 @@
 	FailureEjection
 	// SuspectCap ignores suspicion if most targets are suspect.
 	SuspectCap
+	// ExpectedRoom checks the room of a target with many requests by the expected time of the
+	// route's requests there.
+	ExpectedRoom
 	numMechanisms
 )
 
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -16,7 +16,11 @@
 	Target *target.Target
 	state  *state
 	// route has the statistics of the request's route.
-	route  *routeStats
+	route *routeStats
+	// placement is of the request's object, nil if it has none.
+	placement *placement
+	// first reports whether it is the first request for its object at the target.
+	first  bool
 	sentAt time.Time
 	// Ahead is the estimated number of requests at the target before this one.
 	Ahead float64
@@ -24,6 +28,10 @@
 	Owner bool
 	// Warm reports whether the target is believed to have handled the object recently.
 	Warm bool
+	// Expected is the expected time to a response when the target was chosen, 0 if unknown, and
+	// Pace the pace that it was computed from.
+	Expected time.Duration
+	Pace     float64
 	// RTT is the usual round trip time to the target, 0 if unknown.
 	RTT time.Duration
 	// limited reports whether the request took a token of the target's rate limit.
@@ -34,6 +42,8 @@
 type Outcome struct {
 	// Answered means that the target sent a response, of whatever status.
 	Answered bool
+	// Served means that it ran the request and responded with a success.
+	Served bool
 	// Failed means that the target is at fault: no connection, no response, a malformed
 	// response, or an error of its own.
 	Failed bool
@@ -77,8 +87,10 @@
 	synced           bool
 	notify           func()
 	// retained has the signals of incarnations that are no longer registered, by incarnation.
-	retained map[string]retainedSignals
-	disabled [numMechanisms]bool
+	retained  map[string]retainedSignals
+	disabled  [numMechanisms]bool
+	paceUse   PaceUse
+	loadStats LoadStats
 }
 
 // Option configures a Balancer.
@@ -92,7 +104,9 @@
 	states   []*state
 	disabled *[numMechanisms]bool
 	regions  []regionCount // Sorted by region.
-	reindex  bool          // The states' region indexes are outdated.
+	// reportsPace means that a target of the service has reported its pace.
+	reportsPace bool
+	reindex     bool // The states' region indexes are outdated.
 	// factors caches the regions' factors by exponent, see Balancer.factors.
 	factors map[float64][]float64
 	// The fields below are recomputed every refreshInterval.
@@ -322,6 +336,12 @@
 	if o.Load != nil {
 		s.reported, s.reportedAt = *o.Load, now
 		s.regionLoad.observe(now, *o.Load)
+		if p := b.services[s.Service]; p != nil && o.Load.Pace > 0 {
+			p.reportsPace = true
+		}
+	}
+	if o.Served {
+		b.recordServed(now, l, o)
 	}
 	if o.Unanswered && now.Sub(l.sentAt) > s.silenceTimeout() {
 		// Counts twice: it took all of its caller's time, whereas a failure that is reported at
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -90,7 +90,12 @@
 	if s.inFlight == 0 {
 		s.silentSince = now
 	}
-	lease := Lease{Target: s.Target, state: s, route: route, sentAt: now, Ahead: s.outstanding(now), Owner: owner, Warm: owner, RTT: b.rtt(s)}
+	lease := Lease{Target: s.Target, state: s, route: route, placement: b.placementOf(req), sentAt: now, Ahead: s.outstanding(now), Owner: owner, RTT: b.rtt(s)}
+	lease.Warm, lease.first = lease.placement.warmAt(now, s), req.Single || lease.placement.markSent(s)
+	lease.Expected, lease.Pace = b.expected(now, s, route, lease.Warm), s.pace(now)
+	if !s.reportedAt.IsZero() {
+		b.loadStats.observeAge(now.Sub(s.reportedAt))
+	}
 	lease.limited = s.limited() && s.signals.limit.Take(now, b.senderRank(s))
 	s.inFlight++
 	return lease, nil
@@ -102,7 +107,7 @@
 	factors := b.factors(p, route.exponent)
 	if !req.Single && b.synced && !b.disabled[Placing] {
 		if owner := b.ownerOf(now, p, req, factors); owner != nil && b.candidate(now, p, owner, req) {
-			if b.hasRoom(now, owner, req) {
+			if b.hasRoom(now, p, owner, req, route) {
 				return b.markTrial(now, p, owner), true
 			}
 			_, idle := b.search(now, p, req, factors)
@@ -110,7 +115,7 @@
 		}
 	}
 	first, idle := b.search(now, p, req, factors)
-	if first != nil && b.hasRoom(now, first, req) {
+	if first != nil && b.hasRoom(now, p, first, req, route) {
 		return b.markTrial(now, p, first), true
 	}
 	return b.markTrial(now, p, idle), false
@@ -152,7 +157,7 @@
 // hasRoom reports whether a target has room for one more request: its queue must not be full,
 // and beyond uncheckedDepth the response must be expected within the objective. A long queue of
 // slow work helps nobody, as all requests behind it are late as well.
-func (b *Balancer) hasRoom(now time.Time, s *state, req Request) bool {
+func (b *Balancer) hasRoom(now time.Time, p *pool, s *state, req Request, route *routeStats) bool {
 	if b.disabled[Depth] {
 		return true
 	}
@@ -160,7 +165,19 @@
 	if outstanding >= req.depth()*float64(s.Slots) {
 		return false
 	}
-	return req.Within == 0 || outstanding < uncheckedDepth*float64(s.Slots) || s.expectedLatency(now, b.rtt(s)) < req.Within
+	if req.Within == 0 || outstanding < uncheckedDepth*float64(s.Slots) {
+		return true
+	}
+	if b.usesPace(p) && !b.disabled[ExpectedRoom] {
+		pl := b.placementOf(req)
+		if expected := b.expected(now, s, route, pl.warmAt(now, s)); expected > 0 {
+			if expected >= req.Within {
+				b.loadStats.OwnersLate++
+			}
+			return expected < req.Within
+		}
+	}
+	return s.expectedLatency(now, b.rtt(s)) < req.Within
 }
 
 // depth returns the most requests for each of its slots that a target may have.
--- a/core/balance/dump.go
+++ b/core/balance/dump.go
@@ -20,6 +20,10 @@
 	// Limit is how many requests a second the target takes from all VMs; nil: it names no
 	// limit.
 	Limit *float64
+	// Pace is how long work takes there, relative to the usual time, as reported LoadAgeMillis ago;
+	// 0: not reported.
+	Pace          float64
+	LoadAgeMillis int64
 	// Leaving means that the target reported in a response that it is leaving.
 	Leaving bool
 	// PausedMillis is the remaining time for which the target takes no requests of this VM.
@@ -38,6 +42,9 @@
 				Suspect: s.suspect(now, p.medianLatency), InFlight: s.inFlight, Busy: s.outstanding(now), Failing: s.failureRate, Latency: s.latency,
 				Leaving: s.signals.leaving, PausedMillis: max(0, s.signals.pausedUntil.Sub(now)).Milliseconds(),
 			}
+			if !s.reportedAt.IsZero() {
+				t.Pace, t.LoadAgeMillis = s.reported.Pace, now.Sub(s.reportedAt).Milliseconds()
+			}
 			if perSecond, ok := s.signals.limit.PerSecond(); ok {
 				t.Limit = &perSecond
 			}
--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -32,8 +32,8 @@
 	moveRatio = 1.5
 	// placementTTL is how long an object keeps its placement without a request.
 	placementTTL = time.Minute
-	// maxPlacements bounds the number of placements, however many keys callers make up: at 120
-	// bytes each they take 8 MB. Further objects use the preference order alone.
+	// maxPlacements bounds the number of placements, however many keys callers make up: at 210
+	// bytes each they take 13 MB. Further objects use the preference order alone.
 	maxPlacements = 64 << 10
 	// maxPending bounds the number of unpublished placements.
 	maxPending = 4 << 10
@@ -74,6 +74,8 @@
 	Placement
 	state *state // nil: the target is not registered here.
 	used  time.Time
+	// warm has the targets at which the object is believed to be warm.
+	warm []warmth
 }
 
 // placements has the placements of the objects that one route requests of one service.
@@ -267,7 +269,9 @@
 			placed.assign(pl, nil)
 			pl.Placement = received
 			b.placementChanges++
-			b.ownerUsable(placed, pl)
+			if b.ownerUsable(placed, pl) {
+				pl.markWarm(now, pl.state) // Whoever placed it there has used it.
+			}
 		case pl.supersedes(received):
 			newer = append(newer, pl.Placement)
 		}
--- a/core/balance/weigh.go
+++ b/core/balance/weigh.go
@@ -60,6 +60,7 @@
 	// exponent determines the factor of targets of other regions, exp(-exponent).
 	exponent    float64
 	exponentSet bool
+	work        workTimes
 }
 
 // observe records the bytes of a request and its response.
--- a/core/model/patterns.go
+++ b/core/model/patterns.go
@@ -31,8 +31,16 @@
 		WorkMiss: 880 * time.Millisecond, WorkHit: 264 * time.Millisecond,
 		Objective: 600 * time.Millisecond, Deadline: 2500 * time.Millisecond, CrossRegionRTT: 70 * time.Millisecond,
 	}
+	// NoisyShape is a service whose targets share their machines with others, so that some are
+	// slow at any time. An object that is not cached takes longer than the objective.
+	NoisyShape = Shape{
+		Name: "noisy", Regions: 1, VMs: 60, Targets: 108, Slots: 9, Queue: 27, CacheSize: 60, Objects: 2160,
+		WorkMiss: 1100 * time.Millisecond, WorkHit: 330 * time.Millisecond,
+		Objective: time.Second, Deadline: 6 * time.Second,
+		SlowShare: 0.15, SlowFactor: 2.5, SlowFor: 600 * time.Millisecond,
+	}
 	// Shapes lists all shapes.
-	Shapes = []Shape{SmallShape, GrownShape, FarShape, SlowShape}
+	Shapes = []Shape{SmallShape, GrownShape, FarShape, SlowShape, NoisyShape}
 )
 
 // Pattern is a load on any shape, relative to the capacity of its slots when all
@@ -71,6 +79,8 @@
 	// SixthLost is a cold start at a load that exceeds the capacity if objects are placed
 	// unevenly, followed by the loss of a sixth of the targets.
 	SixthLost = Pattern{"a sixth lost", []PatternPhase{{16 * time.Second, 0.65, 0}, {14 * time.Second, 0.65, 0.17}}}
+	// Steep is a cold start at a load that leaves little room for slow spells.
+	Steep = Pattern{"steep", []PatternPhase{{16 * time.Second, 0.7, 0}}}
 	// Patterns lists all patterns.
-	Patterns = []Pattern{ColdStart, HeavyColdStart, Burst, Shrunk, SixthLost}
+	Patterns = []Pattern{ColdStart, HeavyColdStart, Burst, Shrunk, SixthLost, Steep}
 )
--- a/core/model/policy.go
+++ b/core/model/policy.go
@@ -14,6 +14,10 @@
 type State interface {
 	// Busy returns the number of a target's running and queued requests.
 	Busy(target int) int
+	// Pace returns how long work takes at a target, relative to the usual time.
+	Pace(target int) float64
+	// Cached reports whether a target has an object cached.
+	Cached(target int, key string) bool
 	// Far reports whether a VM and a target are in different regions.
 	Far(vm, target int) bool
 }
@@ -24,21 +28,40 @@
 	Targets(down float64)
 	// Choose returns a target, or -1 to refuse.
 	Choose(now time.Time, vm int, key string, s State) (target int, lease balance.Lease)
-	// Done reports a response to a VM, with the number of the target's remaining
-	// requests.
-	Done(now time.Time, vm int, lease balance.Lease, busy int)
+	// Done reports a response to a VM.
+	Done(now time.Time, vm int, lease balance.Lease, r Response)
+}
+
+// Response is what a target reports in a response.
+type Response struct {
+	// Refused means that the request was not run.
+	Refused bool
+	// Busy is the number of the target's remaining requests.
+	Busy int
+	// Pace is how long work takes there, relative to the usual time.
+	Pace float64
 }
 
 // Busy implements State.
 func (sim *simulation) Busy(target int) int { return sim.upstreams[target].busy() }
 
+// Pace implements State.
+func (sim *simulation) Pace(target int) float64 { return sim.upstreams[target].noise.at(sim.now) }
+
+// Cached implements State.
+func (sim *simulation) Cached(target int, key string) bool {
+	return sim.upstreams[target].cached[key] != nil
+}
+
 // Far implements State.
 func (sim *simulation) Far(vm, target int) bool { return sim.rtt(vm, target) > 0 }
 
 // BalancerPolicy is the Policy of the production Balancer, one for each VM.
 type BalancerPolicy struct {
 	shape Shape
-	vms   []*balance.Balancer
+	// reportsPace means that targets report their pace.
+	reportsPace bool
+	vms         []*balance.Balancer
 	// updates has the placements published in each region, in order, and applied the
 	// number of them that each VM has applied.
 	updates [][]placementUpdate
@@ -54,11 +77,12 @@
 // propagationDelay is the time that a placement takes to reach the other VMs.
 const propagationDelay = 25 * time.Millisecond
 
-// NewBalancerPolicy returns a policy whose Balancers have the targets and no other state.
-func NewBalancerPolicy(shape Shape) *BalancerPolicy {
-	p := &BalancerPolicy{shape: shape, updates: make([][]placementUpdate, shape.Regions), applied: make([]int, shape.VMs)}
+// NewBalancerPolicy returns a policy whose Balancers have the targets and no other state. Targets
+// report their pace if they are slow at times.
+func NewBalancerPolicy(shape Shape, opts ...balance.Option) *BalancerPolicy {
+	p := &BalancerPolicy{shape: shape, reportsPace: shape.SlowShare > 0, updates: make([][]placementUpdate, shape.Regions), applied: make([]int, shape.VMs)}
 	for i := range shape.VMs {
-		b := balance.New(fmt.Sprint("vm", i), shape.region(i), shape.region(i))
+		b := balance.New(fmt.Sprint("vm", i), shape.region(i), shape.region(i), opts...)
 		b.SetSynced()
 		p.vms = append(p.vms, b)
 	}
@@ -99,11 +123,13 @@
 }
 
 // Done implements Policy.
-func (p *BalancerPolicy) Done(now time.Time, vm int, l balance.Lease, busy int) {
+func (p *BalancerPolicy) Done(now time.Time, vm int, l balance.Lease, r Response) {
 	slots := p.shape.Slots
-	p.vms[vm].Done(now, l, balance.Outcome{
-		Answered: true, Load: &balance.Load{Running: min(busy, slots), Waiting: max(0, busy-slots), Slots: slots},
-	})
+	load := &balance.Load{Running: min(r.Busy, slots), Waiting: max(0, r.Busy-slots), Slots: slots}
+	if p.reportsPace {
+		load.Pace = r.Pace
+	}
+	p.vms[vm].Done(now, l, balance.Outcome{Answered: true, Served: !r.Refused, Load: load})
 }
 
 // baseline is the common part of the policies with perfect knowledge.
@@ -116,7 +142,7 @@
 func (b *baseline) Targets(down float64) { b.firstUp = int(down * float64(b.shape.Targets)) }
 
 // Done implements Policy.
-func (*baseline) Done(time.Time, int, balance.Lease, int) {}
+func (*baseline) Done(time.Time, int, balance.Lease, Response) {}
 
 // LeastUsed sends each request to the target with the fewest requests, with perfect
 // knowledge.
--- a/core/model/shape.go
+++ b/core/model/shape.go
@@ -25,6 +25,10 @@
 	WorkMiss, WorkHit time.Duration
 	// Objective is the objective for the latency, and callers cancel after Deadline.
 	Objective, Deadline time.Duration
+	// Targets are slow for SlowShare of the time, in spells of about SlowFor in which work takes
+	// SlowFactor times as long. SlowShare is 0 where they are not.
+	SlowShare, SlowFactor float64
+	SlowFor               time.Duration
 	// CrossRegionRTT is the RTT between regions.
 	CrossRegionRTT time.Duration
 }
--- a/core/model/simulate.go
+++ b/core/model/simulate.go
@@ -78,6 +78,7 @@
 	queue   []*request
 	cached  map[string]*list.Element
 	lru     *list.List
+	noise   *noise
 }
 
 // access reports whether the object is cached, and caches it. Beyond the given size
@@ -106,13 +107,14 @@
 	events    eventqueue.Queue
 	upstreams []*upstream
 	seconds   []Second
+	now       time.Time // Of the last choice or response.
 }
 
 // Simulate simulates phases with a policy. The same arguments give the same result.
 func Simulate(shape Shape, p Policy, seed uint64, phases []Phase) Result {
 	sim := &simulation{shape: shape, policy: p, rnd: rand.New(rand.NewPCG(seed, 1))}
-	for range shape.Targets {
-		sim.upstreams = append(sim.upstreams, &upstream{cached: map[string]*list.Element{}, lru: list.New()})
+	for i := range shape.Targets {
+		sim.upstreams = append(sim.upstreams, &upstream{cached: map[string]*list.Element{}, lru: list.New(), noise: newNoise(&sim.shape, seed, uint64(i))})
 	}
 	end := sim.schedule(phases)
 	sim.seconds = make([]Second, int(end.Sub(Start)/time.Second)+1)
@@ -151,6 +153,7 @@
 // arrive is the arrival of a request at its VM, which chooses a target.
 func (sim *simulation) arrive(now time.Time, r *request) {
 	sim.second(r).Asked++
+	sim.now = now
 	i, lease := sim.policy.Choose(now, r.vm, r.key, sim)
 	if i < 0 {
 		sim.second(r).Refused++
@@ -190,7 +193,7 @@
 		sim.second(r).Hits++
 	}
 	work = time.Duration(float64(work) * (1 - workJitter + 2*workJitter*sim.rnd.Float64()))
-	sim.events.Add(now.Add(work), func(now time.Time) { sim.finishWork(now, r, i) })
+	sim.events.Add(u.noise.finish(now, work), func(now time.Time) { sim.finishWork(now, r, i) })
 }
 
 func (sim *simulation) finishWork(now time.Time, r *request, i int) {
@@ -210,7 +213,8 @@
 
 // respond sends a response to the VM and the caller.
 func (sim *simulation) respond(now time.Time, r *request, i int, refused bool) {
-	busy := sim.upstreams[i].busy()
+	sim.now = now
+	resp := Response{Refused: refused, Busy: sim.upstreams[i].busy(), Pace: sim.Pace(i)}
 	sim.events.Add(now.Add(sim.rtt(r.vm, i)/2), func(now time.Time) {
 		took := now.Sub(r.made)
 		switch {
@@ -221,6 +225,6 @@
 		case took <= sim.shape.Deadline:
 			sim.second(r).Late++
 		}
-		sim.policy.Done(now, r.vm, r.lease, busy)
+		sim.policy.Done(now, r.vm, r.lease, resp)
 	})
 }
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -68,6 +68,13 @@
 	} else {
 		f["Target"], f["TargetZone"] = resp.lease.Target.ID, resp.lease.Target.Zone
 		f["Owner"], f["Ahead"], f["Slots"] = resp.lease.Owner, int(resp.lease.Ahead), resp.lease.Target.Slots
+		f["Warm"] = resp.lease.Warm
+		if resp.lease.Expected > 0 {
+			f["ExpectedMs"] = resp.lease.Expected.Milliseconds()
+		}
+		if resp.pace > 0 {
+			f["Pace"] = resp.pace
+		}
 	}
 	if resp.lease.RTT > 0 {
 		f["TripMs"] = resp.lease.RTT.Milliseconds()
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -90,6 +90,9 @@
 	// LoadsUnreadable counts the responses in which an upstream reported a load that could not be
 	// read.
 	LoadsUnreadable int64
+	// LoadAgeMs is the mean age of the loads that requests were assigned by, and OwnersLate counts
+	// the requests whose owner had a queue and was expected to respond too late.
+	LoadAgeMs, OwnersLate int64
 	// UpstreamsHeardMs is how long ago any upstream answered a request; -1: never.
 	UpstreamsHeardMs              int64
 	PlatformCalls, PlatformErrors int64
@@ -130,7 +133,8 @@
 	f.Relayed, f.RelayRefused, f.RelayedTraffic = v.relaying.sent.Load(), v.relaying.refused.Load(), v.relaying.traffic.Average().Requests
 	conns := v.upstreams.Connections()
 	f.ConnectionsOpened, f.ConnectionsFailed, f.ConnectionsReused = conns.Opened, conns.Failed, conns.Reused
-	f.LoadsUnreadable = c.loadsUnreadable.Load()
+	loads := v.balancer.LoadStats()
+	f.LoadsUnreadable, f.LoadAgeMs, f.OwnersLate = c.loadsUnreadable.Load(), loads.Age.Milliseconds(), loads.OwnersLate
 	f.UpstreamsHeardMs = heardMillis(now, conns.Answered)
 	f.RulesSureMs = v.rulesAge(clock.SinceBoot()).Milliseconds()
 	f.LimitsHeardMs = min(v.limits.Age(now), lease.Never).Milliseconds()
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -36,6 +36,8 @@
 	lease   balance.Lease
 	tries   int
 	through string
+	// pace is what the target reported in the response, 0 if it did not.
+	pace float64
 }
 
 // proxy sends a request to an upstream and returns its response. It retries only
@@ -238,6 +240,9 @@
 		return nil, e
 	}
 	outcome.Bytes = len(req.body) + len(r.body)
+	if outcome.Load != nil {
+		r.pace = outcome.Load.Pace
+	}
 	e := v.refusal(resp)
 	switch {
 	case e != nil && e.Reason == verdict.ReasonMisdirected:
@@ -246,6 +251,7 @@
 		outcome.Refused = n.RetryAfter == 0 && (outcome.Load == nil || outcome.Load.Running < outcome.Load.Slots)
 	default:
 		outcome.Failed = resp.StatusCode >= http.StatusInternalServerError && resp.StatusCode != http.StatusGatewayTimeout
+		outcome.Served = resp.StatusCode < http.StatusBadRequest
 	}
 	v.balancer.Done(time.Now(), lease, outcome)
 	if e != nil {
--- a/io/logline/causes.go
+++ b/io/logline/causes.go
@@ -35,6 +35,9 @@
 	CauseOwnerChanged Cause = "OwnerChanged"
 	// CauseQueue: the upstream was known to have at least as many requests as slots.
 	CauseQueue Cause = "Queue"
+	// CauseSlowByReport: the upstream reported that work took longer there than usual, and it
+	// would have been in time at the usual pace.
+	CauseSlowByReport Cause = "SlowByReport"
 	// CauseSlow: none of the above. The upstream was slow, had more load than the VM
 	// knew of, or had evicted the object.
 	CauseSlow Cause = "Slow"
@@ -105,6 +108,9 @@
 	// inFlight is the number of requests that the upstream was believed to have.
 	tries, inFlight, slots int
 	owner                  bool
+	// pace is how long work took at the upstream relative to the usual time, as it reported in its
+	// response; 0: not reported.
+	pace float64
 }
 
 // objectAt is an object of a route at an upstream, or at any if target is empty.
@@ -118,7 +124,7 @@
 	r := &request{
 		answered: l.Event == "RequestAnswered", route: l.Get("Route"), object: l.Get("Object"), target: l.Get("Target"), reason: l.Get("Reason"),
 		took: l.millis("TookMs"), objective: l.millis("ObjectiveMs"), pipelineWait: l.millis("BehindMs"), rtt: l.millis("TripMs"),
-		tries: l.number("Tries"), inFlight: l.number("Ahead"), slots: l.number("Slots"), owner: l.Get("Owner") == "true",
+		tries: l.number("Tries"), inFlight: l.number("Ahead"), slots: l.number("Slots"), owner: l.Get("Owner") == "true", pace: l.decimal("Pace"),
 	}
 	r.began = l.Time.Add(-r.took)
 	return r
@@ -133,6 +139,15 @@
 	return n
 }
 
+// decimal returns the number in a field, or 0 if it is missing or no number.
+func (l *Line) decimal(name string) float64 {
+	x, err := strconv.ParseFloat(strings.TrimSpace(l.Get(name)), 64)
+	if err != nil {
+		return 0
+	}
+	return x
+}
+
 func (l *Line) millis(name string) time.Duration {
 	return time.Duration(l.number(name)) * time.Millisecond
 }
@@ -165,6 +180,9 @@
 	if r.slots > 0 && r.inFlight >= r.slots {
 		return CauseQueue, ""
 	}
+	if work := r.took - r.pipelineWait - r.rtt; r.pace > 1 && time.Duration(float64(work)/r.pace)+r.rtt <= r.objective {
+		return CauseSlowByReport, ""
+	}
 	return CauseSlow, ""
 }
 
