--- a/core/model/doc.go
+++ b/core/model/doc.go
@@ -3,7 +3,8 @@
 // the production code.
 //
 // An upstream has slots and a bounded queue, and caches the objects it served
-// last: a request for a cached object takes a fraction of the work. Callers request
+// last: a request for a cached object takes a fraction of the work. It may be slow in
+// spells, as upstreams are that share their machines. Callers request
 // objects of their own region at a rate that changes by phases, and cancel at their
 // deadline. VMs choose upstreams by a Policy. BalancerPolicy uses the production
 // Balancer, one for each VM, which learns only from the responses to its own requests
--- a/io/logline/causes_test.go
+++ b/io/logline/causes_test.go
@@ -25,6 +25,7 @@
 		logline.CauseSpilled:       {answeredLine(1, "a", "t", 400, ""), strings.Replace(answeredLine(2, "a", "u", 900, ""), "Owner=true", "Owner=false", 1)},
 		logline.CauseQueue:         {answeredLine(1, "a", "t", 400, ""), answeredLine(2, "a", "t", 900, "Ahead=5")},
 		logline.CauseSlow:          {answeredLine(1, "a", "t", 400, ""), answeredLine(2, "a", "t", 900, "Ahead=1")},
+		logline.CauseSlowByReport:  {answeredLine(1, "a", "t", 400, ""), answeredLine(2, "a", "t", 900, "Ahead=1 Pace=2.5")},
 		logline.CauseBehind:        {answeredLine(1, "a", "t", 900, "BehindMs=500")},
 		logline.CauseDistance:      {answeredLine(1, "a", "t", 600, "TripMs=110")},
 		logline.CauseRetried:       {strings.Replace(answeredLine(1, "a", "t", 900, ""), "Tries=1", "Tries=2", 1)},
