--- a/core/model/simulate.go
+++ b/core/model/simulate.go
@@ -90,6 +90,7 @@
 	queue   []*request
 	cached  map[string]*list.Element
 	lru     *list.List
+	noise   *noise
 }
 
 // access reports whether the object is cached, and caches it. Beyond the given size
@@ -119,13 +120,14 @@
 	upstreams []*upstream
 	seconds   []Second
 	classes   [][]Second
+	now       time.Time // Of the last choice or response.
 }
 
 // Simulate simulates phases with a policy. The same arguments give the same result.
 func Simulate(shape Shape, p Policy, seed uint64, phases []Phase) Result {
 	sim := &simulation{shape: shape, policy: p, rnd: rand.New(rand.NewPCG(seed, 1))}
-	for range shape.Targets {
-		sim.upstreams = append(sim.upstreams, &upstream{cached: map[string]*list.Element{}, lru: list.New()})
+	for i := range shape.Targets {
+		sim.upstreams = append(sim.upstreams, &upstream{cached: map[string]*list.Element{}, lru: list.New(), noise: newNoise(&sim.shape, seed, uint64(i))})
 	}
 	end := sim.schedule(phases)
 	n := int(end.Sub(Start)/time.Second) + 1
@@ -185,6 +187,7 @@
 // arrive is the arrival of a request at its VM, which chooses a target.
 func (sim *simulation) arrive(now time.Time, r *request) {
 	sim.count(r, func(s *Second) { s.Asked++ })
+	sim.now = now
 	i, lease := sim.choose(now, r)
 	if i < 0 {
 		sim.count(r, func(s *Second) { s.Refused++ })
@@ -232,7 +235,7 @@
 		sim.count(r, func(s *Second) { s.Hits++ })
 	}
 	work = time.Duration(float64(work) * (1 - workJitter + 2*workJitter*sim.rnd.Float64()))
-	sim.events.Add(now.Add(work), func(now time.Time) { sim.finishWork(now, r, i) })
+	sim.events.Add(u.noise.finish(now, work), func(now time.Time) { sim.finishWork(now, r, i) })
 }
 
 func (sim *simulation) finishWork(now time.Time, r *request, i int) {
@@ -252,7 +255,8 @@
 
 // respond sends a response to the VM and the caller.
 func (sim *simulation) respond(now time.Time, r *request, i int, refused bool) {
-	busy := sim.upstreams[i].busy()
+	sim.now = now
+	resp := Response{Refused: refused, Busy: sim.upstreams[i].busy(), Pace: sim.Pace(i)}
 	sim.events.Add(now.Add(sim.rtt(r.vm, i)/2), func(now time.Time) {
 		took := now.Sub(r.made)
 		switch {
@@ -266,6 +270,6 @@
 		if p, ok := sim.policy.(ClassPolicy); ok && !refused {
 			p.Answered(now, r.vm, r.class, r.lease, took)
 		}
-		sim.policy.Done(now, r.vm, r.lease, busy)
+		sim.policy.Done(now, r.vm, r.lease, resp)
 	})
 }
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -29,6 +29,8 @@
 	platformCalls  atomic.Int64
 	platformErrors atomic.Int64
 	discarded      atomic.Int64
+	// loadsUnreadable counts responses with a load that could not be read.
+	loadsUnreadable atomic.Int64
 
 	mu      sync.Mutex
 	reasons map[verdict.Reason]int64
@@ -86,6 +88,12 @@
 	// none could, and RelayedTraffic is the requests per second that others relay to this one.
 	Relayed, RelayRefused int64
 	RelayedTraffic        float64
+	// LoadsUnreadable counts the responses in which an upstream reported a load that could not be
+	// read.
+	LoadsUnreadable int64
+	// LoadAgeMs is the mean age of the loads that requests were assigned by, and OwnersLate counts
+	// the requests whose owner had a queue and was expected to respond too late.
+	LoadAgeMs, OwnersLate int64
 	// UpstreamsHeardMs is how long ago any upstream answered a request; -1: never.
 	UpstreamsHeardMs              int64
 	PlatformCalls, PlatformErrors int64
@@ -129,6 +137,8 @@
 	f.Relayed, f.RelayRefused, f.RelayedTraffic = v.relaying.sent.Load(), v.relaying.refused.Load(), v.relaying.traffic.Average().Requests
 	conns := v.upstreams.Connections()
 	f.ConnectionsOpened, f.ConnectionsFailed, f.ConnectionsReused = conns.Opened, conns.Failed, conns.Reused
+	loads := v.balancer.LoadStats()
+	f.LoadsUnreadable, f.LoadAgeMs, f.OwnersLate = c.loadsUnreadable.Load(), loads.Age.Milliseconds(), loads.OwnersLate
 	f.UpstreamsHeardMs = heardMillis(now, conns.Answered)
 	f.RulesSureMs = v.rulesAge(clock.SinceBoot()).Milliseconds()
 	f.LimitsHeardMs = min(v.limits.Age(now), lease.Never).Milliseconds()
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"auburnlatch/core/balance"
@@ -37,6 +36,8 @@
 	lease   balance.Lease
 	tries   int
 	through string
+	// pace is what the target reported in the response, 0 if it did not.
+	pace float64
 }
 
 // proxy sends a request to an upstream and returns its response. It retries only
@@ -230,7 +231,7 @@
 		v.guard.Answered(time.Now(), began, lease.Target.Incarnation())
 	}
 	r, err := readResponse(resp)
-	outcome := balance.Outcome{Answered: true, Load: parseLoad(resp.Header.Get(v.protocol.Load)), Connect: call.Connect}
+	outcome := balance.Outcome{Answered: true, Load: v.reportedLoad(lease, resp.Header), Connect: call.Connect}
 	if err != nil {
 		outcome.Failed = ctx.Err() == nil && !v.links.Disturbed(began)
 		v.balancer.Done(time.Now(), lease, outcome)
@@ -240,6 +241,9 @@
 		return nil, e
 	}
 	outcome.Bytes = len(req.body) + len(r.body)
+	if outcome.Load != nil {
+		r.pace = outcome.Load.Pace
+	}
 	e := v.refusal(resp)
 	switch {
 	case e != nil && e.Reason == verdict.ReasonMisdirected:
@@ -249,6 +253,7 @@
 	default:
 		outcome.Failed = resp.StatusCode >= http.StatusInternalServerError && resp.StatusCode != http.StatusGatewayTimeout
 		v.recordServiceTime(req, lease, time.Since(began))
+		outcome.Served = resp.StatusCode < http.StatusBadRequest
 	}
 	v.balancer.Done(time.Now(), lease, outcome)
 	if e != nil {
@@ -388,19 +393,3 @@
 func bodyAllowed(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
-
-// parseLoad parses the load that an upstream reports: running, waiting, slots.
-func parseLoad(text string) *balance.Load {
-	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
-		return nil
-	}
-	var n [3]int
-	for i, part := range parts {
-		var err error
-		if n[i], err = strconv.Atoi(strings.TrimSpace(part)); err != nil {
-			return nil
-		}
-	}
-	return &balance.Load{Running: n[0], Waiting: n[1], Slots: n[2]}
-}
