--- a/core/balance/retry.go
+++ b/core/balance/retry.go
@@ -70,8 +70,20 @@
 	c.requests[i] = max(0, c.requests[i]-1)
 }
 
+// spareFraction is the fraction of a VM's budget up to which Spare grants retries.
+const spareFraction = 0.5
+
 // Retry reports whether a request to the service may be retried, and counts the retry.
-func (b *RetryBudget) Retry(now time.Time, service string) bool {
+func (b *RetryBudget) Retry(now time.Time, service string) bool { return b.take(now, service, 1) }
+
+// Spare is Retry for requests that have not failed. It leaves part of the budget to those that
+// have.
+func (b *RetryBudget) Spare(now time.Time, service string) bool {
+	return b.take(now, service, spareFraction)
+}
+
+// take counts a retry if no more than a fraction of the budget is used.
+func (b *RetryBudget) take(now time.Time, service string, fraction float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.counts(now, service)
@@ -84,7 +96,7 @@
 	if b.vms > 1 {
 		granted += extraFraction * float64(b.extra) / float64(b.vms)
 	}
-	if float64(retries+1) > granted {
+	if float64(retries+1) > fraction*granted {
 		return false
 	}
 	c.retries[c.bucket%retryBuckets]++
--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -88,6 +88,7 @@
 	ReasonOverLimit     Reason = "OverLimit"
 	ReasonNotSure       Reason = "NotSure"
 	ReasonWithheld      Reason = "Withheld"
+	ReasonOverdue       Reason = "Overdue"
 )
 
 // Error is the failure of a request.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -71,6 +71,7 @@
 	upstreams     *upstream.Pool
 	links         *upstream.Links
 	relaying      requestRelay
+	seconds       secondSends
 	splits        route.SplitCounts
 	guard         *quarantine.Guard
 	table         atomic.Pointer[route.Table]
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -73,10 +73,14 @@
 			break
 		}
 		tried = append(tried, lease.Target.ID)
-		r, e := v.try(ctx, req, lease)
+		o := v.sendOverdue(ctx, req, lease, tried, sent)
 		trial.Done()
+		r, e := o.response, o.err
+		if o.second != "" {
+			tried = append(tried, o.second)
+		}
 		if r != nil {
-			r.lease, r.tries = lease, len(tried)
+			r.lease, r.tries = o.lease, len(tried)
 		}
 		if e == nil && !(req.idempotent() && r.resp.StatusCode >= http.StatusInternalServerError) {
 			last.discard()
@@ -86,9 +90,7 @@
 			last.discard()
 			last, lastErr = r, e
 		}
-		if reached(e) {
-			sent++
-		}
+		sent += o.sent
 		if !v.mayRetry(ctx, req, e, sent) {
 			break
 		}
@@ -207,14 +209,18 @@
 	resp, err := v.send(ctx, req, call)
 	if err != nil {
 		e := verdict.As(err)
+		if context.Cause(ctx) == errOverdue {
+			e = verdict.Wrap(errOverdue, e.Verdict, verdict.ReasonOverdue, 0)
+		}
 		outcome := balance.Outcome{
-			Failed: e.Reason == verdict.ReasonUnreachable || e.Reason == verdict.ReasonBroken, Unreachable: e.Reason == verdict.ReasonUnreachable,
+			Failed: e.Reason == verdict.ReasonUnreachable || e.Reason == verdict.ReasonBroken || e.Reason == verdict.ReasonOverdue, Unreachable: e.Reason == verdict.ReasonUnreachable,
 			Unanswered: e.Verdict == verdict.MaybeRan, NotSent: e.Reason == verdict.ReasonWithheld,
 		}
 		if v.links.Disturbed(began) {
 			outcome = balance.Outcome{NotSent: e.Verdict == verdict.NotRun}
 		}
 		v.balancer.Done(time.Now(), lease, outcome)
+		v.seconds.unanswered(time.Now(), began, req, lease, e)
 		v.unanswered(req, lease, began, e)
 		v.requests.attemptFailed(v, req, lease, 0, e)
 		return nil, e
@@ -239,6 +245,7 @@
 		return nil, e
 	}
 	outcome.Bytes = len(req.body) + len(r.body)
+	v.seconds.answered(time.Now(), began, req, lease, outcome.Load)
 	e := v.refusal(resp)
 	switch {
 	case e != nil && e.Reason == verdict.ReasonMisdirected:
--- a/io/quarantine/crash.go
+++ b/io/quarantine/crash.go
@@ -59,7 +59,7 @@
 			g.probe(ctx, a.Upstream, false)
 		}
 	case e.Verdict == verdict.NotRun:
-	case e.Reason == verdict.ReasonDeadline || e.Reason == verdict.ReasonCanceled:
+	case e.Reason == verdict.ReasonDeadline || e.Reason == verdict.ReasonCanceled || e.Reason == verdict.ReasonOverdue:
 		run.Print = req.Print()
 		g.ledger.Left(now, run)
 		if a.Lapsed {
