Send overdue idempotent requests to a second upstream

Change: core/overdue keeps quantiles of response times by route, warm and new objects apart. A response later than 0.95 of them is overdue: the request is sent to a second upstream with a free slot, the first whole response wins and the other attempt is canceled. Within Attempts and half of the retry budget; never for requests that may not run twice or are suspected of crashing upstreams, nor when the service has 0.75 requests for each slot. On where upstreams report their pace, by Auto.

--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -371,6 +371,29 @@
 	return n
 }
 
+// Guards against second sends of overdue requests that leave no budget to requests that failed.
+func TestSpareLeavesRetries(t *testing.T) {
+	var b balance.RetryBudget
+	b.SetBounds(0.2, 10*time.Second, 0)
+	now := start
+	for range 1000 {
+		b.Request(now, "s")
+	}
+	spare, retries := 0, 0
+	for b.Spare(now, "s") {
+		spare++
+	}
+	for b.Retry(now, "s") {
+		retries++
+	}
+	if spare == 0 || retries < spare || spare+retries > 200 {
+		t.Errorf("%d second sends and %d retries of 1,000 requests, want at most 200 and half of them retries", spare, retries)
+	}
+	if b.Spare(now, "s") {
+		t.Error("a second send beyond the budget")
+	}
+}
+
 func TestRetryBudgetExtraNeedsKnownVMs(t *testing.T) {
 	b := &balance.RetryBudget{}
 	b.SetBounds(0.2, 10*time.Second, 60)
--- a/core/overdue/overdue.go
+++ b/core/overdue/overdue.go
@@ -130,7 +130,8 @@
 	if r.newest.TotalCount()+r.last.TotalCount() < minResponses {
 		return
 	}
-	all := hdrhistogram.Import(r.last.Export())
+	all := newHistogram()
+	all.Merge(r.last)
 	all.Merge(r.newest)
 	r.overdue = time.Duration(all.ValueAtQuantile(100*quantile)) * unit
 	r.expected = time.Duration(all.ValueAtQuantile(100*usual)) * unit
--- /dev/null
+++ b/core/overdue/overdue_test.go
@@ -0,0 +1,90 @@
+package overdue_test
+
+import (
+	"testing"
+	"time"
+
+	"auburnlatch/core/overdue"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// observed returns an Estimator that has seen a hundred responses each of 300 ms for warm
+// objects and 1 s for new ones.
+func observed() *overdue.Estimator {
+	var e overdue.Estimator
+	for range 100 {
+		e.Observe(start, "r", true, 300*time.Millisecond)
+		e.Observe(start, "r", false, time.Second)
+	}
+	return &e
+}
+
+func TestDue(t *testing.T) {
+	valid := overdue.Request{Route: "r", Warm: true, Idempotent: true, Sent: 1, Attempts: 2, Deadline: start.Add(2 * time.Second)}
+	for _, tc := range []struct {
+		name   string
+		change func(*overdue.Request)
+		after  time.Duration // 0: never.
+	}{
+		{"a warm object", func(*overdue.Request) {}, 300 * time.Millisecond},
+		{"a new object", func(r *overdue.Request) { r.Warm, r.Deadline = false, start.Add(3*time.Second) }, time.Second},
+		{"a second response would come too late", func(r *overdue.Request) { r.Deadline = start.Add(1200 * time.Millisecond) }, 0},
+		{"not idempotent", func(r *overdue.Request) { r.Idempotent = false }, 0},
+		{"suspected of crashing upstreams", func(r *overdue.Request) { r.Suspected = true }, 0},
+		{"no attempts left", func(r *overdue.Request) { r.Sent = 2 }, 0},
+		{"short of slots", func(r *overdue.Request) { r.Utilization = 0.9 }, 0},
+		{"unknown route", func(r *overdue.Request) { r.Route = "other" }, 0},
+	} {
+		req := valid
+		tc.change(&req)
+		at, ok := observed().Due(start, req)
+		if ok != (tc.after > 0) || ok && at.Sub(start).Round(20*time.Millisecond) != tc.after {
+			t.Errorf("%s: %v, %v, want after %v", tc.name, at.Sub(start), ok, tc.after)
+		}
+	}
+}
+
+func TestFewResponsesSayNothing(t *testing.T) {
+	var e overdue.Estimator
+	for range 39 {
+		e.Observe(start, "r", true, time.Millisecond)
+	}
+	if _, ok := e.Due(start, overdue.Request{Route: "r", Warm: true, Idempotent: true, Attempts: 2, Deadline: start.Add(time.Hour)}); ok {
+		t.Error("39 responses are enough")
+	}
+}
+
+// A service becomes slower for good: after two windows no earlier response counts.
+func TestQuantilesFollowTheService(t *testing.T) {
+	e := observed()
+	req := overdue.Request{Route: "r", Warm: true, Idempotent: true, Attempts: 2}
+	now := start
+	for range 300 {
+		now = now.Add(100 * time.Millisecond)
+		e.Observe(now, "r", true, 900*time.Millisecond)
+	}
+	req.Deadline = now.Add(time.Minute)
+	at, ok := e.Due(now, req)
+	if !ok || at.Sub(now).Round(20*time.Millisecond) != 900*time.Millisecond {
+		t.Errorf("overdue after %v, %v", at.Sub(now), ok)
+	}
+}
+
+// An idle route has no quantiles after two windows.
+func TestOldResponsesAreForgotten(t *testing.T) {
+	e := observed()
+	now := start.Add(21 * time.Second)
+	if _, ok := e.Due(now, overdue.Request{Route: "r", Warm: true, Idempotent: true, Attempts: 2, Deadline: now.Add(time.Minute)}); ok {
+		t.Error("responses of 21 s ago count")
+	}
+}
+
+func BenchmarkDue(b *testing.B) {
+	e := observed()
+	req := overdue.Request{Route: "r", Warm: true, Idempotent: true, Attempts: 2, Deadline: start.Add(time.Minute)}
+	b.ReportAllocs()
+	for b.Loop() {
+		e.Due(start, req)
+	}
+}
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -72,6 +72,9 @@
 	if resp.lease.RTT > 0 {
 		f["TripMs"] = resp.lease.RTT.Milliseconds()
 	}
+	if resp.sentTwice {
+		f["SentTwice"] = true
+	}
 	f["Tries"], f["TookMs"] = resp.tries, now.Sub(req.started).Milliseconds()
 	if behind := now.Sub(res.readyAt); behind >= time.Millisecond {
 		f["BehindMs"] = behind.Milliseconds() // The response was ready before its turn.
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -85,6 +85,10 @@
 	// none could, and RelayedTraffic is the requests per second that others relay to this one.
 	Relayed, RelayRefused int64
 	RelayedTraffic        float64
+	// SecondSends counts the overdue requests that were sent to a second upstream, SecondSendsWon
+	// those that it answered first, and SecondSendsDenied those that were not sent, as the retry
+	// budget was used or no upstream was free.
+	SecondSends, SecondSendsWon, SecondSendsDenied int64
 	// UpstreamsHeardMs is how long ago any upstream answered a request; -1: never.
 	UpstreamsHeardMs              int64
 	PlatformCalls, PlatformErrors int64
@@ -123,6 +127,7 @@
 	}
 	f.CutOff, f.ReachChecks = v.cutOff(), v.links.Checks()
 	f.Relayed, f.RelayRefused, f.RelayedTraffic = v.relaying.sent.Load(), v.relaying.refused.Load(), v.relaying.traffic.Average().Requests
+	f.SecondSends, f.SecondSendsWon, f.SecondSendsDenied = v.seconds.sent.Load(), v.seconds.won.Load(), v.seconds.denied.Load()
 	conns := v.upstreams.Connections()
 	f.ConnectionsOpened, f.ConnectionsFailed, f.ConnectionsReused = conns.Opened, conns.Failed, conns.Reused
 	f.UpstreamsHeardMs = heardMillis(now, conns.Answered)
--- /dev/null
+++ b/io/entry/overdue_test.go
@@ -0,0 +1,203 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"auburnlatch/core/route"
+	"auburnlatch/io/entry"
+	"auburnlatch/io/settings"
+)
+
+// usualWork is how long the upstreams of the tests of overdue requests work.
+const usualWork = 10 * time.Millisecond
+
+// overdueUpstreams are two upstreams that answer usual requests after usualWork. Of a request
+// whose path ends in "special", the first upstream to receive it runs first, and the other second.
+type overdueUpstreams struct {
+	first, second http.HandlerFunc
+	received      atomic.Int64
+	list          []*upstreamServer
+}
+
+func (u *overdueUpstreams) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case !strings.HasSuffix(r.URL.Path, "special"):
+		time.Sleep(usualWork)
+		_, _ = w.Write([]byte("usual"))
+	case u.received.Add(1) == 1:
+		u.first(w, r)
+	default:
+		u.second(w, r)
+	}
+}
+
+// runs returns how often the special request ran.
+func (u *overdueUpstreams) runs() int {
+	n := 0
+	for _, s := range u.list {
+		n += s.runs("special")
+	}
+	return n
+}
+
+// startOverdue starts a VM that knows its upstreams' usual response times.
+func startOverdue(t *testing.T, u *overdueUpstreams, change func(*settings.Entry)) *runningVM {
+	t.Helper()
+	p := newPlatform()
+	cfg := config(1)
+	cfg.Routes = append(cfg.Routes, &route.Route{
+		Name: "once", Host: "h", Prefix: "/once/", Kind: route.Idempotent, Timeout: time.Second, Attempts: 1, Parts: []route.Part{{Service: "s", Weight: 1}},
+	})
+	p.set(entry.TableRules, "config", cfg)
+	for i := range 2 {
+		s := startUpstream(t, u.ServeHTTP)
+		u.list = append(u.list, s)
+		register(p, fmt.Sprint("i-", i), s.addr())
+	}
+	v := startVM(t, "a", p, func(cfg *settings.Entry) {
+		cfg.Load.SecondSends = settings.On
+		if change != nil {
+			change(cfg)
+		}
+	})
+	ready(t, v)
+	for _, path := range []string{"/get/", "/post/", "/once/"} {
+		for i := range 60 {
+			if r := v.request(t, http.MethodGet, path+"usual", fmt.Sprint(path, i), ""); r.status != http.StatusOK {
+				t.Fatalf("%s: %+v", path, r)
+			}
+		}
+	}
+	return v
+}
+
+// hang works until its caller leaves, and then closes left.
+func hang(left chan struct{}) http.HandlerFunc {
+	return func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(left)
+	}
+}
+
+func answerAfter(body string, after time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(after):
+			_, _ = w.Write([]byte(body))
+		case <-r.Context().Done():
+		}
+	}
+}
+
+// cut closes the connection after a time.
+func cut(after time.Duration) http.HandlerFunc {
+	return func(http.ResponseWriter, *http.Request) {
+		time.Sleep(after)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// Guards against callers who wait until the route's timeout for a response that does not come.
+func TestOverdueRequestIsSentToASecondUpstream(t *testing.T) {
+	left := make(chan struct{})
+	u := &overdueUpstreams{first: hang(left), second: answerAfter("second", usualWork)}
+	v := startOverdue(t, u, nil)
+	if r := v.request(t, http.MethodGet, "/get/special", "special", ""); r.status != http.StatusOK || r.body != "second" {
+		t.Errorf("got %+v, want the response of the second upstream", r)
+	}
+	select {
+	case <-left:
+	case <-time.After(2 * time.Second):
+		t.Error("the first upstream still works")
+	}
+	if f := v.Figures(time.Now()); f.SecondSends < 1 || f.SecondSendsWon < 1 {
+		t.Errorf("%d second sends counted, %d won", f.SecondSends, f.SecondSendsWon)
+	}
+	eventually(t, "the second send is logged", func() bool {
+		for _, l := range v.trace(t, "special") {
+			if l.Event == "RequestSentTwice" && l.Get("SecondWon") == "true" {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// Guards against two responses to one request: the first upstream responds after the request was
+// sent to a second one, and before that one does.
+func TestFirstResponseStillWins(t *testing.T) {
+	u := &overdueUpstreams{first: answerAfter("first", 300*time.Millisecond), second: answerAfter("second", 10*time.Second)}
+	v := startOverdue(t, u, nil)
+	if r := v.request(t, http.MethodGet, "/get/special", "special", ""); r.status != http.StatusOK || r.body != "first" {
+		t.Errorf("got %+v, want the response of the first upstream", r)
+	}
+	if n := u.runs(); n != 2 {
+		t.Errorf("ran %d times, want 2", n)
+	}
+}
+
+// Guards against a second run of a request that must not have one.
+func TestRequestsThatAreNotSentTwice(t *testing.T) {
+	for _, tc := range []struct {
+		name, path string
+		change     func(*settings.Entry)
+	}{
+		{"not idempotent", "/post/special", nil},
+		{"one attempt", "/once/special", nil},
+		{"off", "/get/special", func(cfg *settings.Entry) { cfg.Load.SecondSends = settings.Off }},
+		{"upstreams report no pace", "/get/special", func(cfg *settings.Entry) { cfg.Load.SecondSends = settings.Auto }},
+		{"no retry budget", "/get/special", func(cfg *settings.Entry) { cfg.RetryRatio = 0 }},
+		{"retry budget used up", "/get/special", func(cfg *settings.Entry) { cfg.RetryRatio, cfg.RetryExtra = 0.001, 0 }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			u := &overdueUpstreams{first: answerAfter("first", 500*time.Millisecond), second: answerAfter("second", 0)}
+			v := startOverdue(t, u, tc.change)
+			if r := v.request(t, http.MethodGet, tc.path, "special", ""); r.status != http.StatusOK || r.body != "first" {
+				t.Errorf("got %+v, want the response of the first upstream", r)
+			}
+			if n := u.runs(); n != 1 {
+				t.Errorf("ran %d times, want once", n)
+			}
+		})
+	}
+}
+
+// Guards against a failure being told as a refusal, or a third send, where both upstreams break
+// off.
+func TestBothUpstreamsOfAnOverdueRequestFail(t *testing.T) {
+	u := &overdueUpstreams{first: cut(400 * time.Millisecond), second: cut(50 * time.Millisecond)}
+	v := startOverdue(t, u, nil)
+	if r := v.request(t, http.MethodGet, "/get/special", "special", ""); r.status != http.StatusBadGateway {
+		t.Errorf("got %+v, want 502", r)
+	}
+	if n := u.runs(); n != 2 {
+		t.Errorf("ran %d times, want 2", n)
+	}
+}
+
+// Guards against giving up the first upstream because the second one refuses or fails.
+func TestFirstIsAwaitedIfTheSecondFails(t *testing.T) {
+	for name, second := range map[string]http.HandlerFunc{
+		"fails": cut(0),
+		"error": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+		"refuses": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			u := &overdueUpstreams{first: answerAfter("first", 400*time.Millisecond), second: second}
+			v := startOverdue(t, u, nil)
+			if r := v.request(t, http.MethodGet, "/get/special", "special", ""); r.status != http.StatusOK || r.body != "first" {
+				t.Errorf("got %+v, want the response of the first upstream", r)
+			}
+		})
+	}
+}
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -37,6 +37,8 @@
 	lease   balance.Lease
 	tries   int
 	through string
+	// sentTwice says that it was overdue, so that the request was sent to two upstreams at once.
+	sentTwice bool
 }
 
 // proxy sends a request to an upstream and returns its response. It retries only
@@ -80,7 +82,7 @@
 			tried = append(tried, o.second)
 		}
 		if r != nil {
-			r.lease, r.tries = o.lease, len(tried)
+			r.lease, r.tries, r.sentTwice = o.lease, len(tried), o.second != ""
 		}
 		if e == nil && !(req.idempotent() && r.resp.StatusCode >= http.StatusInternalServerError) {
 			last.discard()
--- a/io/logline/causes.go
+++ b/io/logline/causes.go
@@ -22,6 +22,9 @@
 	// CauseBehind: its response was ready in time but had to wait for the responses to
 	// earlier pipelined requests on its connection.
 	CauseBehind Cause = "Behind"
+	// CauseOverdue: the first upstream did not respond in the usual time, so it was sent to a
+	// second one as well.
+	CauseOverdue Cause = "Overdue"
 	// CauseRetried: the first upstream did not serve it, so it was sent again.
 	CauseRetried Cause = "Retried"
 	// CauseDistance: without the round trip to the upstream it would have been in time.
@@ -104,7 +107,7 @@
 	took, objective, pipelineWait, rtt time.Duration
 	// inFlight is the number of requests that the upstream was believed to have.
 	tries, inFlight, slots int
-	owner                  bool
+	owner, sentTwice       bool
 }
 
 // objectAt is an object of a route at an upstream, or at any if target is empty.
@@ -119,6 +122,7 @@
 		answered: l.Event == "RequestAnswered", route: l.Get("Route"), object: l.Get("Object"), target: l.Get("Target"), reason: l.Get("Reason"),
 		took: l.millis("TookMs"), objective: l.millis("ObjectiveMs"), pipelineWait: l.millis("BehindMs"), rtt: l.millis("TripMs"),
 		tries: l.number("Tries"), inFlight: l.number("Ahead"), slots: l.number("Slots"), owner: l.Get("Owner") == "true",
+		sentTwice: l.Get("SentTwice") == "true",
 	}
 	r.began = l.Time.Add(-r.took)
 	return r
@@ -147,6 +151,8 @@
 		return "", ""
 	case r.took-r.pipelineWait <= r.objective:
 		return CauseBehind, ""
+	case r.sentTwice:
+		return CauseOverdue, ""
 	case r.tries > 1:
 		return CauseRetried, ""
 	case r.took-r.pipelineWait-r.rtt <= r.objective:
--- a/io/logline/causes_test.go
+++ b/io/logline/causes_test.go
@@ -28,6 +28,7 @@
 		logline.CauseBehind:        {answeredLine(1, "a", "t", 900, "BehindMs=500")},
 		logline.CauseDistance:      {answeredLine(1, "a", "t", 600, "TripMs=110")},
 		logline.CauseRetried:       {strings.Replace(answeredLine(1, "a", "t", 900, ""), "Tries=1", "Tries=2", 1)},
+		logline.CauseOverdue:       {strings.Replace(answeredLine(1, "a", "t", 900, "SentTwice=true"), "Tries=1", "Tries=2", 1)},
 		logline.CauseRefused:       {`time="2030-01-01T00:00:01.000Z" level=info msg=RequestGivenUp Route=r Reason=NoCapacity TookMs=1 ObjectiveMs=500`},
 		logline.CauseFailed:        {`time="2030-01-01T00:00:01.000Z" level=info msg=RequestGivenUp Route=r Reason=Broken TookMs=90 ObjectiveMs=500`},
 		logline.CauseCallerLeft:    {`time="2030-01-01T00:00:01.000Z" level=info msg=RequestGivenUp Route=r Reason=Canceled TookMs=90 ObjectiveMs=500`},
