--- a/core/balance/pace.go
+++ b/core/balance/pace.go
@@ -154,6 +154,14 @@
 	l.Age += time.Duration(reportAgeWeight * float64(age-l.Age))
 }
 
+// ReportsPace reports whether any target of a service has reported its pace.
+func (b *Balancer) ReportsPace(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.services[service]
+	return p != nil && p.reportsPace
+}
+
 // usesPace reports whether the expected time to a response decides for a service.
 func (b *Balancer) usesPace(p *pool) bool {
 	return b.paceUse == PaceAlways || b.paceUse == PaceIfReported && p.reportsPace
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -94,6 +94,10 @@
 	// LoadAgeMs is the mean age of the loads that requests were assigned by, and OwnersLate counts
 	// the requests whose owner had a queue and was expected to respond too late.
 	LoadAgeMs, OwnersLate int64
+	// SecondSends counts the overdue requests that were sent to a second upstream, SecondSendsWon
+	// those that it answered first, and SecondSendsDenied those that were not sent, as the retry
+	// budget was used or no upstream was free.
+	SecondSends, SecondSendsWon, SecondSendsDenied int64
 	// UpstreamsHeardMs is how long ago any upstream answered a request; -1: never.
 	UpstreamsHeardMs              int64
 	PlatformCalls, PlatformErrors int64
@@ -135,6 +139,7 @@
 	}
 	f.CutOff, f.ReachChecks = v.cutOff(), v.links.Checks()
 	f.Relayed, f.RelayRefused, f.RelayedTraffic = v.relaying.sent.Load(), v.relaying.refused.Load(), v.relaying.traffic.Average().Requests
+	f.SecondSends, f.SecondSendsWon, f.SecondSendsDenied = v.seconds.sent.Load(), v.seconds.won.Load(), v.seconds.denied.Load()
 	conns := v.upstreams.Connections()
 	f.ConnectionsOpened, f.ConnectionsFailed, f.ConnectionsReused = conns.Opened, conns.Failed, conns.Reused
 	loads := v.balancer.LoadStats()
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -38,6 +38,8 @@
 	through string
 	// pace is what the target reported in the response, 0 if it did not.
 	pace float64
+	// sentTwice says that it was overdue, so that the request was sent to two upstreams at once.
+	sentTwice bool
 }
 
 // proxy sends a request to an upstream and returns its response. It retries only
@@ -78,10 +80,14 @@
 			break
 		}
 		tried = append(tried, lease.Target.ID)
-		r, e := v.try(ctx, req, lease)
+		o := v.sendOverdue(ctx, req, lease, tried, sent)
 		trial.Done()
+		r, e := o.response, o.err
+		if o.second != "" {
+			tried = append(tried, o.second)
+		}
 		if r != nil {
-			r.lease, r.tries = lease, len(tried)
+			r.lease, r.tries, r.sentTwice = o.lease, len(tried), o.second != ""
 		}
 		if e == nil && !(req.idempotent() && r.resp.StatusCode >= http.StatusInternalServerError) {
 			last.discard()
@@ -91,9 +97,7 @@
 			last.discard()
 			last, lastErr = r, e
 		}
-		if reached(e) {
-			sent++
-		}
+		sent += o.sent
 		if !v.mayRetry(ctx, req, e, sent) {
 			break
 		}
@@ -209,14 +213,18 @@
 	resp, err := v.send(ctx, req, call)
 	if err != nil {
 		e := verdict.As(err)
+		if context.Cause(ctx) == errOverdue {
+			e = verdict.Wrap(errOverdue, e.Verdict, verdict.ReasonOverdue, 0)
+		}
 		outcome := balance.Outcome{
-			Failed: e.Reason == verdict.ReasonUnreachable || e.Reason == verdict.ReasonBroken, Unreachable: e.Reason == verdict.ReasonUnreachable,
+			Failed: e.Reason == verdict.ReasonUnreachable || e.Reason == verdict.ReasonBroken || e.Reason == verdict.ReasonOverdue, Unreachable: e.Reason == verdict.ReasonUnreachable,
 			Unanswered: e.Verdict == verdict.MaybeRan, NotSent: e.Reason == verdict.ReasonWithheld,
 		}
 		if v.links.Disturbed(began) {
 			outcome = balance.Outcome{NotSent: e.Verdict == verdict.NotRun}
 		}
 		v.balancer.Done(time.Now(), lease, outcome)
+		v.seconds.unanswered(time.Now(), began, req, lease, e)
 		v.unanswered(req, lease, began, e)
 		v.requests.attemptFailed(v, req, lease, 0, e)
 		return nil, e
@@ -244,6 +252,7 @@
 	if outcome.Load != nil {
 		r.pace = outcome.Load.Pace
 	}
+	v.seconds.observe(time.Now(), began, req, lease)
 	e := v.refusal(resp)
 	switch {
 	case e != nil && e.Reason == verdict.ReasonMisdirected:
