--- a/core/balance/pace.go
+++ b/core/balance/pace.go
@@ -39,9 +39,6 @@
 	workWeight = 0.01
 	// reportAgeWeight is the weight of the newest sample in the mean age of loads.
 	reportAgeWeight = 0.01
-	// maxSlowness bounds a target's mean time relative to others, both ways, so that a single
-	// answer that was lost for seconds does not count for minutes.
-	maxSlowness = 16.0
 	// maxWarm is the most targets that an object is believed to be warm at.
 	maxWarm = 2
 )
@@ -73,14 +70,8 @@
 	return t.mean
 }
 
-// observe records the time that a target took for a request at the usual pace, without the wait for
-// a slot, and learns how the target compares with others.
-func (w *workTimes) observe(s *state, took time.Duration, warm bool) {
-	if usual := w.of(warm); usual > 0 {
-		ratio := min(maxSlowness, max(1/maxSlowness, float64(took)/float64(usual)))
-		s.slowness = s.relative() + sampleWeight*(ratio-s.relative())
-	}
-	took = time.Duration(float64(took) / s.relative())
+// observe records the time that a request took at the usual pace, without the wait for a slot.
+func (w *workTimes) observe(took time.Duration, warm bool) {
 	w.all.observe(took)
 	if warm {
 		w.warm.observe(took)
@@ -97,21 +88,13 @@
 		took /= o.Load.Pace
 	}
 	if l.Warm || l.first {
-		l.route.work.observe(s, time.Duration(took), l.Warm)
+		l.route.work.observe(time.Duration(took), l.Warm)
 	}
 	if l.placement != nil {
 		l.placement.markWarm(now, s)
 	}
 }
 
-// relative is the target's mean time relative to that of others, 1 if it is unknown.
-func (h *history) relative() float64 {
-	if h.slowness == 0 {
-		return 1
-	}
-	return h.slowness
-}
-
 // pace is the expected pace at a time, relative to the usual.
 func (h *history) pace(at time.Time) float64 {
 	if h.reported.Pace == 0 {
@@ -124,12 +107,12 @@
 // expected estimates the time to a response if the request is sent now, 0 if too little is known.
 // The pace may change meanwhile: that of half of the time counts.
 func (b *Balancer) expected(now time.Time, s *state, route *routeStats, warm bool) time.Duration {
-	work := float64(route.work.of(warm)) * s.relative()
+	work := float64(route.work.of(warm))
 	if work == 0 {
 		return 0
 	}
 	queued := max(0, s.outstanding(now)+1-float64(s.Slots)) / float64(s.Slots)
-	usual := work + queued*float64(route.work.all.mean)*s.relative()
+	usual := work + queued*float64(route.work.all.mean)
 	return b.rtt(s) + time.Duration(usual*s.pace(now.Add(time.Duration(usual/2))))
 }
 
--- a/core/balance/state.go
+++ b/core/balance/state.go
@@ -53,9 +53,6 @@
 	answers int
 	// serviceTime is the moving average of the time to a response without the wait for a slot.
 	serviceTime time.Duration
-	// slowness is the moving average of its times relative to the usual ones of its service; 0:
-	// unknown.
-	slowness float64
 	// failureRate is the moving average of failures, 0 to 1.
 	failureRate float64
 	// silentSince is the time of the last response, or of the first request in flight if that
