Appointments for refused callers: core/appointment, limits, entry process

Cause: refused callers are told one fixed time, or one at which their team's limit is still used up. Change: a book promises part of the expected room, to each the next free moment.

--- /dev/null
+++ b/core/appointment/appointment.go
@@ -0,0 +1,138 @@
+// Package appointment decides when callers that were refused come back. It has no network
+// and no clock.
+//
+// A Book promises part of the room that is expected: to each caller the next free moment, so
+// that those who are refused together do not come back together. A Recognizer tells requests
+// that have come back from new ones, without any token: they have less time left than the
+// requests of their route begin with.
+//
+// Nothing is told to other VMs. A caller may come back to any of them, and all VMs keep room
+// for those who come back, so the promises of all are kept by all. A VM that starts has empty
+// books, and promises the earliest moments.
+//
+// # Usage
+//
+//	var b appointment.Book
+//	wait, ok := b.Next(now, appointment.Room{PerSecond: 40}, time.Second)
+//	if !ok {
+//		wait = b.Last(time.Second) // No room is left that could be promised.
+//	}
+//	b.Due(now)   // How many promises are to be kept for callers now.
+//	b.Claim(now) // One of them has come back.
+package appointment
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// Part is the part of the expected room that is promised. The rest is for new requests,
+	// which can still be served on time.
+	Part = 0.25
+	// hold is how long room is kept for a caller that is due: a new connection and a request
+	// between the regions that are furthest apart.
+	hold = 250 * time.Millisecond
+	// MinWait is the shortest wait: a few times the usual response time, after which slots
+	// have been freed.
+	MinWait = 250 * time.Millisecond
+	// maxInterval bounds the interval between two promises where there is hardly any room.
+	maxInterval = time.Hour
+	// spread is by how much of the interval a sequence of moments advances. Multiples of the
+	// golden ratio, modulo 1, are spread evenly whatever their number.
+	spread = 0.6180339887498949
+)
+
+// Room is the room that is expected.
+type Room struct {
+	// From is when there is room at the earliest; zero: now.
+	From time.Time
+	// PerSecond is how many requests there is room for from then on.
+	PerSecond float64
+}
+
+// Book holds the appointments for one kind of room. The zero value is an empty book. It is
+// not safe for concurrent use.
+type Book struct {
+	// due are the moments that are promised and not claimed, in order.
+	due []time.Time
+	// last is the last moment that was promised.
+	last time.Time
+	// phase is the position in the sequence of moments, from 0 to 1.
+	phase float64
+}
+
+// Next promises the next free moment, if it is not later than latest from now.
+func (b *Book) Next(now time.Time, room Room, latest time.Duration) (wait time.Duration, ok bool) {
+	b.expire(now)
+	earliest := later(room.From, now.Add(MinWait))
+	slack := latest - earliest.Sub(now)
+	if room.PerSecond <= 0 || slack < 0 {
+		return 0, false
+	}
+	interval := time.Duration(min(float64(time.Second)/(Part*room.PerSecond), float64(maxInterval)))
+	at := b.last.Add(interval)
+	if at.Before(earliest) {
+		// All VMs may expect room from the same moment on.
+		at = earliest.Add(b.step(min(interval, slack)))
+	}
+	if at.Sub(now) > latest {
+		return 0, false
+	}
+	b.last = at
+	b.due = append(b.due, at)
+	return at.Sub(now), true
+}
+
+// Last returns a late moment for a caller to whom nothing can be promised: by then the
+// shortage may be over. Moments are spread over the second half of the time up to latest.
+func (b *Book) Last(latest time.Duration) time.Duration {
+	return latest - b.step(latest/2)
+}
+
+// step returns the next of a sequence of durations that is spread evenly over [0, d).
+func (b *Book) step(d time.Duration) time.Duration {
+	_, b.phase = math.Modf(b.phase + spread)
+	return time.Duration(b.phase * float64(d))
+}
+
+// Due returns how many callers are due that have not come back yet.
+func (b *Book) Due(now time.Time) int {
+	b.expire(now)
+	n := 0
+	for n < len(b.due) && !b.due[n].After(now) {
+		n++
+	}
+	return n
+}
+
+// Claim removes the appointment of a caller that has come back. It reports whether one was due.
+func (b *Book) Claim(now time.Time) bool {
+	if b.Due(now) == 0 {
+		return false
+	}
+	b.due = b.due[1:]
+	return true
+}
+
+// expire drops the appointments of callers that have not come back in time.
+func (b *Book) expire(now time.Time) {
+	n := 0
+	for n < len(b.due) && now.Sub(b.due[n]) > hold {
+		n++
+	}
+	b.due = b.due[n:]
+}
+
+// Latest returns the longest wait after which a caller still comes back and can be served:
+// callers wait for up to a third of the time that they have left.
+func Latest(left, usual time.Duration) time.Duration {
+	return max(0, min(left/3, left-usual))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/core/appointment/example_test.go
@@ -0,0 +1,34 @@
+package appointment_test
+
+import (
+	"fmt"
+	"time"
+
+	"auburnlatch/core/appointment"
+)
+
+func ExampleBook() {
+	var b appointment.Book
+	now := time.Unix(1000, 0)
+	room := appointment.Room{PerSecond: 40}
+	for range 3 {
+		wait, ok := b.Next(now, room, time.Second)
+		fmt.Println(wait.Round(time.Millisecond), ok)
+	}
+	fmt.Println(b.Due(now.Add(400 * time.Millisecond)))
+	// Output:
+	// 312ms true
+	// 412ms true
+	// 512ms true
+	// 1
+}
+
+func ExampleRecognizer() {
+	var r appointment.Recognizer
+	now := time.Unix(1000, 0)
+	for range 10 {
+		r.Returned(now, 3*time.Second)
+	}
+	fmt.Println(r.Returned(now, 2900*time.Millisecond), r.Returned(now, 2500*time.Millisecond))
+	// Output: false true
+}
--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"auburnlatch/core/appointment"
 	"auburnlatch/core/team"
 )
 
@@ -54,6 +55,8 @@
 	share          share // As of the last totals that were not older than totalsTTL.
 	// retryAt is the time at which the last refused caller was told to retry.
 	retryAt time.Time
+	// book has the tokens that are promised to refused callers.
+	book appointment.Book
 }
 
 // share is a VM's share of a team's limit.
@@ -94,31 +97,94 @@
 	defer l.mu.Unlock()
 	b := l.bucket(t.Name)
 	b.demand.add(now)
-	s := l.share(now, b, t)
-	rate, depth := l.bounds.bucketTotals(t)
-	rate, depth = rate*s.part, depth*s.part
-	b.refill(now, rate, depth)
-	if (s.lowLoad || b.tokens >= 1) && l.withinWindow(now, b, t, s) {
-		b.tokens = max(0, b.tokens-1)
-		b.window.add(l.slice(now), 1)
+	s, rate := l.refill(now, b, t)
+	if l.take(now, b, t, s, 0) {
 		return 0, true
 	}
 	return b.retryAfter(now, rate, l.bounds.Window), false
 }
 
-// withinWindow reports whether one more request stays within the window allowance of this
-// VM and, as far as is known, within that of all VMs.
-func (l *Limiter) withinWindow(now time.Time, b *bucket, t *team.Team, s share) bool {
-	windowLimit := l.bounds.windowLimit(t)
-	own := int(b.window.sum(l.slice(now)))
-	if float64(own+1) > l.windowAllowance(now, s, windowLimit) {
+// TakeKept is Take for callers who are told by Appoint when to come back: what is promised is
+// kept for those who have returned.
+func (l *Limiter) TakeKept(now time.Time, t *team.Team, returned bool) bool {
+	if !t.Limited() {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.bucket(t.Name)
+	b.demand.add(now)
+	s, _ := l.refill(now, b, t)
+	if returned && b.book.Claim(now) {
+		return l.take(now, b, t, s, 0)
+	}
+	return l.take(now, b, t, s, b.book.Due(now))
+}
+
+// Appoint returns when a caller that was refused should come back, at most latest from now.
+// kept reports whether a token is promised to it.
+func (l *Limiter) Appoint(now time.Time, t *team.Team, latest time.Duration) (wait time.Duration, kept bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.bucket(t.Name)
+	s, rate := l.refill(now, b, t)
+	room := appointment.Room{From: now.Add(l.untilWindow(now, b, t, s)), PerSecond: rate}
+	if rate > 0 {
+		room.From = room.From.Add(seconds(max(0, 1-b.tokens) / rate))
+	}
+	if wait, kept = b.book.Next(now, room, latest); kept {
+		return wait, true
+	}
+	return b.book.Last(latest), false
+}
+
+// refill returns the VM's share of a team's limit and the rate of its bucket, after adding
+// the tokens that have accrued.
+func (l *Limiter) refill(now time.Time, b *bucket, t *team.Team) (s share, rate float64) {
+	s = l.share(now, b, t)
+	rate, depth := l.bounds.bucketTotals(t)
+	rate, depth = rate*s.part, depth*s.part
+	b.refill(now, rate, depth)
+	return s, rate
+}
+
+// take takes a token if that leaves as many as are kept.
+func (l *Limiter) take(now time.Time, b *bucket, t *team.Team, s share, kept int) bool {
+	if !s.lowLoad && b.tokens < float64(1+kept) || !l.withinWindow(now, b, t, s, kept) {
 		return false
 	}
+	b.tokens = max(0, b.tokens-1)
+	b.window.add(l.slice(now), 1)
+	return true
+}
+
+// withinWindow reports whether one more request, and those that are kept for, stay within the
+// window allowance of this VM and, as far as is known, within that of all VMs.
+func (l *Limiter) withinWindow(now time.Time, b *bucket, t *team.Team, s share, kept int) bool {
+	n := int(b.window.sum(l.slice(now))) + 1 + kept
+	allowance, ofAll, others := l.windowBounds(now, b, t, s)
+	return float64(n) <= allowance && float64(n+others) <= ofAll
+}
+
+// windowBounds returns the number of requests that this VM may admit in a window, that of all
+// VMs, and how many the others have admitted as far as is known.
+func (l *Limiter) windowBounds(now time.Time, b *bucket, t *team.Team, s share) (allowance, ofAll float64, others int) {
+	windowLimit := l.bounds.windowLimit(t)
+	allowance = l.windowAllowance(now, s, windowLimit)
 	if now.Sub(b.totalsAt) > totalsTTL {
-		return true
+		return allowance, math.Inf(1), 0
 	}
-	others := max(0, b.total.Sent-b.counted.Sent)
-	return float64(own+others+1) <= max(1, globalFraction*(1-l.reserved)*windowLimit)
+	return allowance, max(1, globalFraction*(1-l.reserved)*windowLimit), max(0, b.total.Sent-b.counted.Sent)
+}
+
+// untilWindow returns the time until the window has room for one more request. The requests
+// that other VMs sent are assumed to leave it as those of this VM do.
+func (l *Limiter) untilWindow(now time.Time, b *bucket, t *team.Team, s share) time.Duration {
+	slice := l.slice(now)
+	allowance, ofAll, others := l.windowBounds(now, b, t, s)
+	own := max(1, float64(b.window.sum(slice)))
+	room := min(allowance, ofAll*own/(own+float64(others)))
+	return time.Duration(b.window.slicesUntil(slice, int(room)-1)) * (l.bounds.Window / windowSlices)
 }
 
 // windowAllowance returns the number of requests that this VM may admit in a window, out of
--- /dev/null
+++ b/io/entry/appointments.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"auburnlatch/core/appointment"
+	"auburnlatch/core/route"
+	"auburnlatch/core/verdict"
+)
+
+// minRanks is the number of priorities from which on refused callers get appointments by
+// default: with two, a bit orders them as well.
+const minRanks = 3
+
+// appointments decides when refused callers come back. The zero value is ready to use.
+type appointments struct {
+	mu     sync.Mutex
+	rooms  map[roomKey]*room
+	routes map[string]*appointment.Recognizer
+	// promised and told count the callers that were told when to come back: those with an
+	// appointment, and all. returned counts those that came back, served those of them that
+	// were answered.
+	promised, told, returned, served atomic.Int64
+}
+
+// roomKey identifies upstreams' room for requests of one rank.
+type roomKey struct {
+	service string
+	rank    int
+}
+
+// room is what is known of the room of one rank, and promised of it.
+type room struct {
+	book   appointment.Book
+	served appointment.Meter
+}
+
+// told is what a refused caller was told.
+type told struct {
+	wait time.Duration
+	// kept says that room is promised.
+	kept bool
+}
+
+// appointing reports whether refused callers get appointments.
+func (v *VM) appointing(table *route.Table) bool {
+	return v.cfg.Load().Load.Admission.Enabled(len(table.Ranks()) >= minRanks)
+}
+
+// recognize reports whether a request has come back, by the time that its caller has left.
+func (a *appointments) recognize(req *request) bool {
+	if req.callerDeadline.IsZero() {
+		return false
+	}
+	a.mu.Lock()
+	returned := a.recognizer(req).Returned(req.started, req.callerDeadline.Sub(req.started))
+	a.mu.Unlock()
+	if returned {
+		a.returned.Add(1)
+	}
+	return returned
+}
+
+// answered records that a request was served.
+func (a *appointments) answered(now time.Time, req *request) {
+	if req.returned {
+		a.served.Add(1)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.recognizer(req).Served(now.Sub(req.started))
+	a.room(req).served.Add(now)
+}
+
+// appointed records the outcome of a request, and tells its caller when to come back if it
+// was refused for want of room.
+func (v *VM) appointed(res result) {
+	switch {
+	case res.response != nil:
+		v.appointments.answered(res.readyAt, res.request)
+	case appointable(res.err):
+		v.appoint(res.readyAt, res.request, res.err)
+	}
+}
+
+// appoint sets when the caller of a refused request should come back.
+func (v *VM) appoint(now time.Time, req *request, e *verdict.Error) {
+	deadline := req.callerDeadline
+	if deadline.IsZero() {
+		deadline = req.deadline
+	}
+	a := &v.appointments
+	latest := a.latest(req, deadline.Sub(now))
+	switch {
+	case latest < appointment.MinWait:
+		e.RetryAfter = 0 // A return could not be served in time.
+		return
+	case e.Reason == verdict.ReasonOverLimit:
+		req.told.wait, req.told.kept = v.limits.Appoint(now, req.team, latest)
+	default:
+		req.told = a.appointRoom(now, req, e.RetryAfter, latest)
+	}
+	e.RetryAfter = req.told.wait
+	a.told.Add(1)
+	if req.told.kept {
+		a.promised.Add(1)
+	}
+}
+
+// latest returns the longest sensible wait of a caller.
+func (a *appointments) latest(req *request, left time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return appointment.Latest(left, a.recognizer(req).Usual())
+}
+
+// appointRoom returns when a caller for which upstreams have no room should come back. They
+// want nothing before the end of the pause.
+func (a *appointments) appointRoom(now time.Time, req *request, pause, latest time.Duration) told {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := a.room(req)
+	wait, kept := r.book.Next(now, appointment.Room{From: now.Add(pause), PerSecond: r.served.PerSecond(now)}, latest)
+	if !kept {
+		wait = max(pause, r.book.Last(latest))
+	}
+	return told{wait, kept}
+}
+
+func (a *appointments) recognizer(req *request) *appointment.Recognizer {
+	r := a.routes[req.route.Name]
+	if r == nil {
+		if a.routes == nil {
+			a.routes = make(map[string]*appointment.Recognizer)
+		}
+		r = &appointment.Recognizer{}
+		a.routes[req.route.Name] = r
+	}
+	return r
+}
+
+func (a *appointments) room(req *request) *room {
+	key := roomKey{req.service, req.team.EffectivePriority(req.route.Priority)}
+	r := a.rooms[key]
+	if r == nil {
+		if a.rooms == nil {
+			a.rooms = make(map[roomKey]*room)
+		}
+		r = &room{}
+		a.rooms[key] = r
+	}
+	return r
+}
+
+// appointable reports whether an appointment helps the caller of a refused request: room is
+// short, and it will have to compete for it when it comes back.
+func appointable(e *verdict.Error) bool {
+	if e == nil || e.Verdict != verdict.NotRun {
+		return false
+	}
+	switch e.Reason {
+	case verdict.ReasonNoCapacity, verdict.ReasonShed, verdict.ReasonOverLimit:
+		return true
+	}
+	return false
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -62,6 +62,7 @@
 	retries      balance.RetryBudget
 	limits       ratelimit.Limiter
 	collector    ratelimit.Collector
+	appointments appointments
 	activeAddrs  atomic.Pointer[[]string] // See findActiveAddrs.
 	activeCache  atomic.Pointer[activeVMs]
 	activeInputs activeInputs // Used by heartbeatLoop only: the inputs of activeCache.
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -93,6 +93,9 @@
 	if e.RetryAfter > 0 {
 		f["RetryAfterMs"] = e.RetryAfter.Milliseconds()
 	}
+	if req.told.wait > 0 {
+		f["AppointmentMs"], f["RoomKept"] = req.told.wait.Milliseconds(), req.told.kept
+	}
 	if e.Err != nil {
 		f["Err"] = e.Err
 	}
@@ -155,6 +158,9 @@
 	if req.relayed != "" {
 		f["RelayedFrom"], f["Relay"] = req.http.Header.Get(forward.HeaderRelayFrom), req.relayed
 	}
+	if req.returned {
+		f["Returned"] = true
+	}
 	if req.team != nil {
 		f["Team"] = req.team.Name
 	}
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -84,6 +84,10 @@
 	// Relayed counts the requests that other VMs answered for this one, RelayRefused those that
 	// none could, and RelayedTraffic is the requests per second that others relay to this one.
 	Relayed, RelayRefused int64
+	// Appointments counts the refused callers that were told when to come back, and
+	// AppointmentsKept those of them for whom room was kept. Returned counts the requests that
+	// came back, to any VM, and ReturnedServed those of them that were answered.
+	Appointments, AppointmentsKept, Returned, ReturnedServed int64
 	RelayedTraffic        float64
 	// UpstreamsHeardMs is how long ago any upstream answered a request; -1: never.
 	UpstreamsHeardMs              int64
@@ -123,6 +127,8 @@
 	}
 	f.CutOff, f.ReachChecks = v.cutOff(), v.links.Checks()
 	f.Relayed, f.RelayRefused, f.RelayedTraffic = v.relaying.sent.Load(), v.relaying.refused.Load(), v.relaying.traffic.Average().Requests
+	a := &v.appointments
+	f.Appointments, f.AppointmentsKept, f.Returned, f.ReturnedServed = a.told.Load(), a.promised.Load(), a.returned.Load(), a.served.Load()
 	conns := v.upstreams.Connections()
 	f.ConnectionsOpened, f.ConnectionsFailed, f.ConnectionsReused = conns.Opened, conns.Failed, conns.Reused
 	f.UpstreamsHeardMs = heardMillis(now, conns.Answered)
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -52,6 +52,10 @@
 	callerDeadline time.Time
 	// returned says that the caller was refused before and has come back.
 	returned bool
+	// appointing says that refused callers are told when there will be room, and told what
+	// this one was told.
+	appointing bool
+	told       told
 	http     *http.Request
 	body     []byte
 	rest     io.Reader // What exceeds the buffer.
@@ -133,6 +137,9 @@
 		}
 	}
 	res.readyAt = time.Now()
+	if req.appointing {
+		v.appointed(res)
+	}
 	if e == nil && res.err != nil && res.err.Verdict == verdict.NotRun {
 		v.returnLimit(res.readyAt, req)
 	}
@@ -167,6 +174,8 @@
 	}
 	req.key = v.protocol.Key(r)
 	req.deadline = v.deadline(req)
+	req.appointing = req.relayed == "" && v.appointing(table)
+	req.returned = req.appointing && v.appointments.recognize(req)
 	if err := req.read(limits.MaxBodyBytes); err != nil {
 		return req, verdict.Wrap(err, verdict.NotRun, verdict.ReasonCanceled, 0)
 	}
--- a/io/entry/teams.go
+++ b/io/entry/teams.go
@@ -115,7 +115,14 @@
 
 // limit charges a request to its team's limit.
 func (v *VM) limit(req *request) *verdict.Error {
-	if wait, ok := v.limits.Take(time.Now(), req.team); !ok {
+	var wait time.Duration
+	var ok bool
+	if req.appointing {
+		ok = v.limits.TakeKept(time.Now(), req.team, req.returned)
+	} else {
+		wait, ok = v.limits.Take(time.Now(), req.team)
+	}
+	if !ok {
 		return verdict.New(verdict.NotRun, verdict.ReasonOverLimit, wait)
 	}
 	req.charged = true
