--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -88,7 +88,7 @@
 	// AppointmentsKept those of them for whom room was kept. Returned counts the requests that
 	// came back, to any VM, and ReturnedServed those of them that were answered.
 	Appointments, AppointmentsKept, Returned, ReturnedServed int64
-	RelayedTraffic        float64
+	RelayedTraffic                                           float64
 	// UpstreamsHeardMs is how long ago any upstream answered a request; -1: never.
 	UpstreamsHeardMs              int64
 	PlatformCalls, PlatformErrors int64
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -56,10 +56,10 @@
 	// this one was told.
 	appointing bool
 	told       told
-	http     *http.Request
-	body     []byte
-	rest     io.Reader // What exceeds the buffer.
-	length   int64
+	http       *http.Request
+	body       []byte
+	rest       io.Reader // What exceeds the buffer.
+	length     int64
 	// identity is how the request is recognized when it is retried.
 	identity *poison.Request
 	// team is the team of the request's key, or nil if it needs none.
