--- a/core/appointment/recognize.go
+++ b/core/appointment/recognize.go
@@ -9,8 +9,9 @@
 	// memory is how long the time that requests begin with is remembered after the last of
 	// them, at least; half of it.
 	memory = 20 * time.Second
-	// margin is the fraction of that time that a new request may have lost on its way.
-	margin = 0.05
+	// margin is by how much less time a new request may have, as a fraction: callers of one
+	// route differ, and some time is lost on the way.
+	margin = 0.2
 	// maxCredit is how many more than Part of the requests may count as returned, so that
 	// those who were refused together may come back together.
 	maxCredit = 16
@@ -38,14 +39,20 @@
 	}
 	r.longest = max(r.longest, left)
 	r.credit = min(maxCredit, r.credit+Part)
-	begin := max(r.longest, r.before)
-	if left >= begin-time.Duration(margin*float64(begin)) || r.credit < 1 {
+	if r.Unrecognized(left) >= 0 || r.credit < 1 {
 		return false
 	}
 	r.credit--
 	return true
 }
 
+// Unrecognized returns how long a request with the given time left could not be told from a
+// new one if it came back; negative: it can be told already.
+func (r *Recognizer) Unrecognized(left time.Duration) time.Duration {
+	begin := max(r.longest, r.before)
+	return left - time.Duration((1-margin)*float64(begin))
+}
+
 // Served records the time that it took to serve a request.
 func (r *Recognizer) Served(took time.Duration) {
 	if r.usual == 0 {
--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -121,18 +121,18 @@
 	return l.take(now, b, t, s, b.book.Due(now))
 }
 
-// Appoint returns when a caller that was refused should come back, at most latest from now.
+// Appoint returns when a caller that was refused should come back, from earliest to latest.
 // kept reports whether a token is promised to it.
-func (l *Limiter) Appoint(now time.Time, t *team.Team, latest time.Duration) (wait time.Duration, kept bool) {
+func (l *Limiter) Appoint(now time.Time, t *team.Team, earliest, latest time.Duration) (wait time.Duration, kept bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucket(t.Name)
 	s, rate := l.refill(now, b, t)
-	room := appointment.Room{From: now.Add(l.untilWindow(now, b, t, s)), PerSecond: rate}
+	from := max(earliest, l.untilWindow(now, b, t, s))
 	if rate > 0 {
-		room.From = room.From.Add(seconds(max(0, 1-b.tokens) / rate))
+		from = max(from, seconds((1-b.tokens)/rate))
 	}
-	if wait, kept = b.book.Next(now, room, latest); kept {
+	if wait, kept = b.book.Next(now, appointment.Room{From: now.Add(from), PerSecond: rate}, latest); kept {
 		return wait, true
 	}
 	return b.book.Last(latest), false
--- a/io/entry/appointments.go
+++ b/io/entry/appointments.go
@@ -92,15 +92,15 @@
 		deadline = req.deadline
 	}
 	a := &v.appointments
-	latest := a.latest(req, deadline.Sub(now))
+	earliest, latest := a.waits(req, deadline.Sub(now))
 	switch {
 	case latest < appointment.MinWait:
 		e.RetryAfter = 0 // A return could not be served in time.
 		return
 	case e.Reason == verdict.ReasonOverLimit:
-		req.told.wait, req.told.kept = v.limits.Appoint(now, req.team, latest)
+		req.told.wait, req.told.kept = v.limits.Appoint(now, req.team, earliest, latest)
 	default:
-		req.told = a.appointRoom(now, req, e.RetryAfter, latest)
+		req.told = a.appointRoom(now, req, max(earliest, e.RetryAfter), latest)
 	}
 	e.RetryAfter = req.told.wait
 	a.told.Add(1)
@@ -109,22 +109,23 @@
 	}
 }
 
-// latest returns the longest sensible wait of a caller.
-func (a *appointments) latest(req *request, left time.Duration) time.Duration {
+// waits returns the shortest and the longest sensible wait of a caller. Room is kept only for
+// one that is recognized when it comes back.
+func (a *appointments) waits(req *request, left time.Duration) (earliest, latest time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return appointment.Latest(left, a.recognizer(req).Usual())
+	r := a.recognizer(req)
+	return max(0, r.Unrecognized(left)), appointment.Latest(left, r.Usual())
 }
 
-// appointRoom returns when a caller for which upstreams have no room should come back. They
-// want nothing before the end of the pause.
-func (a *appointments) appointRoom(now time.Time, req *request, pause, latest time.Duration) told {
+// appointRoom returns when a caller for which upstreams have no room should come back.
+func (a *appointments) appointRoom(now time.Time, req *request, earliest, latest time.Duration) told {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := a.room(req)
-	wait, kept := r.book.Next(now, appointment.Room{From: now.Add(pause), PerSecond: r.served.PerSecond(now)}, latest)
+	wait, kept := r.book.Next(now, appointment.Room{From: now.Add(earliest), PerSecond: r.served.PerSecond(now)}, latest)
 	if !kept {
-		wait = max(pause, r.book.Last(latest))
+		wait = max(earliest, r.book.Last(latest))
 	}
 	return told{wait, kept}
 }
