core/appointment: tests of loads, failures and bounds

The spread test found that the books of all VMs began at the same phase: it now depends on the time of the first refusal.

--- a/core/appointment/appointment.go
+++ b/core/appointment/appointment.go
@@ -15,7 +15,7 @@
 //	var b appointment.Book
 //	wait, ok := b.Next(now, appointment.Room{PerSecond: 40}, time.Second)
 //	if !ok {
-//		wait = b.Last(time.Second) // No room is left that could be promised.
+//		wait = b.Last(now, time.Second) // No room is left that could be promised.
 //	}
 //	b.Due(now)   // How many promises are to be kept for callers now.
 //	b.Claim(now) // One of them has come back.
@@ -58,7 +58,7 @@
 	due []time.Time
 	// last is the last moment that was promised.
 	last time.Time
-	// phase is the position in the sequence of moments, from 0 to 1.
+	// phase is the position in the sequence of moments, from 0 to 1; 0: not begun.
 	phase float64
 }
 
@@ -74,7 +74,7 @@
 	at := b.last.Add(interval)
 	if at.Before(earliest) {
 		// All VMs may expect room from the same moment on.
-		at = earliest.Add(b.step(min(interval, slack)))
+		at = earliest.Add(b.step(now, min(interval, slack)))
 	}
 	if at.Sub(now) > latest {
 		return 0, false
@@ -86,12 +86,16 @@
 
 // Last returns a late moment for a caller to whom nothing can be promised: by then the
 // shortage may be over. Moments are spread over the second half of the time up to latest.
-func (b *Book) Last(latest time.Duration) time.Duration {
-	return latest - b.step(latest/2)
+func (b *Book) Last(now time.Time, latest time.Duration) time.Duration {
+	return latest - b.step(now, latest/2)
 }
 
-// step returns the next of a sequence of durations that is spread evenly over [0, d).
-func (b *Book) step(d time.Duration) time.Duration {
+// step returns the next of a sequence of durations that is spread evenly over [0, d). The
+// sequence begins by the fraction of a millisecond, so that the books of VMs differ.
+func (b *Book) step(now time.Time, d time.Duration) time.Duration {
+	if b.phase == 0 {
+		b.phase = float64(now.Nanosecond()%int(time.Millisecond)) / float64(time.Millisecond)
+	}
 	_, b.phase = math.Modf(b.phase + spread)
 	return time.Duration(b.phase * float64(d))
 }
--- /dev/null
+++ b/core/appointment/property_test.go
@@ -0,0 +1,150 @@
+package appointment_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"auburnlatch/core/appointment"
+)
+
+// asked is a refused caller: how long after the one before it, and what is expected then.
+type asked struct {
+	gap, pause, left time.Duration
+	perSecond        float64
+}
+
+func genAsked(perSecond gopter.Gen) gopter.Gen {
+	ms := func(lo, hi int) gopter.Gen {
+		return gen.IntRange(lo, hi).Map(func(n int) time.Duration { return time.Duration(n) * time.Millisecond })
+	}
+	return gopter.CombineGens(ms(0, 300), ms(0, 800), ms(0, 6000), perSecond).Map(func(v []any) asked {
+		return asked{v[0].(time.Duration), v[1].(time.Duration), v[2].(time.Duration), v[3].(float64)}
+	})
+}
+
+func properties(t *testing.T) (*gopter.Properties, func()) {
+	p := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(1))
+	return p, func() { p.TestingRun(t) }
+}
+
+// promised returns the moments that a book promises to the callers.
+func promised(b *appointment.Book, callers []asked, visit func(now time.Time, c asked, wait time.Duration)) []time.Time {
+	now := time.Unix(1000, 0)
+	var list []time.Time
+	for _, c := range callers {
+		now = now.Add(c.gap)
+		room := appointment.Room{From: now.Add(c.pause), PerSecond: c.perSecond}
+		if wait, ok := b.Next(now, room, appointment.Latest(c.left, 0)); ok {
+			list = append(list, now.Add(wait))
+			visit(now, c, wait)
+		}
+	}
+	return list
+}
+
+// In any span of time, the promised requests are at most Part of those that there is room for,
+// and one.
+func TestPromisesStayBelowTheRoom(t *testing.T) {
+	p, run := properties(t)
+	const perSecond = 20
+	p.Property("at most Part of the room", prop.ForAll(func(callers []asked) bool {
+		var b appointment.Book
+		list := promised(&b, callers, func(time.Time, asked, time.Duration) {})
+		slices.SortFunc(list, time.Time.Compare)
+		for i := range list {
+			for j := i; j < len(list); j++ {
+				if float64(j-i) > list[j].Sub(list[i]).Seconds()*appointment.Part*perSecond+1e-6 {
+					return false
+				}
+			}
+		}
+		return true
+	}, gen.SliceOfN(120, genAsked(gen.Const(float64(perSecond))))))
+	run()
+}
+
+// Nobody is told to come back before the pause ends, too soon to meet other than the same
+// shortage, or later than a third of the time that is left.
+func TestPromisesAreWithinTheCallersTime(t *testing.T) {
+	p, run := properties(t)
+	p.Property("between the pause and a third of the time", prop.ForAll(func(callers []asked) bool {
+		var b appointment.Book
+		within := true
+		promised(&b, callers, func(_ time.Time, c asked, wait time.Duration) {
+			within = within && wait >= max(c.pause, appointment.MinWait) && wait <= c.left/3
+		})
+		return within
+	}, gen.SliceOfN(120, genAsked(gen.Float64Range(0, 500)))))
+	p.Property("late moments", prop.ForAll(func(left int) bool {
+		var b appointment.Book
+		latest := time.Duration(left) * time.Millisecond / 3
+		for range 50 {
+			if w := b.Last(time.Unix(1000, 0), latest); w > latest || w < latest/2 {
+				return false
+			}
+		}
+		return true
+	}, gen.IntRange(1, 10_000)))
+	run()
+}
+
+// Callers that are refused at the same moment are told moments that are spread: no tenth of
+// the span holds more than twice its part of them.
+func TestMomentsAreSpread(t *testing.T) {
+	const callers = 100
+	spread := func(name string, list []time.Duration) {
+		slices.Sort(list)
+		first, span := list[0], list[len(list)-1]-list[0]
+		counts := make([]int, 10)
+		for _, w := range list {
+			counts[min(9, int(10*(w-first)/span))]++
+		}
+		if most := slices.Max(counts); most > 2*len(list)/10 {
+			t.Errorf("%s: %v of %d by tenths of %v", name, counts, len(list), span)
+		}
+	}
+	now := time.Unix(1000, 0)
+	var one, late appointment.Book
+	var promisedAt, lateAt, fleet []time.Duration
+	for range callers {
+		if wait, ok := one.Next(now, appointment.Room{PerSecond: 400}, time.Second); ok {
+			promisedAt = append(promisedAt, wait)
+		}
+		lateAt = append(lateAt, late.Last(now, time.Second))
+	}
+	spread("one VM", promisedAt)
+	spread("late moments", lateAt)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range callers {
+		var b appointment.Book
+		at := now.Add(time.Duration(rng.IntN(int(time.Second))))
+		if wait, ok := b.Next(at, appointment.Room{PerSecond: 4}, time.Second); ok {
+			fleet = append(fleet, wait)
+		}
+	}
+	spread("the first of each VM", fleet)
+}
+
+// An appointment that nobody keeps frees its room soon, and one that is claimed does at once.
+func TestDueAndClaim(t *testing.T) {
+	var b appointment.Book
+	now := time.Unix(1000, 0)
+	wait, ok := b.Next(now, appointment.Room{PerSecond: 100}, time.Second)
+	if !ok || b.Due(now) != 0 || b.Claim(now) {
+		t.Fatalf("promised %v, %v; due %d", wait, ok, b.Due(now))
+	}
+	at := now.Add(wait)
+	if b.Due(at) != 1 || !b.Claim(at) || b.Due(at) != 0 || b.Claim(at) {
+		t.Error("not claimed once")
+	}
+	wait, _ = b.Next(at, appointment.Room{PerSecond: 100}, time.Second)
+	if at = at.Add(wait); b.Due(at) != 1 || b.Due(at.Add(300*time.Millisecond)) != 0 {
+		t.Error("not kept, or kept for too long")
+	}
+}
--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -135,7 +135,7 @@
 	if wait, kept = b.book.Next(now, appointment.Room{From: now.Add(from), PerSecond: rate}, latest); kept {
 		return wait, true
 	}
-	return b.book.Last(latest), false
+	return b.book.Last(now, latest), false
 }
 
 // refill returns the VM's share of a team's limit and the rate of its bucket, after adding
--- a/io/entry/appointments.go
+++ b/io/entry/appointments.go
@@ -125,7 +125,7 @@
 	r := a.room(req)
 	wait, kept := r.book.Next(now, appointment.Room{From: now.Add(earliest), PerSecond: r.served.PerSecond(now)}, latest)
 	if !kept {
-		wait = max(earliest, r.book.Last(latest))
+		wait = max(earliest, r.book.Last(now, latest))
 	}
 	return told{wait, kept}
 }
