--- a/core/appointment/appointment.go
+++ b/core/appointment/appointment.go
@@ -30,9 +30,10 @@
 	// Part is the part of the expected room that is promised. The rest is for new requests,
 	// which can still be served on time.
 	Part = 0.25
-	// hold is how long room is kept for a caller that is due: a new connection and a request
-	// between the regions that are furthest apart.
-	hold = 250 * time.Millisecond
+	// hold is how long room is kept for a caller that is due: twice the time in which it
+	// connects and sends its request between the regions that are furthest apart, as those who
+	// come back to another VM find what is kept for that one's own.
+	hold = 500 * time.Millisecond
 	// MinWait is the shortest wait: a few times the usual response time, after which slots
 	// have been freed.
 	MinWait = 250 * time.Millisecond
@@ -54,8 +55,8 @@
 // Book holds the appointments for one kind of room. The zero value is an empty book. It is
 // not safe for concurrent use.
 type Book struct {
-	// due are the moments that are promised and not claimed, in order.
-	due []time.Time
+	// open are the moments that are promised and not claimed, in order.
+	open []time.Time
 	// last is the last moment that was promised.
 	last time.Time
 	// phase is the position in the sequence of moments, from 0 to 1; 0: not begun.
@@ -80,7 +81,7 @@
 		return 0, false
 	}
 	b.last = at
-	b.due = append(b.due, at)
+	b.open = append(b.open, at)
 	return at.Sub(now), true
 }
 
@@ -104,28 +105,30 @@
 func (b *Book) Due(now time.Time) int {
 	b.expire(now)
 	n := 0
-	for n < len(b.due) && !b.due[n].After(now) {
+	for n < len(b.open) && !b.open[n].After(now) {
 		n++
 	}
 	return n
 }
 
-// Claim removes the appointment of a caller that has come back. It reports whether one was due.
+// Claim removes an appointment for a caller that has come back, the first one. It may be that
+// of another caller, who has come back to another VM. Claim reports whether there was one.
 func (b *Book) Claim(now time.Time) bool {
-	if b.Due(now) == 0 {
+	b.expire(now)
+	if len(b.open) == 0 {
 		return false
 	}
-	b.due = b.due[1:]
+	b.open = b.open[1:]
 	return true
 }
 
 // expire drops the appointments of callers that have not come back in time.
 func (b *Book) expire(now time.Time) {
 	n := 0
-	for n < len(b.due) && now.Sub(b.due[n]) > hold {
+	for n < len(b.open) && now.Sub(b.open[n]) > hold {
 		n++
 	}
-	b.due = b.due[n:]
+	b.open = b.open[n:]
 }
 
 // Latest returns the longest wait after which a caller still comes back and can be served:
--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -19,6 +19,10 @@
 	demandTimeConstant = 1500 * time.Millisecond
 	// minRetryAfter is the shortest time after which a caller is told to retry.
 	minRetryAfter = 50 * time.Millisecond
+	// returnTime is how long after the end of its wait a caller is back at the latest.
+	returnTime = 150 * time.Millisecond
+	// keptFraction is the fraction of a bucket that is kept for callers who come back.
+	keptFraction = 0.5
 	// minDemand is the demand in requests per second below which it is not reported.
 	minDemand = 0.05
 )
@@ -118,11 +122,13 @@
 	if returned && b.book.Claim(now) {
 		return l.take(now, b, t, s, 0)
 	}
-	return l.take(now, b, t, s, b.book.Due(now))
+	_, depth := l.bounds.bucketTotals(t)
+	return l.take(now, b, t, s, min(b.book.Due(now), int(keptFraction*depth*s.part)))
 }
 
-// Appoint returns when a caller that was refused should come back, from earliest to latest.
-// kept reports whether a token is promised to it.
+// Appoint returns when a caller that was refused should come back: from earliest to latest if a
+// token is promised to it, which kept reports. Otherwise, it is before earliest, until when it
+// is taken for a new one: it must not claim the token of another caller.
 func (l *Limiter) Appoint(now time.Time, t *team.Team, earliest, latest time.Duration) (wait time.Duration, kept bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -135,7 +141,7 @@
 	if wait, kept = b.book.Next(now, appointment.Room{From: now.Add(from), PerSecond: rate}, latest); kept {
 		return wait, true
 	}
-	return b.book.Last(now, latest), false
+	return b.book.Last(now, max(0, earliest-returnTime)), false
 }
 
 // refill returns the VM's share of a team's limit and the rate of its bucket, after adding
--- a/io/entry/appointments.go
+++ b/io/entry/appointments.go
@@ -109,8 +109,8 @@
 	}
 }
 
-// waits returns the shortest and the longest sensible wait of a caller. Room is kept only for
-// one that is recognized when it comes back.
+// waits returns the shortest wait after which a caller is recognized when it comes back, and
+// the longest sensible one.
 func (a *appointments) waits(req *request, left time.Duration) (earliest, latest time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
