--- a/core/appointment/appointment.go
+++ b/core/appointment/appointment.go
@@ -111,11 +111,11 @@
 	return n
 }
 
-// Claim removes an appointment for a caller that has come back, the first one. It may be that
-// of another caller, who has come back to another VM. Claim reports whether there was one.
+// Claim removes an appointment for a caller that has come back, the first that is due. It may
+// be that of another caller, who has come back to another VM. Claim reports whether there
+// was one.
 func (b *Book) Claim(now time.Time) bool {
-	b.expire(now)
-	if len(b.open) == 0 {
+	if b.Due(now) == 0 {
 		return false
 	}
 	b.open = b.open[1:]
--- a/core/appointment/property_test.go
+++ b/core/appointment/property_test.go
@@ -136,7 +136,7 @@
 	var b appointment.Book
 	now := time.Unix(1000, 0)
 	wait, ok := b.Next(now, appointment.Room{PerSecond: 100}, time.Second)
-	if !ok || b.Due(now) != 0 {
+	if !ok || b.Due(now) != 0 || b.Claim(now) {
 		t.Fatalf("promised %v, %v; due %d", wait, ok, b.Due(now))
 	}
 	at := now.Add(wait)
