--- a/core/appointment/appointment.go
+++ b/core/appointment/appointment.go
@@ -15,7 +15,7 @@
 //	var b appointment.Book
 //	wait, ok := b.Next(now, appointment.Room{PerSecond: 40}, time.Second)
 //	if !ok {
-//		wait = b.Last(now, time.Second) // No room is left that could be promised.
+//		wait = b.Last(now, 0, time.Second) // No room is left that could be promised.
 //	}
 //	b.Due(now)   // How many promises are to be kept for callers now.
 //	b.Claim(now) // One of them has come back.
@@ -86,9 +86,10 @@
 }
 
 // Last returns a late moment for a caller to whom nothing can be promised: by then the
-// shortage may be over. Moments are spread over the second half of the time up to latest.
-func (b *Book) Last(now time.Time, latest time.Duration) time.Duration {
-	return latest - b.step(now, latest/2)
+// shortage may be over. Moments are spread over the second half of the time up to latest,
+// but not before earliest.
+func (b *Book) Last(now time.Time, earliest, latest time.Duration) time.Duration {
+	return latest - b.step(now, latest-min(latest, max(latest/2, earliest)))
 }
 
 // step returns the next of a sequence of durations that is spread evenly over [0, d). The
--- a/core/appointment/load_test.go
+++ b/core/appointment/load_test.go
@@ -31,10 +31,10 @@
 
 func appointed(now time.Time, v *vm, left time.Duration) time.Duration {
 	latest := appointment.Latest(left, v.seen.Usual())
-	from := now.Add(max(0, v.seen.Unrecognized(left)))
-	wait, ok := v.book.Next(now, appointment.Room{From: from, PerSecond: v.served.PerSecond(now)}, latest)
+	from, _ := v.seen.Waits(left)
+	wait, ok := v.book.Next(now, appointment.Room{From: now.Add(from), PerSecond: v.served.PerSecond(now)}, latest)
 	if !ok {
-		wait = v.book.Last(now, latest)
+		wait = v.book.Last(now, 0, latest)
 	}
 	return wait
 }
--- a/core/appointment/property_test.go
+++ b/core/appointment/property_test.go
@@ -85,7 +85,7 @@
 		var b appointment.Book
 		latest := time.Duration(left) * time.Millisecond / 3
 		for range 50 {
-			if w := b.Last(time.Unix(1000, 0), latest); w > latest || w < latest/2 {
+			if w := b.Last(time.Unix(1000, 0), 0, latest); w > latest || w < latest/2 {
 				return false
 			}
 		}
@@ -116,7 +116,7 @@
 		if wait, ok := one.Next(now, appointment.Room{PerSecond: 400}, time.Second); ok {
 			promisedAt = append(promisedAt, wait)
 		}
-		lateAt = append(lateAt, late.Last(now, time.Second))
+		lateAt = append(lateAt, late.Last(now, 0, time.Second))
 	}
 	spread("one VM", promisedAt)
 	spread("late moments", lateAt)
--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -19,8 +19,6 @@
 	demandTimeConstant = 1500 * time.Millisecond
 	// minRetryAfter is the shortest time after which a caller is told to retry.
 	minRetryAfter = 50 * time.Millisecond
-	// returnTime is how long after the end of its wait a caller is back at the latest.
-	returnTime = 150 * time.Millisecond
 	// keptFraction is the fraction of a bucket that is kept for callers who come back.
 	keptFraction = 0.5
 	// minDemand is the demand in requests per second below which it is not reported.
@@ -109,8 +107,8 @@
 }
 
 // TakeKept is Take for callers who are told by Appoint when to come back: what is promised is
-// kept for those who have returned.
-func (l *Limiter) TakeKept(now time.Time, t *team.Team, returned bool) bool {
+// kept for those who come with an appointment.
+func (l *Limiter) TakeKept(now time.Time, t *team.Team, appointed bool) bool {
 	if !t.Limited() {
 		return true
 	}
@@ -119,17 +117,16 @@
 	b := l.bucket(t.Name)
 	b.demand.add(now)
 	s, _ := l.refill(now, b, t)
-	if returned && b.book.Claim(now) {
+	if appointed && b.book.Claim(now) {
 		return l.take(now, b, t, s, 0)
 	}
 	_, depth := l.bounds.bucketTotals(t)
 	return l.take(now, b, t, s, min(b.book.Due(now), int(keptFraction*depth*s.part)))
 }
 
-// Appoint returns when a caller that was refused should come back: from earliest to latest if a
-// token is promised to it, which kept reports. Otherwise, it is before earliest, until when it
-// is taken for a new one: it must not claim the token of another caller.
-func (l *Limiter) Appoint(now time.Time, t *team.Team, earliest, latest time.Duration) (wait time.Duration, kept bool) {
+// Appoint promises a token to a caller that was refused, and returns when it should come back,
+// from earliest to latest. If no token is free until then, ok is false.
+func (l *Limiter) Appoint(now time.Time, t *team.Team, earliest, latest time.Duration) (wait time.Duration, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucket(t.Name)
@@ -138,10 +135,7 @@
 	if rate > 0 {
 		from = max(from, seconds((1-b.tokens)/rate))
 	}
-	if wait, kept = b.book.Next(now, appointment.Room{From: now.Add(from), PerSecond: rate}, latest); kept {
-		return wait, true
-	}
-	return b.book.Last(now, max(0, earliest-returnTime)), false
+	return b.book.Next(now, appointment.Room{From: now.Add(from), PerSecond: rate}, latest)
 }
 
 // refill returns the VM's share of a team's limit and the rate of its bucket, after adding
--- a/core/ratelimit/returns_test.go
+++ b/core/ratelimit/returns_test.go
@@ -42,8 +42,11 @@
 // patience is the longest wait of a caller: a third of three seconds.
 const patience = time.Second
 
-// recognized is the wait from which on a caller is recognized when it comes back.
-const recognized = 400 * time.Millisecond
+// A caller who comes back after a wait between these is recognized as one with an appointment.
+const (
+	recognized = 400 * time.Millisecond
+	latestKept = 600 * time.Millisecond
+)
 
 // run advances the simulation by d while the team asks for its demand.
 func (r *returning) run(d time.Duration) {
@@ -80,7 +83,9 @@
 	}
 	kept := false
 	if r.appointed {
-		wait, kept = v.limiter.Appoint(r.now, r.team, recognized, patience)
+		if wait, kept = v.limiter.Appoint(r.now, r.team, recognized, latestKept); !kept {
+			wait = patience
+		}
 	}
 	if r.absent {
 		return
--- a/io/entry/appointments.go
+++ b/io/entry/appointments.go
@@ -49,18 +49,21 @@
 	return v.cfg.Load().Load.Admission.Enabled(len(table.Ranks()) >= minRanks)
 }
 
-// recognize reports whether a request has come back, by the time that its caller has left.
-func (a *appointments) recognize(req *request) bool {
+// recognize reports whether a request has come back, and whether with an appointment, by the
+// time that its caller has left.
+func (a *appointments) recognize(req *request) (returned, appointed bool) {
 	if req.callerDeadline.IsZero() {
-		return false
+		return false, false
 	}
 	a.mu.Lock()
-	returned := a.recognizer(req).Returned(req.started, req.callerDeadline.Sub(req.started))
+	r, left := a.recognizer(req), req.callerDeadline.Sub(req.started)
+	returned = r.Returned(req.started, left)
+	appointed = returned && r.Appointed(left)
 	a.mu.Unlock()
 	if returned {
 		a.returned.Add(1)
 	}
-	return returned
+	return returned, appointed
 }
 
 // answered records that a request was served.
@@ -92,15 +95,18 @@
 		deadline = req.deadline
 	}
 	a := &v.appointments
-	earliest, latest := a.waits(req, deadline.Sub(now))
+	w := a.waits(req, deadline.Sub(now))
 	switch {
-	case latest < appointment.MinWait:
+	case w.latest < appointment.MinWait:
 		e.RetryAfter = 0 // A return could not be served in time.
 		return
 	case e.Reason == verdict.ReasonOverLimit:
-		req.told.wait, req.told.kept = v.limits.Appoint(now, req.team, earliest, latest)
+		req.told.wait, req.told.kept = v.limits.Appoint(now, req.team, w.shortest, min(w.longest, w.latest))
+		if !req.told.kept {
+			req.told.wait = a.late(now, req, w.longest+appointment.Trip, w.latest)
+		}
 	default:
-		req.told = a.appointRoom(now, req, max(earliest, e.RetryAfter), latest)
+		req.told = a.appointRoom(now, req, max(w.shortest, e.RetryAfter), w.latest)
 	}
 	e.RetryAfter = req.told.wait
 	a.told.Add(1)
@@ -109,13 +115,17 @@
 	}
 }
 
-// waits returns the shortest wait after which a caller is recognized when it comes back, and
-// the longest sensible one.
-func (a *appointments) waits(req *request, left time.Duration) (earliest, latest time.Duration) {
+// waits are what a caller may be told: from shortest to longest it is recognized as one with
+// an appointment, and until latest it may be served.
+type waits struct{ shortest, longest, latest time.Duration }
+
+func (a *appointments) waits(req *request, left time.Duration) waits {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := a.recognizer(req)
-	return max(0, r.Unrecognized(left)), appointment.Latest(left, r.Usual())
+	w := waits{latest: appointment.Latest(left, r.Usual())}
+	w.shortest, w.longest = r.Waits(left)
+	return w
 }
 
 // appointRoom returns when a caller for which upstreams have no room should come back.
@@ -125,11 +135,18 @@
 	r := a.room(req)
 	wait, kept := r.book.Next(now, appointment.Room{From: now.Add(earliest), PerSecond: r.served.PerSecond(now)}, latest)
 	if !kept {
-		wait = max(earliest, r.book.Last(now, latest))
+		wait = max(earliest, r.book.Last(now, 0, latest))
 	}
 	return told{wait, kept}
 }
 
+// late returns a late moment for a caller without an appointment.
+func (a *appointments) late(now time.Time, req *request, earliest, latest time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.room(req).book.Last(now, earliest, latest)
+}
+
 func (a *appointments) recognizer(req *request) *appointment.Recognizer {
 	r := a.routes[req.route.Name]
 	if r == nil {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -52,6 +52,8 @@
 	callerDeadline time.Time
 	// returned says that the caller was refused before and has come back.
 	returned bool
+	// appointed says that it comes as those do for whom room is kept.
+	appointed bool
 	// appointing says that refused callers are told when there will be room, and told what
 	// this one was told.
 	appointing bool
@@ -175,7 +177,9 @@
 	req.key = v.protocol.Key(r)
 	req.deadline = v.deadline(req)
 	req.appointing = req.relayed == "" && v.appointing(table)
-	req.returned = req.appointing && v.appointments.recognize(req)
+	if req.appointing {
+		req.returned, req.appointed = v.appointments.recognize(req)
+	}
 	if err := req.read(limits.MaxBodyBytes); err != nil {
 		return req, verdict.Wrap(err, verdict.NotRun, verdict.ReasonCanceled, 0)
 	}
--- a/io/entry/teams.go
+++ b/io/entry/teams.go
@@ -118,7 +118,7 @@
 	var wait time.Duration
 	var ok bool
 	if req.appointing {
-		ok = v.limits.TakeKept(time.Now(), req.team, req.returned)
+		ok = v.limits.TakeKept(time.Now(), req.team, req.appointed)
 	} else {
 		wait, ok = v.limits.Take(time.Now(), req.team)
 	}
