--- a/io/entry/appointments.go
+++ b/io/entry/appointments.go
@@ -49,6 +49,11 @@
 	return v.cfg.Load().Load.Admission.Enabled(len(table.Ranks()) >= minRanks)
 }
 
+// topRank reports whether a request has the highest of all priorities.
+func (v *VM) topRank(req *request) bool {
+	return req.team.EffectivePriority(req.route.Priority) <= v.table.Load().Ranks()[0]
+}
+
 // recognize reports whether a request has come back, and whether with an appointment, by the
 // time that its caller has left.
 func (a *appointments) recognize(req *request) (returned, appointed bool) {
@@ -101,7 +106,11 @@
 		e.RetryAfter = 0 // A return could not be served in time.
 		return
 	case e.Reason == verdict.ReasonOverLimit:
-		req.told.wait, req.told.kept = v.limits.Appoint(now, req.team, w.shortest, min(w.longest, w.latest))
+		// The limit is used up either way. A token that is kept for a late request is taken from
+		// one that would be in time, so it has to be for one that matters more.
+		if v.topRank(req) {
+			req.told.wait, req.told.kept = v.limits.Appoint(now, req.team, w.shortest, min(w.longest, w.latest))
+		}
 		if !req.told.kept {
 			req.told.wait = a.late(now, req, w.longest+appointment.Trip, w.latest)
 		}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -179,6 +179,7 @@
 	req.appointing = req.relayed == "" && v.appointing(table)
 	if req.appointing {
 		req.returned, req.appointed = v.appointments.recognize(req)
+		req.appointed = req.appointed && v.topRank(req)
 	}
 	if err := req.read(limits.MaxBodyBytes); err != nil {
 		return req, verdict.Wrap(err, verdict.NotRun, verdict.ReasonCanceled, 0)
