--- a/io/entry/appointments.go
+++ b/io/entry/appointments.go
@@ -51,7 +51,8 @@
 
 // topRank reports whether a request has the highest of all priorities.
 func (v *VM) topRank(req *request) bool {
-	return req.team.EffectivePriority(req.route.Priority) <= v.table.Load().Ranks()[0]
+	ranks := v.table.Load().Ranks()
+	return len(ranks) > 0 && req.team.EffectivePriority(req.route.Priority) <= ranks[0]
 }
 
 // recognize reports whether a request has come back, and whether with an appointment, by the
