--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -131,11 +131,35 @@
 	defer l.mu.Unlock()
 	b := l.bucket(t.Name)
 	s, rate := l.refill(now, b, t)
-	from := max(earliest, l.untilWindow(now, b, t, s))
+	from := max(earliest, l.untilToken(now, b, t, s, rate))
+	return b.book.Next(now, appointment.Room{From: now.Add(from), PerSecond: rate}, latest)
+}
+
+// NextToken returns when a caller that was refused should come back for a token that nobody was
+// told of before, though it is not kept. If there is none until latest, ok is false.
+func (l *Limiter) NextToken(now time.Time, t *team.Team, latest time.Duration) (wait time.Duration, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.bucket(t.Name)
+	s, rate := l.refill(now, b, t)
+	if rate <= 0 {
+		return 0, false
+	}
+	at := later(now.Add(l.untilToken(now, b, t, s, rate)), b.retryAt.Add(seconds(1/rate)))
+	if at.Sub(now) > latest {
+		return 0, false
+	}
+	b.retryAt = at
+	return max(minRetryAfter, at.Sub(now)), true
+}
+
+// untilToken returns the time until the bucket has a token and the window has room for it.
+func (l *Limiter) untilToken(now time.Time, b *bucket, t *team.Team, s share, rate float64) time.Duration {
+	wait := l.untilWindow(now, b, t, s)
 	if rate > 0 {
-		from = max(from, seconds((1-b.tokens)/rate))
+		wait = max(wait, seconds((1-b.tokens)/rate))
 	}
-	return b.book.Next(now, appointment.Room{From: now.Add(from), PerSecond: rate}, latest)
+	return wait
 }
 
 // refill returns the VM's share of a team's limit and the rate of its bucket, after adding
@@ -316,7 +340,7 @@
 		return longest
 	}
 	first := now.Add(seconds((1 - b.tokens) / rate))
-	b.retryAt = latest(first, b.retryAt.Add(min(longest, seconds(1/rate))))
+	b.retryAt = later(first, b.retryAt.Add(min(longest, seconds(1/rate))))
 	if b.retryAt.Sub(now) > longest {
 		b.retryAt = now.Add(longest)
 	}
@@ -327,7 +351,7 @@
 	return time.Duration(min(s, math.MaxInt32) * float64(time.Second))
 }
 
-func latest(a, b time.Time) time.Time {
+func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
 	}
--- a/io/entry/appointments.go
+++ b/io/entry/appointments.go
@@ -113,7 +113,7 @@
 			req.told.wait, req.told.kept = v.limits.Appoint(now, req.team, w.shortest, min(w.longest, w.latest))
 		}
 		if !req.told.kept {
-			req.told.wait = a.late(now, req, w.longest+appointment.Trip, w.latest)
+			req.told.wait = v.waitForToken(now, req, w)
 		}
 	default:
 		req.told = a.appointRoom(now, req, max(w.shortest, e.RetryAfter), w.latest)
@@ -150,11 +150,16 @@
 	return told{wait, kept}
 }
 
-// late returns a late moment for a caller without an appointment.
-func (a *appointments) late(now time.Time, req *request, earliest, latest time.Duration) time.Duration {
+// waitForToken returns when a caller without an appointment should come back: for a token that
+// is not kept, or late, after those with appointments.
+func (v *VM) waitForToken(now time.Time, req *request, w waits) time.Duration {
+	if wait, ok := v.limits.NextToken(now, req.team, w.latest); ok {
+		return wait
+	}
+	a := &v.appointments
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.room(req).book.Last(now, earliest, latest)
+	return a.room(req).book.Last(now, w.longest+appointment.Trip, w.latest)
 }
 
 func (a *appointments) recognizer(req *request) *appointment.Recognizer {
--- a/tools/soak/chaos.go
+++ b/tools/soak/chaos.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -227,17 +228,25 @@
 	wait   *sync.WaitGroup
 }
 
+// callTime is the time that callers give a request.
+const callTime = 1500 * time.Millisecond
+
 // run sends requests until ctx is done.
 func (c *caller) run(ctx context.Context) {
 	defer c.wait.Done()
 	for n := 0; ctx.Err() == nil; n++ {
-		c.ask(fmt.Sprintf("c%d-%d", c.number, n))
+		id := fmt.Sprintf("c%d-%d", c.number, n)
+		if wait := c.ask(id, callTime); wait > 0 && c.fleet.returns() {
+			wait = min(wait, callTime/3)
+			<-time.After(wait)
+			c.ask(id+"-back", callTime-wait)
+		}
 		<-time.After(time.Duration(c.rnd.ExpFloat64() * float64(callInterval)))
 	}
 }
 
-// ask sends one request.
-func (c *caller) ask(id string) {
+// ask sends one request. If it is refused, ask returns when the caller is to come back.
+func (c *caller) ask(id string, left time.Duration) (wait time.Duration) {
 	once := c.rnd.IntN(2) == 0
 	method, path, body := http.MethodGet, "/get/1", ""
 	if once {
@@ -251,7 +260,7 @@
 	// The body cannot be rewound, so net/http does not retry the request.
 	req, err := http.NewRequest(method, "http://"+v.front+path, struct{ io.Reader }{strings.NewReader(body)})
 	if err != nil {
-		return
+		return 0
 	}
 	req.ContentLength = int64(len(body))
 	if len(body) == 0 {
@@ -260,7 +269,7 @@
 	p := platform.Protocol()
 	req.Host = "h"
 	req.Header.Set(p.RequestID, id)
-	req.Header.Set(p.DeadlineMillis, "1500")
+	req.Header.Set(p.DeadlineMillis, fmt.Sprint(left.Milliseconds()))
 	if c.fleet.objects {
 		req.Header.Set("Cookie", fmt.Sprint("X-Affinity-Key=", c.number))
 	}
@@ -270,14 +279,19 @@
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return
+		return 0
 	}
 	defer resp.Body.Close()
 	got, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return
+		return 0
 	}
 	c.fleet.ledger.recordResponse(id, resp.StatusCode, string(got) == standin.Answer(id, []byte(body)))
+	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // runSeed runs one seed and checks its results.
--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -90,6 +90,7 @@
 
 // fleet is the set of all processes of a seed.
 type fleet struct {
+	admission    string // The switch of the VMs' settings.
 	dir          string
 	storeAddr    string
 	store        *process
@@ -131,7 +132,10 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, ledger: newLedger(), acceptAlways: c.Taking, objects: c.Restores || c.Cuts, homes: c.Cuts, evacuated: make(map[string]bool)}
+	f := &fleet{dir: dir, ledger: newLedger(), acceptAlways: c.Taking, admission: "Auto", objects: c.Restores || c.Cuts, homes: c.Cuts, evacuated: make(map[string]bool)}
+	if c.Returns {
+		f.admission = "On"
+	}
 	if f.storeAddr, err = freeport.Addr(); err != nil {
 		return nil, err
 	}
@@ -203,9 +207,9 @@
 	name := fmt.Sprint("vm-", i)
 	path := filepath.Join(f.dir, name+".jsonc")
 	text := fmt.Sprintf(`{"Name":%q,"Zone":%q,"Region":%q,"Regions":{"n-1":"n","n-2":"n","s-1":"s","s-2":"s"},
-"FrontAddr":%q,"ReadyAddr":%q,"DirectoryAddr":%q,"PeerAddr":%q,"Platform":{"Addr":%q},
+"FrontAddr":%q,"ReadyAddr":%q,"DirectoryAddr":%q,"PeerAddr":%q,"Platform":{"Addr":%q},"Load":{"Admission":%q},
 "Bounds":{"StopGrace":"3s","RetryRatio":%g,"RetryWindow":"%v","RetryExtra":%d,"Heartbeat":"500ms","LeaveWithin":"2.5s"}}`,
-		name, zone, region, a[0], a[1], a[2], a[3], toStore.addr(), retryRatio, retryWindow, retryExtra)
+		name, zone, region, a[0], a[1], a[2], a[3], toStore.addr(), f.admission, retryRatio, retryWindow, retryExtra)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -221,6 +225,9 @@
 	return nil
 }
 
+// returns reports whether refused callers come back when they are told.
+func (f *fleet) returns() bool { return f.admission == "On" }
+
 // setConfig writes the next version of the rules. If it fails, the version may have been
 // written nevertheless, so its number is not reused.
 func (f *fleet) setConfig() error {
