--- a/io/entry/appointments.go
+++ b/io/entry/appointments.go
@@ -49,10 +49,11 @@
 	return v.cfg.Load().Load.Admission.Enabled(len(table.Ranks()) >= minRanks)
 }
 
-// topRank reports whether a request has the highest of all priorities.
+// topRank reports whether a request's route has the highest of all priorities. That of its team
+// does not matter: requests compete for a limit with others of their team only.
 func (v *VM) topRank(req *request) bool {
 	ranks := v.table.Load().Ranks()
-	return len(ranks) > 0 && req.team.EffectivePriority(req.route.Priority) <= ranks[0]
+	return len(ranks) > 0 && req.route.Priority <= ranks[0]
 }
 
 // recognize reports whether a request has come back, and whether with an appointment, by the
