--- a/io/entry/appointments.go
+++ b/io/entry/appointments.go
@@ -146,7 +146,7 @@
 	r := a.room(req)
 	wait, kept := r.book.Next(now, appointment.Room{From: now.Add(earliest), PerSecond: r.served.PerSecond(now)}, latest)
 	if !kept {
-		wait = max(earliest, r.book.Last(now, 0, latest))
+		wait = max(earliest, r.book.Last(now, earliest, latest))
 	}
 	return told{wait, kept}
 }
@@ -189,14 +189,8 @@
 }
 
 // appointable reports whether an appointment helps the caller of a refused request: room is
-// short, and it will have to compete for it when it comes back.
+// short, and it will have to compete for it when it comes back. What upstreams shed though
+// they were believed to have room may well be taken at once by others.
 func appointable(e *verdict.Error) bool {
-	if e == nil || e.Verdict != verdict.NotRun {
-		return false
-	}
-	switch e.Reason {
-	case verdict.ReasonNoCapacity, verdict.ReasonShed, verdict.ReasonOverLimit:
-		return true
-	}
-	return false
+	return e != nil && e.Verdict == verdict.NotRun && (e.Reason == verdict.ReasonNoCapacity || e.Reason == verdict.ReasonOverLimit)
 }
