--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -84,11 +84,11 @@
 	// Relayed counts the requests that other VMs answered for this one, RelayRefused those that
 	// none could, and RelayedTraffic is the requests per second that others relay to this one.
 	Relayed, RelayRefused int64
+	RelayedTraffic        float64
 	// Appointments counts the refused callers that were told when to come back, and
 	// AppointmentsKept those of them for whom room was kept. Returned counts the requests that
 	// came back, to any VM, and ReturnedServed those of them that were answered.
 	Appointments, AppointmentsKept, Returned, ReturnedServed int64
-	RelayedTraffic                                           float64
 	// UpstreamsHeardMs is how long ago any upstream answered a request; -1: never.
 	UpstreamsHeardMs              int64
 	PlatformCalls, PlatformErrors int64
--- a/tools/soak/chaos.go
+++ b/tools/soak/chaos.go
@@ -236,18 +236,18 @@
 	defer c.wait.Done()
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("c%d-%d", c.number, n)
-		if wait := c.ask(id, callTime); wait > 0 && c.fleet.returns() {
+		once := c.rnd.IntN(2) == 0
+		if wait := c.ask(id, once, callTime); wait > 0 && c.fleet.returns() {
 			wait = min(wait, callTime/3)
 			<-time.After(wait)
-			c.ask(id+"-back", callTime-wait)
+			c.ask(id+"-back", once, callTime-wait)
 		}
 		<-time.After(time.Duration(c.rnd.ExpFloat64() * float64(callInterval)))
 	}
 }
 
 // ask sends one request. If it is refused, ask returns when the caller is to come back.
-func (c *caller) ask(id string, left time.Duration) (wait time.Duration) {
-	once := c.rnd.IntN(2) == 0
+func (c *caller) ask(id string, once bool, left time.Duration) (wait time.Duration) {
 	method, path, body := http.MethodGet, "/get/1", ""
 	if once {
 		method, path, body = http.MethodPost, "/post/1", strings.Repeat("x", c.rnd.IntN(30_000))
