--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -64,6 +64,7 @@
 	limits       ratelimit.Limiter
 	admission    admission.Controller
 	collector    ratelimit.Collector
+	appointments appointments
 	activeAddrs  atomic.Pointer[[]string] // See findActiveAddrs.
 	activeCache  atomic.Pointer[activeVMs]
 	activeInputs activeInputs // Used by heartbeatLoop only: the inputs of activeCache.
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -98,6 +98,10 @@
 	// those that it answered first, and SecondSendsDenied those that were not sent, as the retry
 	// budget was used or no upstream was free.
 	SecondSends, SecondSendsWon, SecondSendsDenied int64
+	// Appointments counts the refused callers that were told when to come back, and
+	// AppointmentsKept those of them for whom room was kept. Returned counts the requests that
+	// came back, to any VM, and ReturnedServed those of them that were answered.
+	Appointments, AppointmentsKept, Returned, ReturnedServed int64
 	// UpstreamsHeardMs is how long ago any upstream answered a request; -1: never.
 	UpstreamsHeardMs              int64
 	PlatformCalls, PlatformErrors int64
@@ -140,6 +144,8 @@
 	f.CutOff, f.ReachChecks = v.cutOff(), v.links.Checks()
 	f.Relayed, f.RelayRefused, f.RelayedTraffic = v.relaying.sent.Load(), v.relaying.refused.Load(), v.relaying.traffic.Average().Requests
 	f.SecondSends, f.SecondSendsWon, f.SecondSendsDenied = v.seconds.sent.Load(), v.seconds.won.Load(), v.seconds.denied.Load()
+	a := &v.appointments
+	f.Appointments, f.AppointmentsKept, f.Returned, f.ReturnedServed = a.told.Load(), a.promised.Load(), a.returned.Load(), a.served.Load()
 	conns := v.upstreams.Connections()
 	f.ConnectionsOpened, f.ConnectionsFailed, f.ConnectionsReused = conns.Opened, conns.Failed, conns.Reused
 	loads := v.balancer.LoadStats()
