Appointments for want of room only

Cause: tokens of a team's limit that were kept for callers who come back were taken from requests in time, as a limit is used up whoever is served.

--- a/core/appointment/appointment.go
+++ b/core/appointment/appointment.go
@@ -6,8 +6,8 @@
 // that have come back from new ones, without any token: they have less time left than the
 // requests of their route begin with.
 //
-// Nothing is told to other VMs. A caller may come back to any of them, and all VMs keep room
-// for those who come back, so the promises of all are kept by all. A VM that starts has empty
+// Nothing is told to other VMs. A caller may come back to any of them, and all VMs put those who
+// come back before others, so the promises of all are kept by all. A VM that starts has empty
 // books, and promises the earliest moments.
 //
 // # Usage
@@ -17,8 +17,6 @@
 //	if !ok {
 //		wait = b.Last(now, 0, time.Second) // No room is left that could be promised.
 //	}
-//	b.Due(now)   // How many promises are to be kept for callers now.
-//	b.Claim(now) // One of them has come back.
 package appointment
 
 import (
@@ -30,10 +28,6 @@
 	// Part is the part of the expected room that is promised. The rest is for new requests,
 	// which can still be served on time.
 	Part = 0.25
-	// hold is how long room is kept for a caller that is due: twice the time in which it
-	// connects and sends its request between the regions that are furthest apart, as those who
-	// come back to another VM find what is kept for that one's own.
-	hold = 500 * time.Millisecond
 	// MinWait is the shortest wait: a few times the usual response time, after which slots
 	// have been freed.
 	MinWait = 250 * time.Millisecond
@@ -55,8 +49,6 @@
 // Book holds the appointments for one kind of room. The zero value is an empty book. It is
 // not safe for concurrent use.
 type Book struct {
-	// open are the moments that are promised and not claimed, in order.
-	open []time.Time
 	// last is the last moment that was promised.
 	last time.Time
 	// phase is the position in the sequence of moments, from 0 to 1; 0: not begun.
@@ -65,7 +57,6 @@
 
 // Next promises the next free moment, if it is not later than latest from now.
 func (b *Book) Next(now time.Time, room Room, latest time.Duration) (wait time.Duration, ok bool) {
-	b.expire(now)
 	earliest := later(room.From, now.Add(MinWait))
 	slack := latest - earliest.Sub(now)
 	if room.PerSecond <= 0 || slack < 0 {
@@ -81,7 +72,6 @@
 		return 0, false
 	}
 	b.last = at
-	b.open = append(b.open, at)
 	return at.Sub(now), true
 }
 
@@ -102,36 +92,6 @@
 	return time.Duration(b.phase * float64(d))
 }
 
-// Due returns how many callers are due that have not come back yet.
-func (b *Book) Due(now time.Time) int {
-	b.expire(now)
-	n := 0
-	for n < len(b.open) && !b.open[n].After(now) {
-		n++
-	}
-	return n
-}
-
-// Claim removes an appointment for a caller that has come back, the first that is due. It may
-// be that of another caller, who has come back to another VM. Claim reports whether there
-// was one.
-func (b *Book) Claim(now time.Time) bool {
-	if b.Due(now) == 0 {
-		return false
-	}
-	b.open = b.open[1:]
-	return true
-}
-
-// expire drops the appointments of callers that have not come back in time.
-func (b *Book) expire(now time.Time) {
-	n := 0
-	for n < len(b.open) && now.Sub(b.open[n]) > hold {
-		n++
-	}
-	b.open = b.open[n:]
-}
-
 // Latest returns the longest wait after which a caller still comes back and can be served:
 // callers wait for up to a third of the time that they have left.
 func Latest(left, usual time.Duration) time.Duration {
--- a/core/appointment/recognize.go
+++ b/core/appointment/recognize.go
@@ -12,11 +12,6 @@
 	// margin is by how much less time a new request may have, as a fraction: callers of one
 	// route differ, and some time is lost on the way.
 	margin = 0.2
-	// band is the fraction of that time within which those come back whose room is kept. Those
-	// without an appointment come back later, so that they do not claim it.
-	band = 0.11
-	// Trip is how long after the end of its wait a caller is back at the latest.
-	Trip = 150 * time.Millisecond
 	// maxCredit is how many more than Part of the requests may count as returned, so that
 	// those who were refused together may come back together.
 	maxCredit = 16
@@ -44,27 +39,20 @@
 	}
 	r.longest = max(r.longest, left)
 	r.credit = min(maxCredit, r.credit+Part)
-	if r.passes(1-margin, left) >= 0 || r.credit < 1 {
+	if left >= r.returnTime() || r.credit < 1 {
 		return false
 	}
 	r.credit--
 	return true
 }
 
-// Appointed reports whether a request that has returned has as much time left as those whose
-// room is kept.
-func (r *Recognizer) Appointed(left time.Duration) bool { return r.passes(1-margin-band, left) >= 0 }
+// Earliest returns the shortest wait of a caller with the given time left after which it is
+// recognized.
+func (r *Recognizer) Earliest(left time.Duration) time.Duration { return max(0, left-r.returnTime()) }
 
-// Waits returns the shortest and the longest wait of a caller with the given time left after
-// which Appointed recognizes it, if it is on its way for at most Trip.
-func (r *Recognizer) Waits(left time.Duration) (shortest, longest time.Duration) {
-	return max(0, r.passes(1-margin, left)), max(0, r.passes(1-margin-band, left)-Trip)
-}
-
-// passes returns after which time a request with the given time left has no more than a
-// fraction of what requests begin with; negative: it has less already.
-func (r *Recognizer) passes(fraction float64, left time.Duration) time.Duration {
-	return left - time.Duration(fraction*float64(max(r.longest, r.before)))
+// returnTime returns the time that a request has left if it has come back, or less.
+func (r *Recognizer) returnTime() time.Duration {
+	return time.Duration((1 - margin) * float64(max(r.longest, r.before)))
 }
 
 // Served records the time that it took to serve a request.
--- a/core/ratelimit/count.go
+++ b/core/ratelimit/count.go
@@ -48,19 +48,6 @@
 	return w.total
 }
 
-// slicesUntil returns after how many more slices the sum is at most n, if nothing is added.
-func (w *window) slicesUntil(slice int64, n int) int {
-	left := w.sum(slice)
-	size := int64(len(w.counts))
-	for i := range size {
-		if int(left) <= n {
-			return int(i)
-		}
-		left -= w.counts[(w.last+1+i)%size]
-	}
-	return len(w.counts)
-}
-
 // advance moves the window to a newer slice and drops the slices that are no longer in it.
 func (w *window) advance(slice int64) {
 	for steps := min(slice-w.last, int64(len(w.counts))); steps > 0; steps-- {
--- a/core/ratelimit/doc.go
+++ b/core/ratelimit/doc.go
@@ -47,8 +47,6 @@
 //	l.SetBounds(ratelimit.Bounds{Window: 5 * time.Second, Excess: 0.1, Slack: 20})
 //	l.SetVMs(12)                                    // The number of VMs that callers use.
 //	if wait, ok := l.Take(now, t); !ok { ... 429, retry after wait ... }
-//	wait, ok := l.Appoint(now, t, shortest, longest) // A token is promised to the refused caller,
-//	ok := l.TakeKept(now, t, appointed)              // and kept for it.
 //	l.Return(now, t)                                // The request was not sent after all.
 //	collector.Record(now, "vm-a", l.Demand(now), true) // On the collector.
 //	collector.RefreshHot(now, teams, l.Hot)
--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"auburnlatch/core/appointment"
 	"auburnlatch/core/team"
 )
 
@@ -19,8 +18,6 @@
 	demandTimeConstant = 1500 * time.Millisecond
 	// minRetryAfter is the shortest time after which a caller is told to retry.
 	minRetryAfter = 50 * time.Millisecond
-	// keptFraction is the fraction of a bucket that is kept for callers who come back.
-	keptFraction = 0.5
 	// minDemand is the demand in requests per second below which it is not reported.
 	minDemand = 0.05
 )
@@ -57,8 +54,6 @@
 	share          share // As of the last totals that were not older than totalsTTL.
 	// retryAt is the time at which the last refused caller was told to retry.
 	retryAt time.Time
-	// book has the tokens that are promised to refused callers.
-	book appointment.Book
 }
 
 // share is a VM's share of a team's limit.
@@ -99,116 +94,31 @@
 	defer l.mu.Unlock()
 	b := l.bucket(t.Name)
 	b.demand.add(now)
-	s, rate := l.refill(now, b, t)
-	if l.take(now, b, t, s, 0) {
-		return 0, true
-	}
-	return b.retryAfter(now, rate, l.bounds.Window), false
-}
-
-// TakeKept is Take for callers who are told by Appoint when to come back: what is promised is
-// kept for those who come with an appointment.
-func (l *Limiter) TakeKept(now time.Time, t *team.Team, appointed bool) bool {
-	if !t.Limited() {
-		return true
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	b := l.bucket(t.Name)
-	b.demand.add(now)
-	s, _ := l.refill(now, b, t)
-	if appointed && b.book.Claim(now) {
-		return l.take(now, b, t, s, 0)
-	}
-	_, depth := l.bounds.bucketTotals(t)
-	return l.take(now, b, t, s, min(b.book.Due(now), int(keptFraction*depth*s.part)))
-}
-
-// Appoint promises a token to a caller that was refused, and returns when it should come back,
-// from earliest to latest. If no token is free until then, ok is false.
-func (l *Limiter) Appoint(now time.Time, t *team.Team, earliest, latest time.Duration) (wait time.Duration, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	b := l.bucket(t.Name)
-	s, rate := l.refill(now, b, t)
-	from := max(earliest, l.untilToken(now, b, t, s, rate))
-	return b.book.Next(now, appointment.Room{From: now.Add(from), PerSecond: rate}, latest)
-}
-
-// NextToken returns when a caller that was refused should come back for a token that nobody was
-// told of before, though it is not kept. If there is none until latest, ok is false.
-func (l *Limiter) NextToken(now time.Time, t *team.Team, latest time.Duration) (wait time.Duration, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	b := l.bucket(t.Name)
-	s, rate := l.refill(now, b, t)
-	if rate <= 0 {
-		return 0, false
-	}
-	at := later(now.Add(l.untilToken(now, b, t, s, rate)), b.retryAt.Add(seconds(1/rate)))
-	if at.Sub(now) > latest {
-		return 0, false
-	}
-	b.retryAt = at
-	return max(minRetryAfter, at.Sub(now)), true
-}
-
-// untilToken returns the time until the bucket has a token and the window has room for it.
-func (l *Limiter) untilToken(now time.Time, b *bucket, t *team.Team, s share, rate float64) time.Duration {
-	wait := l.untilWindow(now, b, t, s)
-	if rate > 0 {
-		wait = max(wait, seconds((1-b.tokens)/rate))
-	}
-	return wait
-}
-
-// refill returns the VM's share of a team's limit and the rate of its bucket, after adding
-// the tokens that have accrued.
-func (l *Limiter) refill(now time.Time, b *bucket, t *team.Team) (s share, rate float64) {
-	s = l.share(now, b, t)
+	s := l.share(now, b, t)
 	rate, depth := l.bounds.bucketTotals(t)
 	rate, depth = rate*s.part, depth*s.part
 	b.refill(now, rate, depth)
-	return s, rate
-}
-
-// take takes a token if that leaves as many as are kept.
-func (l *Limiter) take(now time.Time, b *bucket, t *team.Team, s share, kept int) bool {
-	if !s.lowLoad && b.tokens < float64(1+kept) || !l.withinWindow(now, b, t, s, kept) {
-		return false
+	if (s.lowLoad || b.tokens >= 1) && l.withinWindow(now, b, t, s) {
+		b.tokens = max(0, b.tokens-1)
+		b.window.add(l.slice(now), 1)
+		return 0, true
 	}
-	b.tokens = max(0, b.tokens-1)
-	b.window.add(l.slice(now), 1)
-	return true
-}
-
-// withinWindow reports whether one more request, and those that are kept for, stay within the
-// window allowance of this VM and, as far as is known, within that of all VMs.
-func (l *Limiter) withinWindow(now time.Time, b *bucket, t *team.Team, s share, kept int) bool {
-	n := int(b.window.sum(l.slice(now))) + 1 + kept
-	allowance, ofAll, others := l.windowBounds(now, b, t, s)
-	return float64(n) <= allowance && float64(n+others) <= ofAll
+	return b.retryAfter(now, rate, l.bounds.Window), false
 }
 
-// windowBounds returns the number of requests that this VM may admit in a window, that of all
-// VMs, and how many the others have admitted as far as is known.
-func (l *Limiter) windowBounds(now time.Time, b *bucket, t *team.Team, s share) (allowance, ofAll float64, others int) {
+// withinWindow reports whether one more request stays within the window allowance of this
+// VM and, as far as is known, within that of all VMs.
+func (l *Limiter) withinWindow(now time.Time, b *bucket, t *team.Team, s share) bool {
 	windowLimit := l.bounds.windowLimit(t)
-	allowance = l.windowAllowance(now, s, windowLimit)
+	own := int(b.window.sum(l.slice(now)))
+	if float64(own+1) > l.windowAllowance(now, s, windowLimit) {
+		return false
+	}
 	if now.Sub(b.totalsAt) > totalsTTL {
-		return allowance, math.Inf(1), 0
+		return true
 	}
-	return allowance, max(1, globalFraction*(1-l.reserved)*windowLimit), max(0, b.total.Sent-b.counted.Sent)
-}
-
-// untilWindow returns the time until the window has room for one more request. The requests
-// that other VMs sent are assumed to leave it as those of this VM do.
-func (l *Limiter) untilWindow(now time.Time, b *bucket, t *team.Team, s share) time.Duration {
-	slice := l.slice(now)
-	allowance, ofAll, others := l.windowBounds(now, b, t, s)
-	own := max(1, float64(b.window.sum(slice)))
-	room := min(allowance, ofAll*own/(own+float64(others)))
-	return time.Duration(b.window.slicesUntil(slice, int(room)-1)) * (l.bounds.Window / windowSlices)
+	others := max(0, b.total.Sent-b.counted.Sent)
+	return float64(own+others+1) <= max(1, globalFraction*(1-l.reserved)*windowLimit)
 }
 
 // windowAllowance returns the number of requests that this VM may admit in a window, out of
@@ -340,7 +250,7 @@
 		return longest
 	}
 	first := now.Add(seconds((1 - b.tokens) / rate))
-	b.retryAt = later(first, b.retryAt.Add(min(longest, seconds(1/rate))))
+	b.retryAt = latest(first, b.retryAt.Add(min(longest, seconds(1/rate))))
 	if b.retryAt.Sub(now) > longest {
 		b.retryAt = now.Add(longest)
 	}
@@ -351,7 +261,7 @@
 	return time.Duration(min(s, math.MaxInt32) * float64(time.Second))
 }
 
-func later(a, b time.Time) time.Time {
+func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
 	}
--- a/io/entry/appointments.go
+++ b/io/entry/appointments.go
@@ -40,28 +40,18 @@
 	kept bool
 }
 
-// topRank reports whether a request's route has the highest of all priorities. That of its team
-// does not matter: requests compete for a limit with others of their team only.
-func (v *VM) topRank(req *request) bool {
-	ranks := v.table.Load().Ranks()
-	return len(ranks) > 0 && req.route.Priority <= ranks[0]
-}
-
-// recognize reports whether a request has come back, and whether with an appointment, by the
-// time that its caller has left.
-func (a *appointments) recognize(req *request) (returned, appointed bool) {
+// recognize reports whether a request has come back, by the time that its caller has left.
+func (a *appointments) recognize(req *request) bool {
 	if req.callerDeadline.IsZero() {
-		return false, false
+		return false
 	}
 	a.mu.Lock()
-	r, left := a.recognizer(req), req.callerDeadline.Sub(req.started)
-	returned = r.Returned(req.started, left)
-	appointed = returned && r.Appointed(left)
-	a.mu.Unlock()
-	if returned {
-		a.returned.Add(1)
+	defer a.mu.Unlock()
+	if !a.recognizer(req).Returned(req.started, req.callerDeadline.Sub(req.started)) {
+		return false
 	}
-	return returned, appointed
+	a.returned.Add(1)
+	return true
 }
 
 // answered records that a request was served.
@@ -93,23 +83,12 @@
 		deadline = req.deadline
 	}
 	a := &v.appointments
-	w := a.waits(req, deadline.Sub(now))
-	switch {
-	case w.latest < appointment.MinWait:
+	earliest, latest := a.bounds(req, deadline.Sub(now))
+	if latest < appointment.MinWait {
 		e.RetryAfter = 0 // A return could not be served in time.
 		return
-	case e.Reason == verdict.ReasonOverLimit:
-		// The limit is used up either way. A token that is kept for a late request is taken from
-		// one that would be in time, so it has to be for one that matters more.
-		if v.topRank(req) {
-			req.told.wait, req.told.kept = v.limits.Appoint(now, req.team, w.shortest, min(w.longest, w.latest))
-		}
-		if !req.told.kept {
-			req.told.wait = v.waitForToken(now, req, w)
-		}
-	default:
-		req.told = a.appointRoom(now, req, max(w.shortest, e.RetryAfter), w.latest)
 	}
+	req.told = a.appointRoom(now, req, max(earliest, e.RetryAfter), latest)
 	e.RetryAfter = req.told.wait
 	a.told.Add(1)
 	if req.told.kept {
@@ -117,17 +96,13 @@
 	}
 }
 
-// waits are what a caller may be told: from shortest to longest it is recognized as one with
-// an appointment, and until latest it may be served.
-type waits struct{ shortest, longest, latest time.Duration }
-
-func (a *appointments) waits(req *request, left time.Duration) waits {
+// bounds returns the shortest wait after which a caller is recognized, and the longest after
+// which it can still be served.
+func (a *appointments) bounds(req *request, left time.Duration) (earliest, latest time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := a.recognizer(req)
-	w := waits{latest: appointment.Latest(left, r.Usual())}
-	w.shortest, w.longest = r.Waits(left)
-	return w
+	return r.Earliest(left), appointment.Latest(left, r.Usual())
 }
 
 // appointRoom returns when a caller for which upstreams have no room should come back.
@@ -142,18 +117,6 @@
 	return told{wait, kept}
 }
 
-// waitForToken returns when a caller without an appointment should come back: for a token that
-// is not kept, or late, after those with appointments.
-func (v *VM) waitForToken(now time.Time, req *request, w waits) time.Duration {
-	if wait, ok := v.limits.NextToken(now, req.team, w.latest); ok {
-		return wait
-	}
-	a := &v.appointments
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.room(req).book.Last(now, w.longest+appointment.Trip, w.latest)
-}
-
 func (a *appointments) recognizer(req *request) *appointment.Recognizer {
 	r := a.routes[req.route.Name]
 	if r == nil {
@@ -181,7 +144,8 @@
 
 // appointable reports whether an appointment helps the caller of a refused request: room is
 // short, and it will have to compete for it when it comes back. What upstreams shed though
-// they were believed to have room may well be taken at once by others.
+// they were believed to have room may well be taken at once by others. A team's limit is used up
+// whoever is served, and room that is kept for a late request would be taken from one in time.
 func appointable(e *verdict.Error) bool {
-	return e != nil && e.Verdict == verdict.NotRun && (e.Reason == verdict.ReasonNoCapacity || e.Reason == verdict.ReasonOverLimit)
+	return e != nil && e.Verdict == verdict.NotRun && e.Reason == verdict.ReasonNoCapacity
 }
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -55,8 +55,6 @@
 	returned bool
 	// decision is how it is admitted to the upstream that is chosen next.
 	decision admission.Decision
-	// appointed says that it comes as those do for whom room is kept.
-	appointed bool
 	// appointing says that refused callers are told when there will be room, and told what
 	// this one was told.
 	appointing bool
@@ -189,8 +187,7 @@
 	req.deadline = v.deadline(req)
 	req.appointing = req.relayed == "" && v.admitsByRank(table)
 	if req.appointing {
-		req.returned, req.appointed = v.appointments.recognize(req)
-		req.appointed = req.appointed && v.topRank(req)
+		req.returned = v.appointments.recognize(req)
 	}
 	if err := req.read(limits.MaxBodyBytes); err != nil {
 		return req, verdict.Wrap(err, verdict.NotRun, verdict.ReasonCanceled, 0)
--- a/io/entry/teams.go
+++ b/io/entry/teams.go
@@ -115,14 +115,7 @@
 
 // limit charges a request to its team's limit.
 func (v *VM) limit(req *request) *verdict.Error {
-	var wait time.Duration
-	var ok bool
-	if req.appointing {
-		ok = v.limits.TakeKept(time.Now(), req.team, req.appointed)
-	} else {
-		wait, ok = v.limits.Take(time.Now(), req.team)
-	}
-	if !ok {
+	if wait, ok := v.limits.Take(time.Now(), req.team); !ok {
 		return verdict.New(verdict.NotRun, verdict.ReasonOverLimit, wait)
 	}
 	req.charged = true
