--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -55,10 +55,14 @@
 	returned bool
 	// decision is how it is admitted to the upstream that is chosen next.
 	decision admission.Decision
-	http     *http.Request
-	body     []byte
-	rest     io.Reader // What exceeds the buffer.
-	length   int64
+	// appointing says that refused callers are told when there will be room, and told what
+	// this one was told.
+	appointing bool
+	told       told
+	http       *http.Request
+	body       []byte
+	rest       io.Reader // What exceeds the buffer.
+	length     int64
 	// identity is how the request is recognized when it is retried.
 	identity *poison.Request
 	// team is the team of the request's key, or nil if it needs none.
@@ -144,6 +148,9 @@
 		}
 	}
 	res.readyAt = time.Now()
+	if req.appointing {
+		v.appointed(res)
+	}
 	if e == nil && res.err != nil && res.err.Verdict == verdict.NotRun {
 		v.returnLimit(res.readyAt, req)
 	}
@@ -178,6 +185,10 @@
 	}
 	req.key = v.protocol.Key(r)
 	req.deadline = v.deadline(req)
+	req.appointing = req.relayed == "" && v.admitsByRank(table)
+	if req.appointing {
+		req.returned = v.appointments.recognize(req)
+	}
 	if err := req.read(limits.MaxBodyBytes); err != nil {
 		return req, verdict.Wrap(err, verdict.NotRun, verdict.ReasonCanceled, 0)
 	}
