--- a/core/balance/outcomes.go
+++ b/core/balance/outcomes.go
@@ -80,11 +80,11 @@
 // shares reports whether the service's outcomes are shared with other VMs.
 func (b *Balancer) shares(p *pool) bool { return p != nil && b.sharing != nil && b.sharing(p.paced) }
 
-// expired reports whether a request had no answer when its time was over, and had more time than
-// answers usually take.
+// expired reports whether a request had no answer when its time was over, though it had more time
+// than answers usually take and need not wait for a slot.
 func (b *Balancer) expired(now time.Time, l Lease, o Outcome) bool {
 	p := b.services[l.state.Service]
-	return o.Expired && b.shares(p) && now.Sub(l.sentAt) > max(minSilence, expiryFactor*p.medianLatency)
+	return o.Expired && b.shares(p) && l.Ahead < float64(l.state.Slots) && now.Sub(l.sentAt) > max(minSilence, expiryFactor*p.medianLatency)
 }
 
 // recordAttempt records the outcome of an own request.
--- a/io/entry/outcomes.go
+++ b/io/entry/outcomes.go
@@ -51,16 +51,18 @@
 	p.vm.counts.evidenceTold.Add(int64(len(list)))
 }
 
-// evidenceReaders returns the addresses of other VMs that have callers, of some of them if there
-// are many.
+// evidenceReaders returns the addresses of other VMs that have callers or, where there are few,
+// of all; of some of them if there are many.
 func (v *VM) evidenceReaders(now time.Time) []string {
 	active := make(map[string]bool)
 	for _, vm := range v.active(now).vms {
 		active[vm.Name] = true
 	}
+	peers := v.members.Peers(now)
+	all := len(peers) < broadcastBelow
 	var addrs []string
-	for _, m := range v.members.Peers(now) {
-		if m.State == member.Live && active[m.VM.Name] {
+	for _, m := range peers {
+		if m.State == member.Live && (all || active[m.VM.Name]) {
 			addrs = append(addrs, m.VM.Address.Peer)
 		}
 	}
