--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -96,8 +96,9 @@
 	states   []*state
 	disabled *[numMechanisms]bool
 	regions  []regionCount // Sorted by region.
-	reindex  bool          // The states' region indexes are outdated.
-	paced    bool          // The targets report their pace.
+	// reportsPace means that a target of the service has reported its pace.
+	reportsPace bool
+	reindex     bool // The states' region indexes are outdated.
 	// factors caches the regions' factors by exponent, see Balancer.factors.
 	factors map[float64][]float64
 	// The fields below are recomputed every refreshInterval.
@@ -328,7 +329,7 @@
 		s.reported, s.reportedAt = *o.Load, now
 		s.regionLoad.observe(now, *o.Load)
 		if p := b.services[s.Service]; p != nil && o.Load.Pace > 0 {
-			p.paced = true
+			p.reportsPace = true
 		}
 	}
 	if o.Unanswered && now.Sub(l.sentAt) > s.silenceTimeout() {
--- a/core/balance/outcomes.go
+++ b/core/balance/outcomes.go
@@ -78,7 +78,9 @@
 }
 
 // shares reports whether the service's outcomes are shared with other VMs.
-func (b *Balancer) shares(p *pool) bool { return p != nil && b.sharing != nil && b.sharing(p.paced) }
+func (b *Balancer) shares(p *pool) bool {
+	return p != nil && b.sharing != nil && b.sharing(p.reportsPace)
+}
 
 // expired reports whether a request had no answer when its time was over, though it had more time
 // than answers usually take and need not wait for a slot.
