--- a/core/balance/outcomes.go
+++ b/core/balance/outcomes.go
@@ -89,19 +89,21 @@
 	return o.Expired && b.shares(p) && l.Ahead < float64(l.state.Slots) && now.Sub(l.sentAt) > max(minSilence, expiryFactor*p.medianLatency)
 }
 
-// recordAttempt records the outcome of an own request.
+// recordAttempt records the outcome of an own request. A failure counts only if no request that
+// was sent later has been answered: the work of a few requests takes long at any upstream.
 func (b *Balancer) recordAttempt(now time.Time, l Lease, o Outcome) {
 	s := l.state
 	if s.gone || !b.shares(b.services[s.Service]) {
 		return
 	}
 	switch {
+	case l.sentAt.Before(s.answered.sentAt):
 	case o.Failed:
 		s.failed = attempt{l.sentAt, now}
 		if !b.ejectCorroborated(now, s) && now.Before(s.ejectedUntil) {
 			s.unprovenUntil = s.ejectedUntil.Add(probation)
 		}
-	case o.Answered && l.sentAt.After(s.answered.sentAt):
+	case o.Answered:
 		s.answered = attempt{l.sentAt, now}
 		if s.recovered.sentAt.Before(s.failed.sentAt) && l.sentAt.After(s.failed.sentAt) {
 			s.recovered = s.answered
--- a/core/balance/outcomes_test.go
+++ b/core/balance/outcomes_test.go
@@ -146,6 +146,23 @@
 	}
 }
 
+// The work of a few requests takes longer than their time at any upstream. One that has answered a
+// request sent later must not be told of as failing.
+func TestLongWorkIsNoEvidence(t *testing.T) {
+	b := newSharingVM("vm", 6)
+	long := choose(t, b, start, balance.Request{Key: "k"})
+	later := choose(t, b, start.Add(time.Second), balance.Request{Key: "k"})
+	if long.Target != later.Target {
+		t.Fatal("not at one upstream")
+	}
+	answered(b, start.Add(1300*time.Millisecond), later)
+	now := start.Add(2 * time.Second)
+	b.Done(now, long, balance.Outcome{Unanswered: true, Expired: true})
+	if got := b.Evidence(now, time.Second); len(got) > 0 {
+		t.Errorf("told: %+v", got)
+	}
+}
+
 // Evidence is late, comes in the wrong order, or is of another incarnation.
 func TestOutdatedEvidenceIsIgnored(t *testing.T) {
 	for _, c := range []struct {
