--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -44,8 +44,6 @@
 	Unanswered bool
 	// Unreachable means that no connection could be opened.
 	Unreachable bool
-	// Expired means that there was no response when the request's own time was over.
-	Expired bool
 	// NotSent means that nothing was sent to the target.
 	NotSent bool
 	// Load is the load that the target reported; nil: none.
@@ -81,8 +79,6 @@
 	// retained has the signals of incarnations that are no longer registered, by incarnation.
 	retained map[string]retainedSignals
 	disabled [numMechanisms]bool
-	// sharing reports for which services outcomes are shared; nil: for none.
-	sharing func(paced bool) bool
 }
 
 // Option configures a Balancer.
@@ -96,9 +92,7 @@
 	states   []*state
 	disabled *[numMechanisms]bool
 	regions  []regionCount // Sorted by region.
-	// reportsPace means that a target of the service has reported its pace.
-	reportsPace bool
-	reindex     bool // The states' region indexes are outdated.
+	reindex  bool          // The states' region indexes are outdated.
 	// factors caches the regions' factors by exponent, see Balancer.factors.
 	factors map[float64][]float64
 	// The fields below are recomputed every refreshInterval.
@@ -328,9 +322,6 @@
 	if o.Load != nil {
 		s.reported, s.reportedAt = *o.Load, now
 		s.regionLoad.observe(now, *o.Load)
-		if p := b.services[s.Service]; p != nil && o.Load.Pace > 0 {
-			p.reportsPace = true
-		}
 	}
 	if o.Unanswered && now.Sub(l.sentAt) > s.silenceTimeout() {
 		// Counts twice: it took all of its caller's time, whereas a failure that is reported at
@@ -338,7 +329,6 @@
 		o.Failed = true
 		s.recordResult(now, 1, false)
 	}
-	o.Failed = o.Failed || b.expired(now, l, o)
 	switch {
 	case o.Failed && !b.disabled[FailureEjection]:
 		s.recordResult(now, 1, o.Unreachable)
@@ -347,7 +337,6 @@
 	case o.Answered:
 		s.recordResult(now, 0, false)
 	}
-	b.recordAttempt(now, l, o)
 }
 
 // ForgetFailures forgets what failed requests have shown of the targets. It is called when the
@@ -356,7 +345,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, s := range b.states {
-		s.forgetAttempts()
 		if s.history != &emptyHistory {
 			s.failureRate, s.ejections, s.ejectedUntil, s.silentSince = 0, 0, time.Time{}, now
 		}
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -192,8 +192,5 @@
 
 // trialDue reports whether a suspect target may be sent this request as a trial.
 func (s *state) trialDue(now time.Time, req Request) bool {
-	if now.Before(s.unprovenUntil) && now.Sub(s.triedElsewhere) < othersTrial {
-		return false
-	}
 	return req.Idempotent && s.inFlight == 0 && !now.Before(s.ejectedUntil) && now.Sub(s.lastTrial) >= trialInterval
 }
--- a/core/balance/dump.go
+++ b/core/balance/dump.go
@@ -24,8 +24,6 @@
 	Leaving bool
 	// PausedMillis is the remaining time for which the target takes no requests of this VM.
 	PausedMillis int64
-	// Blaming is the number of VMs, this one included, whose newest requests the target failed.
-	Blaming int
 }
 
 // Dump returns the state of all targets, sorted by service and ID.
@@ -40,7 +38,6 @@
 				Suspect: s.suspect(now, p.medianLatency), InFlight: s.inFlight, Busy: s.outstanding(now), Failing: s.failureRate, Latency: s.latency,
 				Leaving: s.signals.leaving, PausedMillis: max(0, s.signals.pausedUntil.Sub(now)).Milliseconds(),
 			}
-			t.Blaming, _ = s.blaming(now)
 			if perSecond, ok := s.signals.limit.PerSecond(); ok {
 				t.Limit = &perSecond
 			}
--- a/core/balance/state.go
+++ b/core/balance/state.go
@@ -38,10 +38,6 @@
 	// senderRank is this VM's rank among those that may send to the target while it names a
 	// rate limit.
 	senderRank throttle.Place
-	// words are the newest evidence of other VMs, one each.
-	words []word
-	// triedElsewhere is the time of another VM's trial request.
-	triedElsewhere time.Time
 
 	*history
 }
@@ -66,12 +62,6 @@
 	ejections    int
 	lastTrial    time.Time
 	lastCold     time.Time
-	// failed and answered are the newest requests that failed and that were answered, and
-	// recovered is the first that was answered after a failed one. They are recorded if outcomes
-	// are shared with other VMs.
-	failed, answered, recovered attempt
-	// unprovenUntil is the end of the probation after an ejection.
-	unprovenUntil time.Time
 }
 
 // emptyHistory is shared by the targets to which nothing was sent, which are most where there
@@ -192,7 +182,7 @@
 // suspect reports whether the target should be avoided: it is ejected, silent or much slower
 // than median, the service's median latency.
 func (s *state) suspect(now time.Time, median time.Duration) bool {
-	if now.Before(s.ejectedUntil) || now.Before(s.unprovenUntil) || s.silent(now) {
+	if now.Before(s.ejectedUntil) || s.silent(now) {
 		return true
 	}
 	return !s.disabled[SlowSuspects] && s.answers >= minAnswers && median > 0 && s.latency > max(minSlowLatency, slowFactor*median)
@@ -223,11 +213,6 @@
 	if !unreachable && s.failureRate < failureThreshold || now.Before(s.ejectedUntil) {
 		return
 	}
-	s.eject(now)
-}
-
-// eject keeps requests from the target for a time.
-func (s *state) eject(now time.Time) {
 	s.ejectedUntil = now.Add(min(maxEjection, firstEjection<<s.ejections))
 	s.ejections = min(s.ejections+1, 4)
 	s.failureRate = failureThreshold / 2
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -143,7 +143,6 @@
 	v.cfg.Store(cfg)
 	v.retries.SetBounds(cfg.RetryRatio, cfg.RetryWindow, cfg.RetryExtra)
 	v.limits.SetBounds(cfg.Limits)
-	v.balancer.SetSharing(cfg.Load.SharedOutcomes.Enabled)
 }
 
 // Run serves until ctx ends, then shuts down gracefully. further has the handlers for
@@ -208,7 +207,7 @@
 func (v *VM) startLoops(ctx context.Context, datagrams *peer.Datagrams) {
 	for _, loop := range []func(context.Context){
 		v.rttLoop, v.heartbeatLoop, v.links.Loop, v.rulesLoop, v.targetsLoop, v.applyLoop, v.addressLoop, v.requests.loop, v.sentLoop,
-		(&pusher{vm: v}).loop, (&placementPublisher{vm: v, peer: datagrams}).loop, (&demandPublisher{vm: v, peer: datagrams}).loop, (&noticePublisher{vm: v, peer: datagrams}).loop, (&outcomePublisher{vm: v, peer: datagrams}).loop, datagrams.Run,
+		(&pusher{vm: v}).loop, (&placementPublisher{vm: v, peer: datagrams}).loop, (&demandPublisher{vm: v, peer: datagrams}).loop, (&noticePublisher{vm: v, peer: datagrams}).loop, datagrams.Run,
 	} {
 		v.background.Start(ctx, loop)
 	}
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -29,8 +29,6 @@
 	platformErrors atomic.Int64
 	discarded      atomic.Int64
 
-	evidenceTold, evidenceHeard, ejectedByEvidence atomic.Int64
-
 	mu      sync.Mutex
 	reasons map[verdict.Reason]int64
 	latency *hdrhistogram.Histogram
@@ -104,9 +102,6 @@
 	LiveVMs       int
 	Placements    int // Objects with a known placement.
 	Poison        poison.Counts
-	// EvidenceTold and EvidenceHeard count failed requests, and upstreams that answer again, of
-	// which this VM told others and was told. EjectedByEvidence counts ejections that followed.
-	EvidenceTold, EvidenceHeard, EjectedByEvidence int64
 	// ControlSent is the bytes sent to other VMs, by subject.
 	ControlSent     peer.Sent
 	ControlBytesIn  int64
@@ -133,7 +128,6 @@
 	f.UpstreamsHeardMs = heardMillis(now, conns.Answered)
 	f.RulesSureMs = v.rulesAge(clock.SinceBoot()).Milliseconds()
 	f.LimitsHeardMs = min(v.limits.Age(now), lease.Never).Milliseconds()
-	f.EvidenceTold, f.EvidenceHeard, f.EjectedByEvidence = c.evidenceTold.Load(), c.evidenceHeard.Load(), c.ejectedByEvidence.Load()
 	f.ControlSent = v.sent.Sent()
 	f.ControlBytesIn, f.ControlBytesOut = v.peerClient.Traffic()
 	if t := v.table.Load(); t != nil {
@@ -168,7 +162,7 @@
 	for lifecycle.Sleep(ctx, sentInterval) {
 		s := v.sent.Sent()
 		v.log.WithFields(logrus.Fields{
-			"Members": s.Members, "Tables": s.Tables, "Placements": s.Placements, "Poison": s.Poison, "Demand": s.Demand, "Upstreams": s.Upstreams, "Evidence": s.Evidence,
+			"Members": s.Members, "Tables": s.Tables, "Placements": s.Placements, "Poison": s.Poison, "Demand": s.Demand, "Upstreams": s.Upstreams,
 		}).Info("ControlSent")
 	}
 }
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -210,7 +210,6 @@
 		outcome := balance.Outcome{
 			Failed: e.Reason == verdict.ReasonUnreachable || e.Reason == verdict.ReasonBroken, Unreachable: e.Reason == verdict.ReasonUnreachable,
 			Unanswered: e.Verdict == verdict.MaybeRan, NotSent: e.Reason == verdict.ReasonWithheld,
-			Expired: e.Reason == verdict.ReasonDeadline,
 		}
 		if v.links.Disturbed(began) {
 			outcome = balance.Outcome{NotSent: e.Verdict == verdict.NotRun}
--- a/io/peer/datagram.go
+++ b/io/peer/datagram.go
@@ -75,12 +75,10 @@
 	IsPeer(now time.Time, addr string) bool
 	// MergeReports merges the reports of another VM.
 	MergeReports(now time.Time, list []balance.Report)
-	// MergeEvidence merges the evidence of the VM at an address, IP:port.
-	MergeEvidence(now time.Time, addr string, list []balance.Evidence)
 }
 
 // Datagrams sends updates to other VMs without delay: placements, requests that crash
-// upstreams, teams' demands, notices of upstreams, and failed requests. Delivery is not acknowledged. A lost
+// upstreams, teams' demands, and notices of upstreams. Delivery is not acknowledged. A lost
 // placement costs one more cold start of an object, and a lost ban is sent again to VMs whose
 // digest differs.
 type Datagrams struct {
@@ -147,9 +145,6 @@
 		if now := time.Now(); d.upstreams != nil && len(m.GetUpstreams()) > 0 && d.upstreams.IsPeer(now, from.String()) {
 			d.upstreams.MergeReports(now, wire.Reports(m.GetUpstreams()))
 		}
-		if now := time.Now(); d.upstreams != nil && len(m.GetEvidence()) > 0 && d.upstreams.IsPeer(now, from.String()) {
-			d.upstreams.MergeEvidence(now, from.String(), wire.Evidence(m.GetEvidence()))
-		}
 	}
 }
 
@@ -247,17 +242,6 @@
 	})
 }
 
-// SendEvidence sends the outcomes of requests to VMs.
-func (d *Datagrams) SendEvidence(addrs []string, list []balance.Evidence) {
-	d.forEachAddr(addrs, func(to netip.AddrPort) {
-		for rest := list; len(rest) > 0; {
-			n := min(itemsPerDatagram, len(rest))
-			d.send(to, &schema.Datagram{Evidence: wire.FromEvidence(rest[:n])})
-			rest = rest[n:]
-		}
-	})
-}
-
 // forEachAddr calls f with each valid address.
 func (d *Datagrams) forEachAddr(addrs []string, f func(netip.AddrPort)) {
 	for _, addr := range addrs {
@@ -292,8 +276,6 @@
 		n = &d.sent.Demand
 	case len(m.GetUpstreams()) > 0:
 		n = &d.sent.Upstreams
-	case len(m.GetEvidence()) > 0:
-		n = &d.sent.Evidence
 	}
 	n.Add(int64(bytes))
 }
--- a/io/peer/sent.go
+++ b/io/peer/sent.go
@@ -13,16 +13,16 @@
 type SentCounter struct {
 	// Members counts digests and entries of members, Tables heads and rows of replicas.
 	Members, Tables atomic.Int64
-	// Placements, Poison, Demand, Upstreams and Evidence count datagrams.
-	Placements, Poison, Demand, Upstreams, Evidence atomic.Int64
+	// Placements, Poison, Demand and Upstreams count datagrams.
+	Placements, Poison, Demand, Upstreams atomic.Int64
 }
 
 // Sent is a snapshot of a SentCounter, in bytes.
-type Sent struct{ Members, Tables, Placements, Poison, Demand, Upstreams, Evidence int64 }
+type Sent struct{ Members, Tables, Placements, Poison, Demand, Upstreams int64 }
 
 // Sent returns the numbers of bytes sent so far.
 func (s *SentCounter) Sent() Sent {
-	return Sent{s.Members.Load(), s.Tables.Load(), s.Placements.Load(), s.Poison.Load(), s.Demand.Load(), s.Upstreams.Load(), s.Evidence.Load()}
+	return Sent{s.Members.Load(), s.Tables.Load(), s.Placements.Load(), s.Poison.Load(), s.Demand.Load(), s.Upstreams.Load()}
 }
 
 // count adds the size of a reply or pushed message.
--- a/io/settings/entry.go
+++ b/io/settings/entry.go
@@ -66,9 +66,6 @@
 	SecondSends Switch
 	// Pace is the use of the pace that upstreams report. Auto: on if they report it.
 	Pace Switch
-	// SharedOutcomes tells other VMs which upstreams fail requests. Auto: on for services whose
-	// upstreams report their pace.
-	SharedOutcomes Switch
 }
 
 // Defaults and limits of an entry VM's settings.
@@ -126,7 +123,6 @@
 	}
 	s.Load = LoadSwitches{
 		Admission: c.toggle("Load/Admission", m.GetLoad().GetAdmission()), SecondSends: c.toggle("Load/SecondSends", m.GetLoad().GetSecondSends()), Pace: c.toggle("Load/Pace", m.GetLoad().GetPace()),
-		SharedOutcomes: c.toggle("Load/SharedOutcomes", m.GetLoad().GetSharedOutcomes()),
 	}
 	c.require(s.Name != "", "Name", "is missing; use a name that no other VM has")
 	c.require(s.Regions[s.Zone] != "", "Zone", fmt.Sprintf("%q is not in Regions; use an availability zone listed there", s.Zone))
--- a/io/settings/entry_test.go
+++ b/io/settings/entry_test.go
@@ -81,12 +81,12 @@
 }
 
 func TestParseEntryLoad(t *testing.T) {
-	text := strings.Replace(validEntry, `"Bounds"`, `"Load": {"Admission": "On", "SecondSends": "Off", "Pace": "Auto", "SharedOutcomes": "Off"}, "Bounds"`, 1)
+	text := strings.Replace(validEntry, `"Bounds"`, `"Load": {"Admission": "On", "SecondSends": "Off", "Pace": "Auto"}, "Bounds"`, 1)
 	cfg, err := settings.ParseEntry("f", []byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if want := (settings.LoadSwitches{Admission: settings.On, SecondSends: settings.Off, SharedOutcomes: settings.Off}); cfg.Load != want {
+	if want := (settings.LoadSwitches{Admission: settings.On, SecondSends: settings.Off}); cfg.Load != want {
 		t.Errorf("got %+v, want %+v", cfg.Load, want)
 	}
 	for _, tc := range []struct {
