--- a/core/admission/controller_test.go
+++ b/core/admission/controller_test.go
@@ -15,7 +15,7 @@
 
 var start = time.Unix(1000, 0)
 
-const service = "roastery"
+const service = "s"
 
 // request returns a request of a rank whose objective is untouched.
 func request(priority int, objective time.Duration) admission.Request {
