--- a/core/admission/example_test.go
+++ b/core/admission/example_test.go
@@ -12,8 +12,8 @@
 func Example() {
 	var c admission.Controller
 	now := time.Unix(0, 0)
-	change := admission.Request{Service: "roastery", Objective: 400 * time.Millisecond, Within: 400 * time.Millisecond}
-	upload := admission.Request{Service: "roastery", Rank: admission.Rank{Priority: 2}, Objective: 1200 * time.Millisecond, Within: 1200 * time.Millisecond}
+	change := admission.Request{Service: "tickets", Objective: 400 * time.Millisecond, Within: 400 * time.Millisecond}
+	upload := admission.Request{Service: "tickets", Rank: admission.Rank{Priority: 2}, Objective: 1200 * time.Millisecond, Within: 1200 * time.Millisecond}
 	for range 10 {
 		for _, req := range []admission.Request{change, upload} {
 			c.Record(now, req, admission.Decision{}, true)
