--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -371,6 +371,29 @@
 	return n
 }
 
+// Guards against second sends of overdue requests that leave no budget to requests that failed.
+func TestSpareLeavesRetries(t *testing.T) {
+	var b balance.RetryBudget
+	b.SetBounds(0.2, 10*time.Second, 0)
+	now := start
+	for range 1000 {
+		b.Request(now, "s")
+	}
+	spare, retries := 0, 0
+	for b.Spare(now, "s") {
+		spare++
+	}
+	for b.Retry(now, "s") {
+		retries++
+	}
+	if spare == 0 || retries < spare || spare+retries > 200 {
+		t.Errorf("%d second sends and %d retries of 1,000 requests, want at most 200 and half of them retries", spare, retries)
+	}
+	if b.Spare(now, "s") {
+		t.Error("a second send beyond the budget")
+	}
+}
+
 func TestRetryBudgetExtraNeedsKnownVMs(t *testing.T) {
 	b := &balance.RetryBudget{}
 	b.SetBounds(0.2, 10*time.Second, 60)
@@ -417,6 +440,24 @@
 	}
 }
 
+func TestUtilizationFollowsReports(t *testing.T) {
+	now := time.Now()
+	b := newVM("n", newTargets(4, map[string]int{"n": 1}))
+	if got := b.Utilization(now, "s"); got != 0 {
+		t.Errorf("without reports: %v, want 0", got)
+	}
+	for range 200 {
+		l := choose(t, b, now, balance.Request{Service: "s", Key: "k"})
+		b.Done(now, l, balance.Outcome{Answered: true, Load: &balance.Load{Running: 4, Waiting: 2, Slots: 4}})
+	}
+	if got := b.Utilization(now, "s"); got < 1.4 || got > 1.5 {
+		t.Errorf("got %v, want 1.5", got)
+	}
+	if got := b.Utilization(now.Add(time.Minute), "s"); got != 0 {
+		t.Errorf("a minute later: %v, want 0", got)
+	}
+}
+
 func TestCensus(t *testing.T) {
 	targets := newTargets(1, map[string]int{"north": 4})
 	targets[0].Usable = false
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"auburnlatch/core/admission"
 	"auburnlatch/core/balance"
 	"auburnlatch/core/callers"
 	"auburnlatch/core/member"
@@ -61,7 +62,9 @@
 	balancer     *balance.Balancer
 	retries      balance.RetryBudget
 	limits       ratelimit.Limiter
+	admission    admission.Controller
 	collector    ratelimit.Collector
+	appointments appointments
 	activeAddrs  atomic.Pointer[[]string] // See findActiveAddrs.
 	activeCache  atomic.Pointer[activeVMs]
 	activeInputs activeInputs // Used by heartbeatLoop only: the inputs of activeCache.
@@ -71,6 +74,7 @@
 	upstreams     *upstream.Pool
 	links         *upstream.Links
 	relaying      requestRelay
+	seconds       secondSends
 	splits        route.SplitCounts
 	guard         *quarantine.Guard
 	table         atomic.Pointer[route.Table]
@@ -143,6 +147,7 @@
 	v.cfg.Store(cfg)
 	v.retries.SetBounds(cfg.RetryRatio, cfg.RetryWindow, cfg.RetryExtra)
 	v.limits.SetBounds(cfg.Limits)
+	v.balancer.SetPaceUse(paceUse(cfg.Load.Pace))
 }
 
 // Run serves until ctx ends, then shuts down gracefully. further has the handlers for
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -68,10 +69,20 @@
 	} else {
 		f["Target"], f["TargetZone"] = resp.lease.Target.ID, resp.lease.Target.Zone
 		f["Owner"], f["Ahead"], f["Slots"] = resp.lease.Owner, int(resp.lease.Ahead), resp.lease.Target.Slots
+		f["Warm"] = resp.lease.Warm
+		if resp.lease.Expected > 0 {
+			f["ExpectedMs"] = resp.lease.Expected.Milliseconds()
+		}
+		if resp.pace > 0 {
+			f["Pace"] = resp.pace
+		}
 	}
 	if resp.lease.RTT > 0 {
 		f["TripMs"] = resp.lease.RTT.Milliseconds()
 	}
+	if resp.sentTwice {
+		f["SentTwice"] = true
+	}
 	f["Tries"], f["TookMs"] = resp.tries, now.Sub(req.started).Milliseconds()
 	if behind := now.Sub(res.readyAt); behind >= time.Millisecond {
 		f["BehindMs"] = behind.Milliseconds() // The response was ready before its turn.
@@ -93,6 +104,9 @@
 	if e.RetryAfter > 0 {
 		f["RetryAfterMs"] = e.RetryAfter.Milliseconds()
 	}
+	if req.told.wait > 0 {
+		f["AppointmentMs"], f["RoomKept"] = req.told.wait.Milliseconds(), req.told.kept
+	}
 	if e.Err != nil {
 		f["Err"] = e.Err
 	}
@@ -116,6 +130,9 @@
 			f["PausedTargets"] = c.Paused
 		}
 	}
+	if e.Reason == verdict.ReasonNoCapacity {
+		maps.Copy(f, v.admissionFields(req, now))
+	}
 	l.log.WithFields(f).Info("RequestGivenUp")
 }
 
@@ -155,6 +172,9 @@
 	if req.relayed != "" {
 		f["RelayedFrom"], f["Relay"] = req.http.Header.Get(forward.HeaderRelayFrom), req.relayed
 	}
+	if req.returned {
+		f["Returned"] = true
+	}
 	if req.team != nil {
 		f["Team"] = req.team.Name
 	}
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/sirupsen/logrus"
 
+	"auburnlatch/core/admission"
 	"auburnlatch/core/lease"
 	"auburnlatch/core/poison"
 	"auburnlatch/core/verdict"
@@ -28,6 +29,8 @@
 	platformCalls  atomic.Int64
 	platformErrors atomic.Int64
 	discarded      atomic.Int64
+	// loadsUnreadable counts responses with a load that could not be read.
+	loadsUnreadable atomic.Int64
 
 	mu      sync.Mutex
 	reasons map[verdict.Reason]int64
@@ -85,6 +88,20 @@
 	// none could, and RelayedTraffic is the requests per second that others relay to this one.
 	Relayed, RelayRefused int64
 	RelayedTraffic        float64
+	// LoadsUnreadable counts the responses in which an upstream reported a load that could not be
+	// read.
+	LoadsUnreadable int64
+	// LoadAgeMs is the mean age of the loads that requests were assigned by, and OwnersLate counts
+	// the requests whose owner had a queue and was expected to respond too late.
+	LoadAgeMs, OwnersLate int64
+	// SecondSends counts the overdue requests that were sent to a second upstream, SecondSendsWon
+	// those that it answered first, and SecondSendsDenied those that were not sent, as the retry
+	// budget was used or no upstream was free.
+	SecondSends, SecondSendsWon, SecondSendsDenied int64
+	// Appointments counts the refused callers that were told when to come back, and
+	// AppointmentsKept those of them for whom room was kept. Returned counts the requests that
+	// came back, to any VM, and ReturnedServed those of them that were answered.
+	Appointments, AppointmentsKept, Returned, ReturnedServed int64
 	// UpstreamsHeardMs is how long ago any upstream answered a request; -1: never.
 	UpstreamsHeardMs              int64
 	PlatformCalls, PlatformErrors int64
@@ -99,9 +116,12 @@
 	RulesSureMs int64
 	// LimitsHeardMs is how long ago totals of the teams' demand were received.
 	LimitsHeardMs int64
-	LiveVMs       int
-	Placements    int // Objects with a known placement.
-	Poison        poison.Counts
+	// Admission has what each rank asked for and was given, by service; nil unless requests are
+	// admitted by rank.
+	Admission  []admission.Share
+	LiveVMs    int
+	Placements int // Objects with a known placement.
+	Poison     poison.Counts
 	// ControlSent is the bytes sent to other VMs, by subject.
 	ControlSent     peer.Sent
 	ControlBytesIn  int64
@@ -123,11 +143,17 @@
 	}
 	f.CutOff, f.ReachChecks = v.cutOff(), v.links.Checks()
 	f.Relayed, f.RelayRefused, f.RelayedTraffic = v.relaying.sent.Load(), v.relaying.refused.Load(), v.relaying.traffic.Average().Requests
+	f.SecondSends, f.SecondSendsWon, f.SecondSendsDenied = v.seconds.sent.Load(), v.seconds.won.Load(), v.seconds.denied.Load()
+	a := &v.appointments
+	f.Appointments, f.AppointmentsKept, f.Returned, f.ReturnedServed = a.told.Load(), a.promised.Load(), a.returned.Load(), a.served.Load()
 	conns := v.upstreams.Connections()
 	f.ConnectionsOpened, f.ConnectionsFailed, f.ConnectionsReused = conns.Opened, conns.Failed, conns.Reused
+	loads := v.balancer.LoadStats()
+	f.LoadsUnreadable, f.LoadAgeMs, f.OwnersLate = c.loadsUnreadable.Load(), loads.Age.Milliseconds(), loads.OwnersLate
 	f.UpstreamsHeardMs = heardMillis(now, conns.Answered)
 	f.RulesSureMs = v.rulesAge(clock.SinceBoot()).Milliseconds()
 	f.LimitsHeardMs = min(v.limits.Age(now), lease.Never).Milliseconds()
+	f.Admission = v.admission.Shares(now)
 	f.ControlSent = v.sent.Sent()
 	f.ControlBytesIn, f.ControlBytesOut = v.peerClient.Traffic()
 	if t := v.table.Load(); t != nil {
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"auburnlatch/core/balance"
@@ -37,6 +36,10 @@
 	lease   balance.Lease
 	tries   int
 	through string
+	// pace is what the target reported in the response, 0 if it did not.
+	pace float64
+	// sentTwice says that it was overdue, so that the request was sent to two upstreams at once.
+	sentTwice bool
 }
 
 // proxy sends a request to an upstream and returns its response. It retries only
@@ -64,7 +67,11 @@
 			}
 			break
 		}
+		req.decision = v.decide(req, time.Now())
 		lease, err := v.acquire(req, tried, trial)
+		if len(tried) == 0 {
+			v.recordDecision(req, err == nil)
+		}
 		if err != nil {
 			trial.Done()
 			if last == nil && lastErr == nil {
@@ -73,10 +80,14 @@
 			break
 		}
 		tried = append(tried, lease.Target.ID)
-		r, e := v.try(ctx, req, lease)
+		o := v.sendOverdue(ctx, req, lease, tried, sent)
 		trial.Done()
+		r, e := o.response, o.err
+		if o.second != "" {
+			tried = append(tried, o.second)
+		}
 		if r != nil {
-			r.lease, r.tries = lease, len(tried)
+			r.lease, r.tries, r.sentTwice = o.lease, len(tried), o.second != ""
 		}
 		if e == nil && !(req.idempotent() && r.resp.StatusCode >= http.StatusInternalServerError) {
 			last.discard()
@@ -86,9 +97,7 @@
 			last.discard()
 			last, lastErr = r, e
 		}
-		if reached(e) {
-			sent++
-		}
+		sent += o.sent
 		if !v.mayRetry(ctx, req, e, sent) {
 			break
 		}
@@ -183,11 +192,8 @@
 	table := v.table.Load()
 	want := balance.Request{
 		Service: req.service, Route: req.route.Name, Key: req.key, Idempotent: req.idempotent(),
-		Urgent: req.team.EffectivePriority(req.route.Priority) <= table.TopPriority(req.service),
-	}
-	if within := req.route.Objective; within > 0 {
-		want.Objective = within
-		want.Within = max(time.Millisecond, within-now.Sub(req.started))
+		Urgent: req.team.EffectivePriority(req.route.Priority) <= table.TopPriority(req.service), Depth: req.decision.Depth,
+		Objective: req.route.Objective, Within: req.within(now),
 	}
 	if want.Key == "" || !req.route.Sticky {
 		want.Key, want.Single = req.id, true
@@ -207,14 +213,18 @@
 	resp, err := v.send(ctx, req, call)
 	if err != nil {
 		e := verdict.As(err)
+		if context.Cause(ctx) == errOverdue {
+			e = verdict.Wrap(errOverdue, e.Verdict, verdict.ReasonOverdue, 0)
+		}
 		outcome := balance.Outcome{
-			Failed: e.Reason == verdict.ReasonUnreachable || e.Reason == verdict.ReasonBroken, Unreachable: e.Reason == verdict.ReasonUnreachable,
+			Failed: e.Reason == verdict.ReasonUnreachable || e.Reason == verdict.ReasonBroken || e.Reason == verdict.ReasonOverdue, Unreachable: e.Reason == verdict.ReasonUnreachable,
 			Unanswered: e.Verdict == verdict.MaybeRan, NotSent: e.Reason == verdict.ReasonWithheld,
 		}
 		if v.links.Disturbed(began) {
 			outcome = balance.Outcome{NotSent: e.Verdict == verdict.NotRun}
 		}
 		v.balancer.Done(time.Now(), lease, outcome)
+		v.seconds.unanswered(time.Now(), began, req, lease, e)
 		v.unanswered(req, lease, began, e)
 		v.requests.attemptFailed(v, req, lease, 0, e)
 		return nil, e
@@ -229,7 +239,7 @@
 		v.guard.Answered(time.Now(), began, lease.Target.Incarnation())
 	}
 	r, err := readResponse(resp)
-	outcome := balance.Outcome{Answered: true, Load: parseLoad(resp.Header.Get(v.protocol.Load)), Connect: call.Connect}
+	outcome := balance.Outcome{Answered: true, Load: v.reportedLoad(lease, resp.Header), Connect: call.Connect}
 	if err != nil {
 		outcome.Failed = ctx.Err() == nil && !v.links.Disturbed(began)
 		v.balancer.Done(time.Now(), lease, outcome)
@@ -239,6 +249,10 @@
 		return nil, e
 	}
 	outcome.Bytes = len(req.body) + len(r.body)
+	if outcome.Load != nil {
+		r.pace = outcome.Load.Pace
+	}
+	v.seconds.observe(time.Now(), began, req, lease)
 	e := v.refusal(resp)
 	switch {
 	case e != nil && e.Reason == verdict.ReasonMisdirected:
@@ -247,6 +261,8 @@
 		outcome.Refused = n.RetryAfter == 0 && (outcome.Load == nil || outcome.Load.Running < outcome.Load.Slots)
 	default:
 		outcome.Failed = resp.StatusCode >= http.StatusInternalServerError && resp.StatusCode != http.StatusGatewayTimeout
+		v.recordServiceTime(req, lease, time.Since(began))
+		outcome.Served = resp.StatusCode < http.StatusBadRequest
 	}
 	v.balancer.Done(time.Now(), lease, outcome)
 	if e != nil {
@@ -386,19 +402,3 @@
 func bodyAllowed(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
-
-// parseLoad parses the load that an upstream reports: running, waiting, slots.
-func parseLoad(text string) *balance.Load {
-	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
-		return nil
-	}
-	var n [3]int
-	for i, part := range parts {
-		var err error
-		if n[i], err = strconv.Atoi(strings.TrimSpace(part)); err != nil {
-			return nil
-		}
-	}
-	return &balance.Load{Running: n[0], Waiting: n[1], Slots: n[2]}
-}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"auburnlatch/core/admission"
 	"auburnlatch/core/poison"
 	"auburnlatch/core/route"
 	"auburnlatch/core/team"
@@ -47,10 +48,21 @@
 	key      string
 	started  time.Time
 	deadline time.Time
-	http     *http.Request
-	body     []byte
-	rest     io.Reader // What exceeds the buffer.
-	length   int64
+	// callerDeadline is the caller's own deadline, zero if it named none. It may be later than
+	// deadline, which is bounded by the route's timeout.
+	callerDeadline time.Time
+	// returned says that the caller was refused before and has come back.
+	returned bool
+	// decision is how it is admitted to the upstream that is chosen next.
+	decision admission.Decision
+	// appointing says that refused callers are told when there will be room, and told what
+	// this one was told.
+	appointing bool
+	told       told
+	http       *http.Request
+	body       []byte
+	rest       io.Reader // What exceeds the buffer.
+	length     int64
 	// identity is how the request is recognized when it is retried.
 	identity *poison.Request
 	// team is the team of the request's key, or nil if it needs none.
@@ -73,6 +85,14 @@
 // idempotent reports whether the request may run more than once.
 func (r *request) idempotent() bool { return r.route.Kind == route.Idempotent }
 
+// within returns what is left of the route's objective, at least a millisecond; 0: it has none.
+func (r *request) within(now time.Time) time.Duration {
+	if r.route.Objective <= 0 {
+		return 0
+	}
+	return max(time.Millisecond, r.route.Objective-now.Sub(r.started))
+}
+
 // attempts returns how many upstreams the request may be sent to.
 func (r *request) attempts() int {
 	if r.relayed == forward.Retry {
@@ -128,6 +148,9 @@
 		}
 	}
 	res.readyAt = time.Now()
+	if req.appointing {
+		v.appointed(res)
+	}
 	if e == nil && res.err != nil && res.err.Verdict == verdict.NotRun {
 		v.returnLimit(res.readyAt, req)
 	}
@@ -162,6 +185,10 @@
 	}
 	req.key = v.protocol.Key(r)
 	req.deadline = v.deadline(req)
+	req.appointing = req.relayed == "" && v.admitsByRank(table)
+	if req.appointing {
+		req.returned = v.appointments.recognize(req)
+	}
 	if err := req.read(limits.MaxBodyBytes); err != nil {
 		return req, verdict.Wrap(err, verdict.NotRun, verdict.ReasonCanceled, 0)
 	}
@@ -201,6 +228,7 @@
 	left := defaultDeadline
 	if ms, err := strconv.ParseFloat(req.http.Header.Get(v.protocol.DeadlineMillis), 64); err == nil && ms > 0 && ms < math.MaxInt32 {
 		left = time.Duration(ms * float64(time.Millisecond))
+		req.callerDeadline = req.started.Add(left)
 	}
 	if t := req.route.Timeout; t > 0 {
 		left = min(left, t)
