--- a/core/balance/retry.go
+++ b/core/balance/retry.go
@@ -82,6 +82,15 @@
 	return b.take(now, service, spareFraction)
 }
 
+// Return undoes a Retry or a Spare that was not sent.
+func (b *RetryBudget) Return(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.counts(now, service)
+	i := c.bucket % retryBuckets
+	c.retries[i] = max(0, c.retries[i]-1)
+}
+
 // take counts a retry if no more than a fraction of the budget is used.
 func (b *RetryBudget) take(now time.Time, service string, fraction float64) bool {
 	b.mu.Lock()
--- a/core/overdue/overdue.go
+++ b/core/overdue/overdue.go
@@ -1,5 +1,5 @@
 // Package overdue decides when a request whose response is overdue is sent to a second
-// upstream, and the first whole response wins.
+// upstream, so that the first response wins.
 //
 // A response that is lost, or whose upstream has run into trouble, is not worth waiting for
 // until the route's timeout. It is overdue once it takes longer than nearly all responses of its
--- a/io/entry/overdue.go
+++ b/io/entry/overdue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,13 +32,38 @@
 	errNotNeeded = errors.New("the first upstream has responded after all")
 )
 
+// attemptError returns the error of an attempt that failed, and reports whether it was canceled
+// because the other one has won.
+func attemptError(ctx context.Context, err error) (e *verdict.Error, overtaken bool) {
+	e = verdict.As(err)
+	if e.Reason != verdict.ReasonCanceled {
+		return e, false
+	}
+	switch context.Cause(ctx) {
+	case errOverdue:
+		return verdict.Wrap(errOverdue, e.Verdict, verdict.ReasonOverdue, 0), true
+	case errNotNeeded:
+		return e, true
+	}
+	return e, false
+}
+
+// charges counts what a request that is sent to two upstreams at once is charged against its team's
+// limit: twice, or once if an attempt does not run.
+type charges struct {
+	mu               sync.Mutex
+	second, returned bool
+	notRun           bool
+}
+
 // attempt is a request that is sent to one upstream.
 type attempt struct {
-	vm     *VM
-	req    *request
-	lease  balance.Lease
-	cancel context.CancelCauseFunc
-	result chan<- *attempt
+	vm      *VM
+	req     *request
+	lease   balance.Lease
+	charges *charges
+	cancel  context.CancelCauseFunc
+	result  chan<- *attempt
 	// settled is set when the attempt has ended or has been abandoned, whichever comes first.
 	settled atomic.Bool
 
@@ -48,6 +74,9 @@
 // run sends the request and passes the attempt on with its outcome.
 func (a *attempt) run(ctx context.Context) {
 	a.response, a.err = a.vm.try(ctx, a.req, a.lease)
+	if a.err != nil && a.err.Verdict == verdict.NotRun {
+		a.charges.update(a, func(c *charges) { c.notRun = true })
+	}
 	if a.settled.Swap(true) {
 		a.response.discard()
 		return
@@ -55,6 +84,17 @@
 	a.result <- a
 }
 
+// update changes the charges, and returns the second one if an attempt has not run.
+func (c *charges) update(a *attempt, change func(*charges)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(c)
+	if c.second && c.notRun && !c.returned {
+		c.returned = true
+		a.vm.limits.Return(time.Now(), a.req.team)
+	}
+}
+
 // abandon cancels an attempt whose outcome is not needed.
 func (a *attempt) abandon(cause error) {
 	a.cancel(cause)
@@ -87,9 +127,9 @@
 	return o
 }
 
-// sendOverdue sends a request to an upstream, and to a second one if the response is overdue.
-// The first whole response wins, and the other attempt is canceled. sent is how many upstreams it
-// was sent to before, and tried has the IDs of all that were tried, including that of lease.
+// sendOverdue sends a request to an upstream, and to a second one if the response is overdue. The
+// first response wins, and the other attempt is canceled. sent is how many upstreams it was sent to
+// before, and tried has the IDs of all that were tried, including that of lease.
 func (v *VM) sendOverdue(ctx context.Context, req *request, lease balance.Lease, tried []string, sent int) outcome {
 	at, ok := v.overdueAt(req, lease, sent)
 	if !ok {
@@ -99,7 +139,8 @@
 	}
 	req.identity.Print() // Both attempts use it, and its first use is not safe for concurrent use.
 	results := make(chan *attempt, 2)
-	first := v.startAttempt(ctx, req, lease, results)
+	first := &attempt{vm: v, req: req, lease: lease, charges: &charges{}, result: results}
+	first.start(ctx)
 	timer := time.NewTimer(time.Until(at))
 	defer timer.Stop()
 	select {
@@ -107,54 +148,59 @@
 		return first.outcome()
 	case <-timer.C:
 	}
-	lease, ok = v.secondLease(req, tried, sent+1)
+	other, ok := v.secondLease(ctx, req, tried, sent+1)
 	if !ok {
 		return (<-results).outcome()
 	}
-	second := v.startAttempt(ctx, req, lease, results)
+	second := &attempt{vm: v, req: req, lease: other, charges: first.charges, result: results}
+	second.charges.update(second, func(c *charges) { c.second = true })
+	second.start(ctx)
 	return v.firstAnswer(first, second, results)
 }
 
-// startAttempt starts to send a request to an upstream. result has room for its outcome.
-func (v *VM) startAttempt(ctx context.Context, req *request, lease balance.Lease, result chan<- *attempt) *attempt {
-	a := &attempt{vm: v, req: req, lease: lease, result: result}
-	// The context of an attempt that is not abandoned ends with that of the request.
+// start starts to send the request. The context of an attempt that is not abandoned ends with that
+// of the request.
+func (a *attempt) start(ctx context.Context) {
 	ctx, a.cancel = context.WithCancelCause(ctx)
 	go a.run(ctx)
-	return a
 }
 
-// firstAnswer returns the first whole response of two attempts. If both fail, it returns the
-// failure of one that may have run.
+// firstAnswer returns the first response of two attempts. If both fail, it returns the failure of
+// one that may have run.
 func (v *VM) firstAnswer(first, second *attempt, results <-chan *attempt) outcome {
-	winner := <-results
-	loser := first
+	winner, loser, sent := <-results, first, 2
 	if winner == first {
 		loser = second
 	}
-	o := winner.outcome()
-	o.sent = 2
 	if !winner.answered() {
 		<-results
-		o.sent = winner.outcome().sent + loser.outcome().sent
-		if loser.answered() || !mayHaveRun(winner.response, winner.err) && mayHaveRun(loser.response, loser.err) {
-			winner, loser = loser, winner
-		}
+		sent = winner.outcome().sent + loser.outcome().sent
+		winner, loser = better(winner, loser)
 	}
 	if loser == first {
 		loser.abandon(errOverdue)
 	} else {
 		loser.abandon(errNotNeeded)
 	}
-	o.response, o.err, o.lease, o.second = winner.response, winner.err, winner.lease, second.lease.Target.ID
 	won := winner == second && winner.answered()
 	if won {
 		v.seconds.won.Add(1)
 	}
 	v.requests.sentTwice(v, first, second, won)
+	o := winner.outcome()
+	o.second, o.sent = second.lease.Target.ID, sent
 	return o
 }
 
+// better orders two attempts that have ended, of which a has failed: the one whose outcome the
+// caller is told comes first.
+func better(a, b *attempt) (winner, loser *attempt) {
+	if b.answered() || !mayHaveRun(a.response, a.err) && mayHaveRun(b.response, b.err) {
+		return b, a
+	}
+	return a, b
+}
+
 // overdueAt returns the time from which on the response to a request that is sent now is
 // overdue, or false if it must not be sent to a second upstream.
 func (v *VM) overdueAt(req *request, lease balance.Lease, sent int) (time.Time, bool) {
@@ -183,9 +229,14 @@
 
 // secondLease chooses the upstream for a second send, and charges it to the retry budget and the
 // team's limit.
-func (v *VM) secondLease(req *request, tried []string, sent int) (balance.Lease, bool) {
+func (v *VM) secondLease(ctx context.Context, req *request, tried []string, sent int) (balance.Lease, bool) {
 	now := time.Now()
-	if v.cutOff() || !overdue.Allowed(v.overdueRequest(now, req, sent)) {
+	if ctx.Err() != nil || v.cutOff() || !overdue.Allowed(v.overdueRequest(now, req, sent)) {
+		return balance.Lease{}, false
+	}
+	// The budget is asked first, as a choice counts as a request to the upstream.
+	if !v.retries.Spare(now, req.service) {
+		v.seconds.denied.Add(1)
 		return balance.Lease{}, false
 	}
 	want := v.balanceRequest(req, now)
@@ -193,11 +244,7 @@
 	want.Idempotent = false // No trial of a suspect upstream, which would hardly respond first.
 	lease, err := v.balancer.Choose(now, want)
 	if err != nil {
-		v.seconds.denied.Add(1)
-		return balance.Lease{}, false
-	}
-	if !v.retries.Spare(now, req.service) {
-		v.balancer.Done(now, lease, balance.Outcome{NotSent: true})
+		v.retries.Return(now, req.service)
 		v.seconds.denied.Add(1)
 		return balance.Lease{}, false
 	}
--- a/io/entry/overdue_test.go
+++ b/io/entry/overdue_test.go
@@ -118,13 +118,13 @@
 	if f := v.Figures(time.Now()); f.SecondSends < 1 || f.SecondSendsWon < 1 {
 		t.Errorf("%d second sends counted, %d won", f.SecondSends, f.SecondSendsWon)
 	}
-	eventually(t, "the second send is logged", func() bool {
+	eventually(t, "both attempts are logged", func() bool {
+		won, overdue := false, false
 		for _, l := range v.trace(t, "special") {
-			if l.Event == "RequestSentTwice" && l.Get("SecondWon") == "true" {
-				return true
-			}
+			won = won || l.Event == "RequestSentTwice" && l.Get("SecondWon") == "true"
+			overdue = overdue || l.Event == "UpstreamFailed" && l.Get("Reason") == "Overdue"
 		}
-		return false
+		return won && overdue
 	})
 }
 
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -212,13 +212,12 @@
 	call, began := v.upstreamCall(req, lease), time.Now()
 	resp, err := v.send(ctx, req, call)
 	if err != nil {
-		e := verdict.As(err)
-		if context.Cause(ctx) == errOverdue {
-			e = verdict.Wrap(errOverdue, e.Verdict, verdict.ReasonOverdue, 0)
-		}
+		e, overtaken := attemptError(ctx, err)
 		outcome := balance.Outcome{
 			Failed: e.Reason == verdict.ReasonUnreachable || e.Reason == verdict.ReasonBroken || e.Reason == verdict.ReasonOverdue, Unreachable: e.Reason == verdict.ReasonUnreachable,
-			Unanswered: e.Verdict == verdict.MaybeRan, NotSent: e.Reason == verdict.ReasonWithheld,
+			// An attempt that another one overtook did not take its caller's time.
+			Unanswered: e.Verdict == verdict.MaybeRan && !overtaken,
+			NotSent:    e.Reason == verdict.ReasonWithheld || overtaken && e.Verdict == verdict.NotRun,
 		}
 		if v.links.Disturbed(began) {
 			outcome = balance.Outcome{NotSent: e.Verdict == verdict.NotRun}
@@ -252,7 +251,6 @@
 	if outcome.Load != nil {
 		r.pace = outcome.Load.Pace
 	}
-	v.seconds.observe(time.Now(), began, req, lease)
 	e := v.refusal(resp)
 	switch {
 	case e != nil && e.Reason == verdict.ReasonMisdirected:
@@ -263,6 +261,9 @@
 		outcome.Failed = resp.StatusCode >= http.StatusInternalServerError && resp.StatusCode != http.StatusGatewayTimeout
 		v.recordServiceTime(req, lease, time.Since(began))
 		outcome.Served = resp.StatusCode < http.StatusBadRequest
+		if resp.StatusCode < http.StatusInternalServerError {
+			v.seconds.observe(time.Now(), began, req, lease)
+		}
 	}
 	v.balancer.Done(time.Now(), lease, outcome)
 	if e != nil {
