--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -99,7 +99,7 @@
 	// budget was used or no upstream was free.
 	SecondSends, SecondSendsWon, SecondSendsDenied int64
 	// Appointments counts the refused callers that were told when to come back, and
-	// AppointmentsKept those of them for whom room was kept. Returned counts the requests that
+	// AppointmentsKept those of them to whom room was promised. Returned counts the requests that
 	// came back, to any VM, and ReturnedServed those of them that were answered.
 	Appointments, AppointmentsKept, Returned, ReturnedServed int64
 	// UpstreamsHeardMs is how long ago any upstream answered a request; -1: never.
