--- a/core/model/admission_test.go
+++ b/core/model/admission_test.go
@@ -89,6 +89,7 @@
 // A service gets requests for 1.3 of its slots for seconds, in three ranks. With one bit of
 // priority, urgent requests are refused more often than those that have time to wait.
 func TestThreeRanksAt130Percent(t *testing.T) {
+	t.Parallel()
 	for _, vms := range fleetSizes {
 		s, mix := deskShape(vms), []float64{1, 1, 1}
 		phases := []model.Phase{load(s, warmUp, 0.6, mix...), load(s, 6*time.Second, 1.3, mix...)}
@@ -107,6 +108,7 @@
 // A burst of uploads at a service that also has urgent changes: these are far fewer than its slots
 // could serve, so uploads must wait or be refused in their place.
 func TestUrgentBesideBurstOfUploads(t *testing.T) {
+	t.Parallel()
 	for _, vms := range fleetSizes {
 		s := deskShape(vms)
 		s.Classes = []model.Class{s.Classes[0], s.Classes[2]}
@@ -127,6 +129,7 @@
 // Failure: all VMs have just started, caches are cold, and the service gets more than its slots can
 // serve at once.
 func TestRanksAfterAllVMsStarted(t *testing.T) {
+	t.Parallel()
 	s, mix := deskShape(60), []float64{1, 1, 1}
 	phases := []model.Phase{load(s, 8*time.Second, 1.2, mix...)}
 	base := model.Simulate(s, model.NewUrgentPolicy(s), 1, phases)
@@ -161,6 +164,7 @@
 // One team sends three times its usual. With limits as weights, perfect knowledge serves all of
 // what the others ask for, and two thirds of what it asks for.
 func TestTeamAtThreeTimesItsUsual(t *testing.T) {
+	t.Parallel()
 	for _, vms := range fleetSizes {
 		s := teamShape(vms)
 		phases := []model.Phase{load(s, hotAt, 0.8, 1, 1, 1, 1), load(s, 10*time.Second, 1.2, 3, 1, 1, 1)}
@@ -203,6 +207,7 @@
 // Reserved room stays empty if nobody comes for it: admission must not serve fewer requests in all
 // than one bit of priority does, but for the slack.
 func TestAdmissionUsesSlotsAsBefore(t *testing.T) {
+	t.Parallel()
 	ranks, teams := []float64{1, 1, 1}, []float64{3, 1, 1, 1}
 	for _, vms := range fleetSizes {
 		desk, burst, team := deskShape(vms), deskShape(vms), teamShape(vms)
@@ -231,6 +236,7 @@
 }
 
 func TestPropertyRanksUnderAnyOverload(t *testing.T) {
+	t.Parallel()
 	params := gopter.DefaultTestParametersWithSeed(1)
 	params.MinSuccessfulTests = 6
 	properties := gopter.NewProperties(params)
--- a/core/model/pace_test.go
+++ b/core/model/pace_test.go
@@ -15,6 +15,7 @@
 // Where upstreams report their pace, the wait is computed from the usual time of the route's
 // requests instead. At ten VMs this must not cost anything.
 func TestQueuesAtNoisyUpstreams(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		vms, targets int
 		gain         float64
@@ -40,6 +41,7 @@
 // requests go to and fro by what was. The weight that a VM gives to a pace of some age must be near
 // what it says after that time: how much more of the targets are still slow than are at any time.
 func TestWeightOfPaceFallsAsItChanges(t *testing.T) {
+	t.Parallel()
 	s := model.NoisyShape
 	b := balance.New("vm", "r", "r")
 	b.SetTargets(s.TargetList())
