--- a/tools/soak/chaos.go
+++ b/tools/soak/chaos.go
@@ -237,7 +237,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("c%d-%d", c.number, n)
 		once := c.rnd.IntN(2) == 0
-		if wait := c.ask(id, once, callTime); wait > 0 && c.fleet.returns() {
+		if wait := c.ask(id, once, callTime); wait > 0 && c.fleet.returns {
 			wait = min(wait, callTime/3)
 			<-time.After(wait)
 			c.ask(id+"-back", once, callTime-wait)
--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -90,7 +90,8 @@
 
 // fleet is the set of all processes of a seed.
 type fleet struct {
-	admission    string // The switch of the VMs' settings.
+	// returns says that refused callers get appointments, and come back when they are told.
+	returns      bool
 	dir          string
 	storeAddr    string
 	store        *process
@@ -132,10 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, ledger: newLedger(), acceptAlways: c.Taking, admission: "Auto", objects: c.Restores || c.Cuts, homes: c.Cuts, evacuated: make(map[string]bool)}
-	if c.Returns {
-		f.admission = "On"
-	}
+	f := &fleet{dir: dir, ledger: newLedger(), acceptAlways: c.Taking, returns: c.Returns, objects: c.Restores || c.Cuts, homes: c.Cuts, evacuated: make(map[string]bool)}
 	if f.storeAddr, err = freeport.Addr(); err != nil {
 		return nil, err
 	}
@@ -207,9 +205,9 @@
 	name := fmt.Sprint("vm-", i)
 	path := filepath.Join(f.dir, name+".jsonc")
 	text := fmt.Sprintf(`{"Name":%q,"Zone":%q,"Region":%q,"Regions":{"n-1":"n","n-2":"n","s-1":"s","s-2":"s"},
-"FrontAddr":%q,"ReadyAddr":%q,"DirectoryAddr":%q,"PeerAddr":%q,"Platform":{"Addr":%q},"Load":{"Admission":%q},
+"FrontAddr":%q,"ReadyAddr":%q,"DirectoryAddr":%q,"PeerAddr":%q,"Platform":{"Addr":%q},%s
 "Bounds":{"StopGrace":"3s","RetryRatio":%g,"RetryWindow":"%v","RetryExtra":%d,"Heartbeat":"500ms","LeaveWithin":"2.5s"}}`,
-		name, zone, region, a[0], a[1], a[2], a[3], toStore.addr(), f.admission, retryRatio, retryWindow, retryExtra)
+		name, zone, region, a[0], a[1], a[2], a[3], toStore.addr(), f.loadSettings(), retryRatio, retryWindow, retryExtra)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -225,8 +223,14 @@
 	return nil
 }
 
-// returns reports whether refused callers come back when they are told.
-func (f *fleet) returns() bool { return f.admission == "On" }
+// loadSettings returns the part of the settings that turns appointments on. Without it, daemons of
+// earlier builds can be played as well.
+func (f *fleet) loadSettings() string {
+	if f.returns {
+		return `"Load":{"Admission":"On"},`
+	}
+	return ""
+}
 
 // setConfig writes the next version of the rules. If it fails, the version may have been
 // written nevertheless, so its number is not reused.
