--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"auburnlatch/core/admission"
+	"auburnlatch/core/balance"
 	"auburnlatch/core/lease"
 	"auburnlatch/core/poison"
 	"auburnlatch/core/verdict"
@@ -98,6 +99,8 @@
 	// those that it answered first, and SecondSendsDenied those that were not sent, as the retry
 	// budget was used or no upstream was free.
 	SecondSends, SecondSendsWon, SecondSendsDenied int64
+	// Retries is the retry budget of each service.
+	Retries []balance.RetryUsage
 	// Appointments counts the refused callers that were told when to come back, and
 	// AppointmentsKept those of them to whom room was promised. Returned counts the requests that
 	// came back, to any VM, and ReturnedServed those of them that were answered.
@@ -144,6 +147,7 @@
 	f.CutOff, f.ReachChecks = v.cutOff(), v.links.Checks()
 	f.Relayed, f.RelayRefused, f.RelayedTraffic = v.relaying.sent.Load(), v.relaying.refused.Load(), v.relaying.traffic.Average().Requests
 	f.SecondSends, f.SecondSendsWon, f.SecondSendsDenied = v.seconds.sent.Load(), v.seconds.won.Load(), v.seconds.denied.Load()
+	f.Retries = v.retries.Usage(now)
 	a := &v.appointments
 	f.Appointments, f.AppointmentsKept, f.Returned, f.ReturnedServed = a.told.Load(), a.promised.Load(), a.returned.Load(), a.served.Load()
 	conns := v.upstreams.Connections()
