Retry budget: tokens in each process in place of a window

Callers saw nothing but slower upstreams: while upstreams fail and VMs are killed or stopped in turn, upstreams received more retries in ten seconds than all VMs together may send.

Cause: each process counted requests and retries of the last window, so that what ten seconds without failures had earned could be spent at once. A process that started, or a VM to which callers moved, earned and spent anew within the same window, and took its part of the fixed number anew. Class: a bound over a window that is counted in a process only.

TestRetryBudgetExtraNeedsKnownVMs asked for a part of the fixed number right at the start, which is the fault; it now asks for none at the start and for one after a window, and for none without known VMs at any time.

--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -394,14 +394,23 @@
 	}
 }
 
+// Guards against VMs that take a part of the fixed number of retries while they know no others, or
+// again at each start.
 func TestRetryBudgetExtraNeedsKnownVMs(t *testing.T) {
 	b := &balance.RetryBudget{}
 	b.SetBounds(0.2, 10*time.Second, 60)
 	if b.Retry(start, "s") {
 		t.Error("VM that knows no others was granted a retry without requests")
 	}
+	later := start.Add(10 * time.Second)
+	if b.Retry(later, "s") {
+		t.Error("VM that has known no others for a window was granted a retry without requests")
+	}
 	b.SetVMs(10)
-	if !b.Retry(start, "s") {
+	if b.Retry(later, "s") {
+		t.Error("VM was granted its part of the additional number before it earned it")
+	}
+	if !b.Retry(later.Add(10*time.Second), "s") {
 		t.Error("VM was not granted a retry of its part of the additional number")
 	}
 }
--- a/core/balance/retry_test.go
+++ b/core/balance/retry_test.go
@@ -47,6 +47,8 @@
 	requests, retries []time.Duration
 	// failed are the requests that no attempt served.
 	failed int
+	// loyal means that callers stay with their VM, and that their requests fail while it is down.
+	loyal bool
 	// newBudget returns the budget of a process that starts.
 	newBudget func(f *retryFleet, vm int) retryBudget
 }
@@ -70,6 +72,9 @@
 
 // moveCallers gives each VM a new part of the callers. Half of them have few or none.
 func (f *retryFleet) moveCallers() {
+	if f.loyal {
+		return
+	}
 	for _, v := range f.vms {
 		v.weight = f.rng.ExpFloat64()
 		if f.rng.IntN(2) == 0 {
@@ -96,24 +101,39 @@
 }
 
 // share tells a VM how many VMs share the fixed part of the budget.
-func (f *retryFleet) share(v *retryVM) { v.budget.SetVMs(len(v.heard)) }
+func (f *retryFleet) share(v *retryVM) {
+	known := make(map[string]int)
+	for i := range v.heard {
+		known[zoneName(f.vms[i].zone)]++
+	}
+	var zones []string
+	for z := range retryZones {
+		zones = append(zones, zoneName(z))
+	}
+	v.budget.SetVMs(balance.CountSharers(zones, known))
+}
+
+func zoneName(zone int) string { return fmt.Sprint("zone-", zone) }
 
 // pick returns a VM that takes a request, or nil if none is up.
 func (f *retryFleet) pick() *retryVM {
 	sum := 0.0
 	for _, v := range f.vms {
-		if f.now >= v.upAt && f.now >= v.awakeAt {
+		if f.loyal || f.now >= v.upAt && f.now >= v.awakeAt {
 			sum += v.weight
 		}
 	}
 	at := f.rng.Float64() * sum
 	for _, v := range f.vms {
-		if f.now < v.upAt || f.now < v.awakeAt {
+		if !f.loyal && (f.now < v.upAt || f.now < v.awakeAt) {
 			continue
 		}
-		if at -= v.weight; at <= 0 {
+		if at -= v.weight; at <= 0 && f.now >= v.upAt && f.now >= v.awakeAt {
 			return v
 		}
+		if at <= 0 {
+			return nil
+		}
 	}
 	return nil
 }
@@ -129,7 +149,10 @@
 	v.budget.Request(f.time(), "s")
 	if f.rng.Float64() < f.relayed {
 		v.budget.Withdraw(f.time(), "s")
-		v = f.pick()
+		if v = f.pick(); v == nil {
+			f.failed++
+			return
+		}
 		v.budget.Request(f.time(), "s")
 	}
 	for attempt := 1; f.rng.Float64() < f.failing; attempt++ {
@@ -321,4 +344,94 @@
 		return ""
 	}, gen.UInt64()))
 	properties.TestingRun(t)
+
+	found := 0
+	for seed := range uint64(20) {
+		f, events, perSecond := retryScenario(seed, func(f *retryFleet, _ int) retryBudget { return &windowBudget{extra: f.extra} })
+		f.play(events, perSecond)
+		if f.excess() > 0 {
+			found++
+		}
+	}
+	if found == 0 {
+		t.Error("the scenarios do not find a budget that each process counts anew")
+	}
+}
+
+// Guards against parts of a fixed number that add up to more than it while zones are cut off from
+// each other, for VMs that have started since.
+func TestSharersAcrossCuts(t *testing.T) {
+	zones := []string{"a", "b", "c", "d", "e", "f"}
+	for _, tc := range []struct {
+		name  string
+		known []map[string]int // By part of the network.
+	}{
+		{"no cut", []map[string]int{{"a": 2, "b": 2, "c": 2, "d": 1, "e": 1, "f": 1}}},
+		{"each zone alone", []map[string]int{{"a": 2}, {"b": 2}, {"c": 2}, {"d": 9}, {"e": 3}, {"f": 4}}},
+		{"each region alone", []map[string]int{{"a": 2, "b": 1}, {"c": 2, "d": 1}, {"e": 12, "f": 1}}},
+		{"one zone alone", []map[string]int{{"a": 2, "b": 2, "c": 2, "d": 1, "e": 1}, {"f": 1}}},
+	} {
+		parts := 0.0
+		for _, known := range tc.known {
+			vms := 0
+			for _, n := range known {
+				vms += n
+			}
+			if vms > 1 { // A VM that knows no other has no part.
+				parts += float64(vms) / float64(balance.CountSharers(zones, known))
+			}
+		}
+		if parts > 1 {
+			t.Errorf("%s: the parts add up to %.2f", tc.name, parts)
+		}
+	}
+	if got := balance.CountSharers(zones, map[string]int{"a": 1}); got != 1 {
+		t.Errorf("a VM that knows no other counts %d sharers, want 1", got)
+	}
+}
+
+// Guards against more retries than the bound while processes of an earlier build, which count by
+// windows, run beside those of this one, which are killed at any time.
+func TestRetryBudgetBesideEarlierBuilds(t *testing.T) {
+	for seed := range uint64(40) {
+		f, events, perSecond := retryScenario(seed, newRetryBudget)
+		// Those of the earlier build run on: what its own starts spend is not bound.
+		f.newBudget = func(f *retryFleet, vm int) retryBudget {
+			if vm%2 == 1 {
+				return newRetryBudget(f, vm)
+			}
+			if b, ok := f.vms[vm].budget.(*windowBudget); ok {
+				return b
+			}
+			return &windowBudget{extra: f.extra}
+		}
+		f.loyal = true // Nor is what they spend when callers move.
+		for i := range f.vms {
+			f.startProcess(i, 0)
+		}
+		f.play(events, perSecond)
+		if got := f.excess(); got > 0 {
+			t.Errorf("seed %d: %.0f retries above the bound", seed, got)
+		}
+	}
+}
+
+// Guards against budgets that withhold retries after a start: VMs that are stopped in turn while
+// nothing was spent retry what fails a few seconds later, as long-lived ones do.
+func TestStartedVMsRetry(t *testing.T) {
+	served := func(events []retryEvent) float64 {
+		f := &retryFleet{rng: rand.New(rand.NewPCG(1, 5)), extra: 58, newBudget: newRetryBudget}
+		for i := range 9 {
+			f.vms = append(f.vms, &retryVM{zone: i % retryZones, weight: 1})
+			f.startProcess(i, 0)
+		}
+		events = append(events,
+			retryEvent{20 * time.Second, func(f *retryFleet) { f.failing = 0.1 }},
+			retryEvent{26 * time.Second, func(f *retryFleet) { f.failing = 0 }})
+		f.play(events, 94)
+		return 1 - float64(f.failed)/float64(len(f.requests))
+	}
+	if long, started := served(nil), served(rollVMs(14*time.Second, 500*time.Millisecond, 9)); started < long-0.005 {
+		t.Errorf("served after the VMs were stopped in turn: %.4f, want %.4f as without", started, long)
+	}
 }
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -102,7 +102,7 @@
 	s := v.findActive(now)
 	v.activeCache.Store(&s)
 	v.balancer.SetVMs(s.vms)
-	v.retries.SetVMs(len(v.knownNames(now)))
+	v.retries.SetVMs(balance.CountSharers(slices.Collect(maps.Keys(v.cfg.Load().Regions)), v.knownByZone(now)))
 }
 
 // activeInputs is what the active VMs depend on.
@@ -162,16 +162,16 @@
 	return v.findActive(now)
 }
 
-// knownNames returns all VMs that may be running, including silent ones: VMs that are
+// knownByZone counts all VMs that may be running, including silent ones: VMs that are
 // only cut off must be counted in shares of common budgets.
-func (v *VM) knownNames(now time.Time) []string {
-	names := []string{v.cfg.Load().Name}
+func (v *VM) knownByZone(now time.Time) map[string]int {
+	known := map[string]int{v.cfg.Load().Zone: 1}
 	for _, m := range v.members.Peers(now) {
 		if m.State != member.Gone && now.Sub(m.Heard) < silentRetention {
-			names = append(names, m.VM.Name)
+			known[m.VM.Zone]++
 		}
 	}
-	return names
+	return known
 }
 
 // peerAddrSet is the set of all other VMs' addresses at some time.
@@ -207,7 +207,7 @@
 // heartbeats, which is also the time after which a silent VM is no longer live.
 const joinHold = 3 * time.Second
 
-// silentRetention is how long a silent VM keeps its share of common budgets. A VM that is
-// cut off for longer has shares that the others use as well; it goes on counting as many
-// VMs as it knew last.
+// silentRetention is how long a silent VM keeps its share of common budgets. After a longer
+// cut, a zone that is not heard of is counted by the size of the others, see
+// balance.CountSharers.
 const silentRetention = time.Minute
--- a/io/entry/peers_bench_test.go
+++ b/io/entry/peers_bench_test.go
@@ -21,7 +21,7 @@
 			{"Sources", func() { v.sources(now, 0, []string{"reader"}) }},
 			{"Active", func() { v.findActive(now) }},
 			{"Partners", func() { v.partners(now) }},
-			{"Known", func() { v.knownNames(now) }},
+			{"Known", func() { v.knownByZone(now) }},
 			{"Publish", func() { v.publish(now) }},
 		} {
 			b.Run(fmt.Sprint(view.name, "/", n), func(b *testing.B) {
