--- a/core/ratelimit/fleet_test.go
+++ b/core/ratelimit/fleet_test.go
@@ -207,6 +207,19 @@
 	}
 }
 
+// killVMs kills a fraction of the VMs at once, and starts them again after a pause.
+func (f *fleet) killVMs(fraction float64, pause time.Duration) {
+	for _, v := range f.vms {
+		v.down = f.rng.Float64() < fraction
+	}
+	f.run(pause)
+	for _, v := range f.vms {
+		if v.down {
+			f.start(v)
+		}
+	}
+}
+
 // scenario is a sequence of events in a fleet while a team requests more than its limit.
 type scenario struct {
 	name string
@@ -263,6 +276,12 @@
 		}
 		f.run(6 * time.Second)
 	}},
+	{"VMs are stopped in turn", func(f *fleet) {
+		for _, v := range f.vms {
+			f.start(v)
+			f.run(300 * time.Millisecond)
+		}
+	}},
 	{"the limit is lowered", func(f *fleet) {
 		low := *f.team
 		low.RatePerSecond, low.Burst = low.RatePerSecond/3, low.Burst/3
@@ -403,3 +422,25 @@
 		i++
 	}
 }
+
+// Guards against a limit that processes which started spend anew: a team's demand rises to five
+// times its limit, and VMs are killed before or shortly after others know of it.
+func TestLimitsOutliveKilledVMs(t *testing.T) {
+	for _, tm := range teams {
+		for seed := range uint64(12) {
+			f := newFleet(seed, &tm)
+			f.spreadDemand(0.3*tm.RatePerSecond, 8+f.rng.IntN(10))
+			f.run(8 * time.Second)
+			f.spreadDemand(5*tm.RatePerSecond, 8+f.rng.IntN(10))
+			f.run(time.Duration(f.rng.IntN(int(2 * time.Second))))
+			for range 1 + f.rng.IntN(3) {
+				f.killVMs(0.5+f.rng.Float64(), 500*time.Millisecond)
+				f.run(time.Duration(f.rng.IntN(int(2 * time.Second))))
+			}
+			f.run(5 * time.Second)
+			if over := f.maxPerWindow(time.Time{}) - windowLimit(f.team); over > 0 {
+				t.Errorf("%s, seed %d: %d requests over the limit of a window of %d", tm.Name, seed, over, windowLimit(f.team))
+			}
+		}
+	}
+}
