Teams' limits: recall what ended processes admitted

Callers of other teams and upstreams got more of one team's requests in five seconds than its limit, after its demand had jumped and VMs were killed. Cause, the class of docs/incidents/retry-budget.md: the collector forgot the admissions of a process with its last report, a new collector knew none, a process started with a full bucket, and at low load as known before a jump a VM admitted all of its share of a window without tokens.

Now the collector counts what an ended process admitted until a window after its last report; a report says how old its process is, and the highest total its VM has heard within a window, from which a collector that has just started recalls what it did not see; a process starts with one token; without tokens go a fifth of a VM's share of a window, 8 requests at least, and 2 in the first window after a start, in which 0.6 in place of 0.8 of the limit is the bound for all that is known.

TestLimitsOutliveSomeVMs is new: half of the VMs in series, two thirds once.

Tried and left out: only a few tokens and no admissions without a token in the first window (all bounds kept, but up to all of a small team's requests refused after a restart of all VMs: TestTeamsAreServedAfterAllVMsStartAnew); a twentieth or 0.15 of a share without tokens (callers who move are refused more often than TestNothingIsRefusedBelowTheLimit allows).

--- a/core/ratelimit/bounds.go
+++ b/core/ratelimit/bounds.go
@@ -24,6 +24,20 @@
 	// in the last window.
 	PerSecond float64
 	Sent      int
+	// Known is the highest number of requests that all VMs admitted in a window, as the VM that
+	// reports the demand heard KnownAge ago, within the last window.
+	Known    int
+	KnownAge time.Duration
+}
+
+// Report is what a VM reports of its demand.
+type Report struct {
+	Demands []Demand
+	// Up is the age of the VM's process; 0 if it is not known.
+	Up time.Duration
+	// Continued means that the report continues the VM's previous one, which was too long for one
+	// message.
+	Continued bool
 }
 
 // Total is the demand at all VMs, as summed by the collector.
@@ -53,11 +67,21 @@
 	// messages are in flight.
 	depthFraction  = 0.7
 	windowFraction = 0.8
-	// startupFraction scales a VM's window allowance for the first window after its start.
-	startupFraction = 0.8
+	// startupFraction scales a VM's window allowance for the first window after its start, and
+	// startupGlobalFraction takes the place of globalFraction: what ended processes admitted
+	// may not be known in full.
+	startupFraction       = 0.8
+	startupGlobalFraction = 0.6
+	// startupRequests is the number of requests that a VM may admit without a token in that
+	// window, at low load.
+	startupRequests = 2
 	// globalFraction is the fraction of the window limit at which no VM admits more. What
 	// VMs admit before they learn of it amounts to one second of the limit.
 	globalFraction = 0.8
+	// lowLoadFraction is the fraction of a VM's share of the window limit that it may admit
+	// without a token in a window, at low load. It bounds what is admitted before a jump in
+	// demand is known, and forgotten if VMs are killed right after it.
+	lowLoadFraction = 0.2
 	// lowLoadRequests is the number of requests that a VM may admit in a window whatever its
 	// share, at low load. lowLoadDeviations is by how many standard deviations a VM may
 	// exceed its share of the window then: random arrivals have a standard deviation of the
@@ -65,7 +89,7 @@
 	lowLoadRequests   = 8
 	lowLoadDeviations = 2.0
 	// lowLoadThreshold is the known demand, as a fraction of the window limit, up to which
-	// load is low and requests pass without a token.
+	// load is low and some requests pass without a token.
 	lowLoadThreshold = 0.7
 	// equalFraction is the fraction of a limit that is divided equally among the VMs that
 	// callers use, and lowLoadEqualFraction its minimum at low load. Callers who move reach
--- a/core/ratelimit/collector.go
+++ b/core/ratelimit/collector.go
@@ -17,9 +17,13 @@
 // Collector sums the demand of all VMs. The zero value is ready to use. It is safe for
 // concurrent use.
 type Collector struct {
-	mu   sync.Mutex
-	vms  map[string]*vmDemand
-	sums map[ID]Demand
+	mu     sync.Mutex
+	window time.Duration
+	// started is when the first report was received.
+	started time.Time
+	vms     map[string]*vmDemand
+	sums    map[ID]Demand
+	past    map[ID]*past
 	// hot are the teams whose demand was close to their limits at hotAt.
 	hot   []ID
 	hotAt time.Time
@@ -27,31 +31,49 @@
 
 // vmDemand is the demand that one VM reported.
 type vmDemand struct {
-	at      time.Time
+	at time.Time
+	// started is when its process started; zero: not known.
+	started time.Time
 	demands map[ID]Demand
 }
 
-// Record records demand that a VM reports. A report that is too long for one message is
-// split: first is true for the first message, which replaces the VM's previous report.
-func (c *Collector) Record(now time.Time, vm string, list []Demand, first bool) {
+// SetBounds sets the parameters that all limits share.
+func (c *Collector) SetBounds(b Bounds) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.window = b.Window
+}
+
+// Record records what a VM reports.
+func (c *Collector) Record(now time.Time, vm string, r Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.vms == nil {
-		c.vms, c.sums = make(map[string]*vmDemand), make(map[ID]Demand)
+		c.vms, c.sums, c.past = make(map[string]*vmDemand), make(map[ID]Demand), make(map[ID]*past)
+		c.started = now
 	}
 	v := c.vms[vm]
 	if v == nil {
 		v = &vmDemand{demands: make(map[ID]Demand)}
 		c.vms[vm] = v
 	}
+	var started time.Time
+	if r.Up > 0 {
+		started = now.Add(-r.Up)
+	}
+	if !v.started.IsZero() && started.After(v.at) {
+		c.end(v)
+	}
 	v.at = now
-	if first {
+	if !r.Continued {
+		v.started = started
 		c.subtract(v)
 	}
-	for _, d := range list {
+	for _, d := range r.Demands {
 		if d.PerSecond < 0 || d.Sent < 0 {
 			continue
 		}
+		c.recall(now, d)
 		old := v.demands[d.Team]
 		old.Team = d.Team
 		c.add(old, -1)
@@ -81,11 +103,13 @@
 
 // Total returns the totals of the teams in asked and of all hot teams. vms are the VMs that
 // callers use: an equal share is reserved for each of them that sends no reports.
+// What ended processes admitted in the last window is included.
 func (c *Collector) Total(now time.Time, asked []Demand, vms []string) Total {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name, v := range c.vms {
 		if now.Sub(v.at) > demandTTL {
+			c.end(v)
 			c.subtract(v)
 			delete(c.vms, name)
 		}
@@ -94,19 +118,20 @@
 	listed := make(map[ID]bool, len(asked))
 	for _, d := range asked {
 		listed[d.Team] = true
-		total.Demands = append(total.Demands, c.sum(d.Team))
+		total.Demands = append(total.Demands, c.sum(now, d.Team))
 	}
 	for _, id := range c.hot {
 		if !listed[id] {
-			total.Demands = append(total.Demands, c.sum(id))
+			total.Demands = append(total.Demands, c.sum(now, id))
 		}
 	}
 	return total
 }
 
-func (c *Collector) sum(id ID) Demand {
+func (c *Collector) sum(now time.Time, id ID) Demand {
 	d := c.sums[id]
 	d.Team = id
+	d.Sent += c.endedSent(now, id)
 	return d
 }
 
--- a/core/ratelimit/doc.go
+++ b/core/ratelimit/doc.go
@@ -35,10 +35,15 @@
 //     collector counts the VM's demand for longer than that. Afterwards the VM has an equal
 //     share among the VMs that callers use, and the collector reserves such a share for
 //     each VM from which it receives no report.
+//   - What processes admitted counts until they could not have admitted it within the last
+//     Window, also when they have ended. A collector keeps it for those that it knew. Each VM
+//     reports the highest total that it has received within the last Window, so that a
+//     collector that has just started learns what was admitted before.
 //   - A VM that has just started has the same equal share until it receives totals. Its own
-//     collector returns no totals before the other VMs have had time to report. As it may be
-//     unknown what was admitted before the start, the VM uses less of the window limit for
-//     the first Window.
+//     collector returns no totals before the other VMs have had time to report. As some of
+//     what was admitted before the start may be unknown, the VM begins with one token and uses less
+//     of the window limit for the first Window. If all VMs are killed within a second of a jump
+//     in demand, nobody knows what was admitted, and a window may exceed its limit.
 //   - If two VMs both act as the collector because they cannot reach each other, each
 //     reserves the equal shares of all VMs from which it receives no report.
 //
@@ -48,7 +53,7 @@
 //	l.SetVMs(12)                                    // The number of VMs that callers use.
 //	if wait, ok := l.Take(now, t); !ok { ... 429, retry after wait ... }
 //	l.Return(now, t)                                // The request was not sent after all.
-//	collector.Record(now, "vm-a", l.Demand(now), true) // On the collector.
+//	collector.Record(now, "vm-a", ratelimit.Report{Demands: l.Demand(now), Up: up}) // On the collector.
 //	collector.RefreshHot(now, teams, l.Hot)
 //	l.Heard(now, collector.Total(now, asked, vms))
 package ratelimit
--- a/core/ratelimit/fleet_test.go
+++ b/core/ratelimit/fleet_test.go
@@ -56,6 +56,7 @@
 	at         time.Time
 	from, to   *limitedVM
 	list       []ratelimit.Demand
+	up         time.Duration
 	wantTotals bool
 	total      *ratelimit.Total
 }
@@ -75,6 +76,7 @@
 	v.down, v.started = false, f.now
 	v.limiter, v.collector = &ratelimit.Limiter{}, &ratelimit.Collector{}
 	v.limiter.SetBounds(bounds)
+	v.collector.SetBounds(bounds)
 	v.limiter.SetVMs(usedVMs)
 	v.nextReport = f.now.Add(time.Duration(f.rng.IntN(int(reportInterval))))
 }
@@ -127,7 +129,7 @@
 		if to.down && f.now.Sub(to.started) > 3*time.Second || to.partition != v.partition {
 			continue
 		}
-		f.send(message{from: v, to: to, list: list, wantTotals: reports == 0 || v.limiter.Age(f.now) > 1200*time.Millisecond})
+		f.send(message{from: v, to: to, list: list, up: f.now.Sub(v.started), wantTotals: reports == 0 || v.limiter.Age(f.now) > 1200*time.Millisecond})
 		if reports++; reports == 2 {
 			return
 		}
@@ -152,7 +154,7 @@
 
 func (f *fleet) collect(m message) {
 	c := m.to.collector
-	c.Record(f.now, m.from.name, m.list, true)
+	c.Record(f.now, m.from.name, ratelimit.Report{Demands: m.list, Up: m.up})
 	if !m.wantTotals || f.now.Sub(m.to.started) < 300*time.Millisecond {
 		return
 	}
@@ -444,3 +446,34 @@
 		}
 	}
 }
+
+// Guards against a limit that is spent anew by processes that start while others know what was
+// admitted.
+func TestLimitsOutliveSomeVMs(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		fraction float64
+		kills    int
+	}{
+		{"half, in series", 0.5, 3},
+		{"two thirds, once", 0.67, 1},
+	} {
+		for _, tm := range teams {
+			for seed := range uint64(12) {
+				f := newFleet(seed, &tm)
+				f.spreadDemand(0.3*tm.RatePerSecond, 8+f.rng.IntN(10))
+				f.run(8 * time.Second)
+				f.spreadDemand(5*tm.RatePerSecond, 8+f.rng.IntN(10))
+				f.run(time.Duration(f.rng.IntN(int(2 * time.Second))))
+				for range tc.kills {
+					f.killVMs(tc.fraction, 500*time.Millisecond)
+					f.run(time.Duration(f.rng.IntN(int(2 * time.Second))))
+				}
+				f.run(5 * time.Second)
+				if over := f.maxPerWindow(time.Time{}) - windowLimit(f.team); over > 0 {
+					t.Errorf("%s, %s, seed %d: %d requests over the limit of a window of %d", tc.name, tm.Name, seed, over, windowLimit(f.team))
+				}
+			}
+		}
+	}
+}
--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -41,17 +41,22 @@
 
 // bucket is a VM's state for one team.
 type bucket struct {
-	id       ID
-	tokens   float64
-	at       time.Time // When tokens was updated; zero: the bucket has not been used yet.
-	window   window
+	id     ID
+	tokens float64
+	at     time.Time // When tokens was updated; zero: the bucket has not been used yet.
+	window window
+	// free are the requests that were admitted without a token.
+	free     window
 	demand   meter
 	reported Demand // The last report.
 	// total is the demand at all VMs as received at totalsAt, and counted this VM's own
 	// contribution to it.
 	counted, total Demand
 	totalsAt       time.Time
-	share          share // As of the last totals that were not older than totalsTTL.
+	// known is the highest total of requests admitted that was received in the last window.
+	known   int
+	knownAt time.Time
+	share   share // As of the last totals that were not older than totalsTTL.
 	// retryAt is the time at which the last refused caller was told to retry.
 	retryAt time.Time
 }
@@ -98,14 +103,37 @@
 	rate, depth := l.bounds.bucketTotals(t)
 	rate, depth = rate*s.part, depth*s.part
 	b.refill(now, rate, depth)
-	if (s.lowLoad || b.tokens >= 1) && l.withinWindow(now, b, t, s) {
-		b.tokens = max(0, b.tokens-1)
+	free := b.tokens < 1 && l.free(now, b, t, s)
+	if (free || b.tokens >= 1) && l.withinWindow(now, b, t, s) {
+		if free {
+			b.free.add(l.slice(now), 1)
+		} else {
+			b.tokens--
+		}
 		b.window.add(l.slice(now), 1)
 		return 0, true
 	}
 	return b.retryAfter(now, rate, l.bounds.Window), false
 }
 
+// starting reports whether this VM has just started, so that it may be unknown what others
+// admitted in the last window.
+func (l *Limiter) starting(now time.Time) bool {
+	return !l.noPriorTraffic && (l.base.IsZero() || now.Sub(l.base) < l.bounds.Window)
+}
+
+// free reports whether one more request may be admitted without a token.
+func (l *Limiter) free(now time.Time, b *bucket, t *team.Team, s share) bool {
+	if !s.lowLoad {
+		return false
+	}
+	allowed := max(lowLoadRequests, lowLoadFraction*s.part*l.bounds.windowLimit(t))
+	if l.starting(now) {
+		allowed = startupRequests
+	}
+	return float64(b.free.sum(l.slice(now))+1) <= allowed
+}
+
 // withinWindow reports whether one more request stays within the window allowance of this
 // VM and, as far as is known, within that of all VMs.
 func (l *Limiter) withinWindow(now time.Time, b *bucket, t *team.Team, s share) bool {
@@ -117,15 +145,18 @@
 	if now.Sub(b.totalsAt) > totalsTTL {
 		return true
 	}
-	others := max(0, b.total.Sent-b.counted.Sent)
-	return float64(own+others+1) <= max(1, globalFraction*(1-l.reserved)*windowLimit)
+	others, fraction := max(0, b.total.Sent-b.counted.Sent), globalFraction
+	if l.starting(now) {
+		fraction = startupGlobalFraction
+	}
+	return float64(own+others+1) <= max(1, fraction*(1-l.reserved)*windowLimit)
 }
 
 // windowAllowance returns the number of requests that this VM may admit in a window, out of
 // the windowLimit of all VMs.
 func (l *Limiter) windowAllowance(now time.Time, s share, windowLimit float64) float64 {
 	allowance := max(1, windowFraction*s.part*windowLimit)
-	starting := !l.noPriorTraffic && now.Sub(l.base) < l.bounds.Window
+	starting := l.starting(now)
 	switch {
 	case starting && s.lowLoad:
 		return max(startupFraction*allowance, lowLoadRequests)
@@ -232,7 +263,7 @@
 // not used any of it.
 func (b *bucket) refill(now time.Time, rate, depth float64) {
 	if b.at.IsZero() {
-		b.tokens, b.at = max(1, depth), now
+		b.tokens, b.at = 1, now
 		return
 	}
 	if elapsed := now.Sub(b.at); elapsed > 0 {
@@ -274,8 +305,11 @@
 	defer l.mu.Unlock()
 	var list []Demand
 	for _, b := range l.byID {
-		b.reported = Demand{b.id, b.demand.rate(now), int(b.window.sum(l.slice(now)))}
-		if b.reported.PerSecond < minDemand && b.reported.Sent == 0 {
+		b.reported = Demand{Team: b.id, PerSecond: b.demand.rate(now), Sent: int(b.window.sum(l.slice(now)))}
+		if age := now.Sub(b.knownAt); b.known > 0 && age < l.bounds.Window {
+			b.reported.Known, b.reported.KnownAge = b.known, age
+		}
+		if b.reported.PerSecond < minDemand && b.reported.Sent == 0 && b.reported.Known == 0 {
 			b.reported = Demand{}
 			continue
 		}
@@ -298,6 +332,9 @@
 		b := l.bucketByID(d.Team)
 		b.counted, b.total, b.totalsAt = b.reported, d, now
 		b.total.PerSecond = max(d.PerSecond, b.reported.PerSecond)
+		if d.Sent >= b.known || now.Sub(b.knownAt) >= l.bounds.Window {
+			b.known, b.knownAt = d.Sent, now
+		}
 	}
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -147,6 +147,7 @@
 	v.cfg.Store(cfg)
 	v.retries.SetBounds(cfg.RetryRatio, cfg.RetryWindow, cfg.RetryExtra)
 	v.limits.SetBounds(cfg.Limits)
+	v.collector.SetBounds(cfg.Limits)
 	v.balancer.SetPaceUse(paceUse(cfg.Load.Pace))
 }
 
--- a/io/entry/limits.go
+++ b/io/entry/limits.go
@@ -64,20 +64,20 @@
 	}
 	v.limits.SetVMs(n)
 	v.activeAddrs.Store(&active)
-	demand := v.limits.Demand(now)
+	report := ratelimit.Report{Demands: v.limits.Demand(now), Up: now.Sub(v.started)}
 	for i, name := range dispatch.First("limits", v.members.Live(now), collectors) {
 		ask := i == 0 || v.limits.Age(now) > secondAfter
 		if name == v.cfg.Load().Name {
-			p.recordOwn(now, demand, ask)
+			p.recordOwn(now, report, ask)
 		} else if m, ok := v.members.FindPeer(now, name); ok {
-			p.peer.SendDemand(m.VM.Address.Peer, demand, ask)
+			p.peer.SendDemand(m.VM.Address.Peer, report, ask)
 		}
 	}
 }
 
 // recordOwn records the demand if this VM is a collector.
-func (p *demandPublisher) recordOwn(now time.Time, demand []ratelimit.Demand, ask bool) {
-	total, ok := limitTable{p.vm}.RecordDemand(now, p.vm.cfg.Load().PeerAddr, demand, true)
+func (p *demandPublisher) recordOwn(now time.Time, r ratelimit.Report, ask bool) {
+	total, ok := limitTable{p.vm}.RecordDemand(now, p.vm.cfg.Load().PeerAddr, r)
 	if ok && ask {
 		limitTable{p.vm}.Heard(now, total)
 	}
@@ -108,18 +108,18 @@
 
 // RecordDemand implements peer.LimitTable. A VM that has just started, or does not know of any
 // other yet, cannot return totals.
-func (l limitTable) RecordDemand(now time.Time, addr string, list []ratelimit.Demand, first bool) (ratelimit.Total, bool) {
+func (l limitTable) RecordDemand(now time.Time, addr string, r ratelimit.Report) (ratelimit.Total, bool) {
 	table, active := l.table.Load(), l.activeAddrs.Load()
 	if table == nil || active == nil {
 		return ratelimit.Total{}, false
 	}
-	l.collector.Record(now, addr, list, first)
+	l.collector.Record(now, addr, r)
 	age := now.Sub(l.started)
 	if age < collectAfter || age < joinHold && len(l.members.Live(now)) < 2 {
 		return ratelimit.Total{}, false
 	}
 	l.collector.RefreshHot(now, table.Teams.Teams(), l.limits.Hot)
-	return l.collector.Total(now, list, *active), true
+	return l.collector.Total(now, r.Demands, *active), true
 }
 
 // Heard implements peer.LimitTable.
--- a/io/entry/limits_bench_test.go
+++ b/io/entry/limits_bench_test.go
@@ -34,7 +34,7 @@
 	b.ReportAllocs()
 	i := 0
 	for b.Loop() {
-		limitTable{v}.RecordDemand(now, fmt.Sprint("addr", i%300), list, true)
+		limitTable{v}.RecordDemand(now, fmt.Sprint("addr", i%300), ratelimit.Report{Demands: list})
 		i++
 	}
 }
--- a/io/peer/datagram.go
+++ b/io/peer/datagram.go
@@ -24,10 +24,10 @@
 	maxDatagram = 4 << 10
 	// maxReplyPlacements bounds the placements in the reply to one request.
 	maxReplyPlacements = 4 << 10
-	// demandsPerDatagram is how many teams' demands a datagram holds, at nine bytes each, and
+	// demandsPerDatagram is how many teams' demands a datagram holds, at 15 bytes each, and
 	// maxDemands is how many a VM sends at once. Teams beyond it get equal shares.
-	demandsPerDatagram = 140
-	maxDemands         = 10 * demandsPerDatagram
+	demandsPerDatagram = 85
+	maxDemands         = 16 * demandsPerDatagram
 )
 
 // PlacementTable is a VM's record of the placements of objects.
@@ -62,7 +62,7 @@
 	IsPeer(now time.Time, addr string) bool
 	// RecordDemand records the demand at the VM at an address and returns the totals, or
 	// false if this VM does not have them. first marks the first datagram of a series.
-	RecordDemand(now time.Time, addr string, list []ratelimit.Demand, first bool) (ratelimit.Total, bool)
+	RecordDemand(now time.Time, addr string, r ratelimit.Report) (ratelimit.Total, bool)
 	// Heard records received totals.
 	Heard(now time.Time, t ratelimit.Total)
 }
@@ -154,7 +154,7 @@
 		return
 	}
 	if demand := m.GetDemand(); demand != nil {
-		total, ok := d.limits.RecordDemand(time.Now(), from.String(), wire.Demands(demand), !demand.GetMore())
+		total, ok := d.limits.RecordDemand(time.Now(), from.String(), wire.Report(demand))
 		if ok && demand.GetAsk() {
 			d.send(from, &schema.Datagram{Total: wire.FromTotal(total)})
 		}
@@ -166,12 +166,13 @@
 
 // SendDemand sends the demand at this VM to another. With ask it requests the totals in
 // return.
-func (d *Datagrams) SendDemand(addr string, list []ratelimit.Demand, ask bool) {
-	list = list[:min(maxDemands, len(list))]
+func (d *Datagrams) SendDemand(addr string, r ratelimit.Report, ask bool) {
+	list := r.Demands[:min(maxDemands, len(r.Demands))]
 	d.forEachAddr([]string{addr}, func(to netip.AddrPort) {
 		for more := false; !more || len(list) > 0; more = true {
 			n := min(demandsPerDatagram, len(list))
-			d.send(to, &schema.Datagram{Demand: wire.FromDemands(list[:n], ask, more)})
+			part := ratelimit.Report{Demands: list[:n], Up: r.Up, Continued: more}
+			d.send(to, &schema.Datagram{Demand: wire.FromReport(part, ask)})
 			list = list[n:]
 		}
 	})
