core/dispatch: a start grants no retry

The credit is a token bucket otherwise: it ends with its process and is earned by its requests. TestStartGrantsNoRetry failed before. TestRetryStormStaysWithinTheBudget is one retry stricter. Cost: the first retry of a VM comes after as many requests as its share asks for, ten at a tenth.

--- a/core/dispatch/budget.go
+++ b/core/dispatch/budget.go
@@ -7,12 +7,11 @@
 
 // Budget limits retries to a share of the recent requests. When every upstream
 // refuses, retries add at most that share to the load. It is safe for
-// concurrent use; the zero value grants the minimum only.
+// concurrent use; the zero value grants none.
 type Budget struct {
 	mu      sync.Mutex
 	updated time.Time
 	credit  float64
-	started bool
 }
 
 const (
@@ -20,8 +19,6 @@
 	budgetWindow = 10 * time.Second
 	// maxCredit is the largest burst of retries.
 	maxCredit = 20
-	// initialCredit allows a VM with little traffic to retry at all.
-	initialCredit = 1
 )
 
 // Request counts one request, which adds share to the retry credit.
@@ -46,10 +43,6 @@
 
 // decay reduces unused credit by the fraction of budgetWindow that has passed.
 func (b *Budget) decay(now time.Time) {
-	if !b.started {
-		b.started, b.updated, b.credit = true, now, initialCredit
-		return
-	}
 	passed := now.Sub(b.updated)
 	b.updated = now
 	b.credit *= max(0, 1-float64(passed)/float64(budgetWindow))
--- a/core/dispatch/pool_test.go
+++ b/core/dispatch/pool_test.go
@@ -235,11 +235,22 @@
 			}
 		}
 	}
-	if retries > requests*share+initialCredit || retries < requests*share/2 {
+	if retries > requests*share || retries < requests*share/2 {
 		t.Errorf("%d retries of %d requests, want at most %v and at least half of that", retries, requests, requests*share)
 	}
 }
 
+// Guards against a retry that is granted anew at each start of a VM that ends again and again.
+func TestStartGrantsNoRetry(t *testing.T) {
+	for i := range 100 {
+		var b Budget
+		b.Request(at(float64(i)), 0.1)
+		if b.Retry(at(float64(i))) {
+			t.Fatal("a VM that has just started was granted a retry for a tenth of a request's share")
+		}
+	}
+}
+
 // An upstream that has asked for a pause must get no requests until it is over.
 func TestPausedUpstreamGetsNothing(t *testing.T) {
 	p := newPool(four)
