Soak: VMs are killed in series while responses are lost

Callers send at a constant rate then, mostly requests that may run twice: if they sent sooner after a failure, the bound would rise with them.

--- a/tools/soak/chaos.go
+++ b/tools/soak/chaos.go
@@ -235,13 +235,17 @@
 func (c *caller) run(ctx context.Context) {
 	defer c.wait.Done()
 	for n := 0; ctx.Err() == nil; n++ {
-		id := fmt.Sprintf("c%d-%d", c.number, n)
-		once := c.rnd.IntN(2) == 0
+		began, id := time.Now(), fmt.Sprintf("c%d-%d", c.number, n)
+		once := c.rnd.IntN(c.fleet.perOnce) == 0
 		if wait := c.ask(id, once, callTime); wait > 0 && c.fleet.returns {
 			wait = min(wait, callTime/3)
 			<-time.After(wait)
 			c.ask(id+"-back", once, callTime-wait)
 		}
+		if c.fleet.paced {
+			<-time.After(time.Until(began.Add(pacedInterval)))
+			continue
+		}
 		<-time.After(time.Duration(c.rnd.ExpFloat64() * float64(callInterval)))
 	}
 }
@@ -336,6 +340,10 @@
 	if cmd.Cuts {
 		injecting.Go(func() { cuts.run(ctx, end) })
 	}
+	kills := &killer{fleet: f, chaos: ch, rnd: rand.New(rand.NewPCG(seed, 7000))}
+	if cmd.Kills {
+		injecting.Go(func() { kills.run(ctx, end) })
+	}
 	ch.run(end)
 	injecting.Wait()
 	if cmd.Cuts {
@@ -353,6 +361,7 @@
 	<-time.After(time.Second) // Upstreams may still run requests and report them.
 	versions := f.versionsSoFar()
 	r := &result{seed: seed, faults: ch.names, began: began, injected: ch.faults, probed: len(pr.probes), versions: len(versions)}
+	r.kills = kills.count
 	f.ledger.judge(r, calm)
 	r.broken = append(r.broken, f.ledger.judgeNotices(&f.exemptions)...)
 	r.broken = append(r.broken, judgeRules(pr.probes, versions)...)
--- a/tools/soak/ledger.go
+++ b/tools/soak/ledger.go
@@ -146,7 +146,7 @@
 	lastAsked, lastOK int
 
 	probed, versions, repeats int
-	restores, cuts            int
+	restores, cuts, kills     int
 	poisoned                  int // Runs of poison requests.
 	began                     time.Time
 	injected                  []injectedFault
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -46,6 +46,7 @@
 	Notices   bool          `help:"Upstreams announce limits, pauses and that they leave."`
 	Restores  bool          `help:"The store is restored from older copies of its data, while some VMs are cut off from it or start."`
 	Cuts      bool          `help:"VMs are cut off from all upstreams, one, those of a zone or most, also when all other faults are over."`
+	Kills     bool          `help:"Most responses of upstreams are lost, and most VMs are killed at once and in series meanwhile."`
 	Returns   bool          `help:"Refused callers get appointments, and come back when they are told."`
 	Plots     string        `help:"Directory for a timeline of each seed." type:"path"`
 	Logs      string        `help:"Directory for the VMs' logs of seeds that fail." type:"path"`
--- a/tools/soak/probe.go
+++ b/tools/soak/probe.go
@@ -160,6 +160,6 @@
 func (r *result) checkCounts() string {
 	return strings.Join([]string{
 		fmt.Sprintf("%d rules probed", r.probed), fmt.Sprintf("%d versions", r.versions), fmt.Sprintf("%d sent again", r.repeats),
-		fmt.Sprintf("%d poison requests run", r.poisoned), fmt.Sprintf("%d restores, %d cuts", r.restores, r.cuts),
+		fmt.Sprintf("%d poison requests run", r.poisoned), fmt.Sprintf("%d restores, %d cuts, %d kills", r.restores, r.cuts, r.kills),
 	}, ", ")
 }
--- a/tools/soak/proxy.go
+++ b/tools/soak/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -34,7 +35,9 @@
 	acceptAlways bool
 	target       string
 	mode         atomic.Int32
-	links        *links // nil if it is not a proxy to an upstream.
+	// lost is the percentage of chunks from the target at which the connection is reset.
+	lost  atomic.Int32
+	links *links // nil if it is not a proxy to an upstream.
 }
 
 func startProxy(to string, acceptAlways bool, l *links) (*proxy, error) {
@@ -146,7 +149,7 @@
 		return true
 	}
 	switch m := mode(s.proxy.mode.Load()); {
-	case m == reset:
+	case m == reset || s.back && rand.Int32N(100) < s.proxy.lost.Load():
 		resetConn(s.from)
 		resetConn(s.to)
 		return false
