Tests: cold allowances, promises and second sends when VMs are killed

A VM takes no share of a cold target for three seconds after its start, longer than the second that is bounded: without that, the new test finds too many. A process promises a quarter of what it has itself served, and one more. Second sends draw from the retry budget, and are in the scenarios of its tests.

--- a/core/appointment/property_test.go
+++ b/core/appointment/property_test.go
@@ -130,3 +130,38 @@
 	}
 	spread("the first of each VM", fleet)
 }
+
+// Guards against promises that are made anew by each process that starts: in any second, those of
+// VMs that are killed again and again are at most Part of what they serve, and one for each start.
+func TestStartedVMsPromiseWhatTheyServe(t *testing.T) {
+	const vms, life, served, refused = 20, 700 * time.Millisecond, 5, 50
+	var list []time.Time
+	begin := time.Unix(1000, 0)
+	for vm := range vms {
+		var b appointment.Book
+		var m appointment.Meter
+		started := begin.Add(time.Duration(vm) * life / vms)
+		for at := started; at.Before(begin.Add(20 * time.Second)); at = at.Add(time.Second / refused) {
+			if at.Sub(started) >= life {
+				b, m, started = appointment.Book{}, appointment.Meter{}, at
+			}
+			if int(at.Sub(begin)*served/time.Second) != int(at.Add(-time.Second/refused).Sub(begin)*served/time.Second) {
+				m.Add(at)
+			}
+			if wait, ok := b.Next(at, appointment.Room{PerSecond: m.PerSecond(at)}, time.Second); ok {
+				list = append(list, at.Add(wait))
+			}
+		}
+	}
+	slices.SortFunc(list, time.Time.Compare)
+	starts := vms * float64(time.Second) / float64(life)
+	for i, from := range list {
+		n := 0
+		for n < len(list)-i && list[i+n].Sub(from) < time.Second {
+			n++
+		}
+		if most := appointment.Part*vms*served + starts; float64(n) > most {
+			t.Fatalf("%d promises in a second, want at most %.0f", n, most)
+		}
+	}
+}
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -303,6 +304,65 @@
 	}
 }
 
+// Guards against cold targets that get a request of each process that starts, beside those of the
+// processes that ended within the same second.
+func TestColdAllowanceOutlivesKilledVMs(t *testing.T) {
+	const vms, perSecond, bound = 40, 14, 14*1.5 + 5
+	names := make([]string, vms)
+	for i := range names {
+		names[i] = fmt.Sprint("vm", i)
+	}
+	// most returns the most requests in a second if processes take no share for hold after their start.
+	most := func(seed uint64, hold time.Duration) int {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		cold := &target.Target{ID: "cold", Service: "s", Region: "north", Zone: "north-0", Slots: 4, Usable: true, ColdUntil: start.Add(time.Hour)}
+		all, joins := make([]*balance.Balancer, vms), make([]time.Duration, vms)
+		startProcess := func(i int, at time.Duration) {
+			all[i], joins[i] = balance.New(names[i], "north", "north-0"), at+hold
+			all[i].SetTargets([]*target.Target{cold})
+		}
+		for i := range vms {
+			startProcess(i, -hold)
+		}
+		var sent []time.Duration
+		kill := time.Second
+		for at := time.Duration(0); at < 15*time.Second; at += 10 * time.Millisecond {
+			if at >= kill {
+				for i := range vms {
+					if rng.Float64() < 0.8 {
+						startProcess(i, at+100*time.Millisecond)
+					}
+				}
+				kill = at + time.Duration(200+rng.IntN(2000))*time.Millisecond
+			}
+			for i, b := range all {
+				if at >= joins[i] {
+					b.SetVMs(namedVMs(names...))
+				}
+				if at < joins[i]-hold {
+					continue
+				}
+				l, err := b.Choose(start.Add(at), balance.Request{Service: "s", Urgent: true, ColdPerSecond: perSecond})
+				if err == nil {
+					b.Done(start.Add(at), l, balance.Outcome{Answered: true})
+					sent = append(sent, at)
+				}
+			}
+		}
+		return maxInWindow(sent, time.Second)
+	}
+	found := false
+	for seed := range uint64(10) {
+		if got := most(seed, 3*time.Second); got > bound {
+			t.Errorf("seed %d: %d requests in a second, want at most %v", seed, got, bound)
+		}
+		found = found || most(seed, 0) > bound
+	}
+	if !found {
+		t.Error("the kills do not find processes that take a share at once")
+	}
+}
+
 func namedVMs(names ...string) (vms []balance.VM) {
 	for _, name := range names {
 		vms = append(vms, balance.VM{Name: name, Region: "north"})
--- a/core/balance/retry_test.go
+++ b/core/balance/retry_test.go
@@ -28,6 +28,7 @@
 	Request(now time.Time, service string)
 	Withdraw(now time.Time, service string)
 	Retry(now time.Time, service string) bool
+	Spare(now time.Time, service string) bool
 	SetVMs(n int)
 }
 
@@ -43,7 +44,10 @@
 	// failing is the fraction of requests that fail.
 	failing float64
 	// relayed is the fraction of requests that pass through a second VM.
-	relayed           float64
+	relayed float64
+	// overdue is the fraction of requests whose response is overdue, so that they are sent to a
+	// second upstream before they have failed.
+	overdue           float64
 	requests, retries []time.Duration
 	// failed are the requests that no attempt served.
 	failed int
@@ -155,6 +159,9 @@
 		}
 		v.budget.Request(f.time(), "s")
 	}
+	if f.rng.Float64() < f.overdue && v.budget.Spare(f.time(), "s") {
+		f.retries = append(f.retries, f.now)
+	}
 	for attempt := 1; f.rng.Float64() < f.failing; attempt++ {
 		if attempt == retryAttempts || !v.budget.Retry(f.time(), "s") {
 			f.failed++
@@ -240,6 +247,9 @@
 	if rng.IntN(3) == 0 {
 		f.relayed = rng.Float64() / 2
 	}
+	if rng.IntN(2) == 0 {
+		f.overdue = rng.Float64() / 2
+	}
 	seconds := func(from, to float64) time.Duration {
 		return time.Duration((from+(to-from)*rng.Float64())*1000) * time.Millisecond
 	}
--- a/core/balance/retry_window_test.go
+++ b/core/balance/retry_window_test.go
@@ -19,13 +19,17 @@
 	b.requests = b.requests[:max(0, len(b.requests)-1)]
 }
 
-func (b *windowBudget) Retry(now time.Time, _ string) bool {
+func (b *windowBudget) Retry(now time.Time, _ string) bool { return b.take(now, 1) }
+
+func (b *windowBudget) Spare(now time.Time, _ string) bool { return b.take(now, 0.5) }
+
+func (b *windowBudget) take(now time.Time, fraction float64) bool {
 	b.requests, b.retries = inWindow(now, b.requests), inWindow(now, b.retries)
 	granted := 0.85 * retryRatio * float64(len(b.requests))
 	if b.vms > 1 {
 		granted += 0.5 * float64(b.extra) / float64(b.vms)
 	}
-	if float64(len(b.retries)+1) > granted {
+	if float64(len(b.retries)+1) > fraction*granted {
 		return false
 	}
 	b.retries = append(b.retries, now)
