--- a/core/balance/retry.go
+++ b/core/balance/retry.go
@@ -22,7 +22,7 @@
 	ratio    float64
 	window   time.Duration
 	extra    int
-	epoch    time.Time // Start of bucket 0, by the monotonic clock.
+	epoch    time.Time // Start of slice 0, by the monotonic clock.
 	vms      int
 	services map[string]*retryTokens
 }
@@ -63,7 +63,7 @@
 	Retries, Spare, Denied int64
 	// Left is how many retries would be granted now.
 	Left float64
-	// VMs is the number of VMs that share the fixed part; 0: not known.
+	// VMs is the number of VMs that share the fixed number; 0: not known.
 	VMs int
 }
 
--- a/core/ratelimit/collector.go
+++ b/core/ratelimit/collector.go
@@ -61,7 +61,7 @@
 	if r.Up > 0 {
 		started = now.Add(-r.Up)
 	}
-	if !v.started.IsZero() && started.After(v.at) {
+	if started.After(v.at) {
 		c.end(v)
 	}
 	v.at = now
--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -259,8 +259,8 @@
 	return t.Limited() && l.bounds.load(t, perSecond) > lowLoadEqualFraction
 }
 
-// refill adds the tokens that accrued up to now. The bucket starts full, as the team has
-// not used any of it.
+// refill adds the tokens that accrued up to now. The bucket starts with one token: processes
+// that have ended may have used the others.
 func (b *bucket) refill(now time.Time, rate, depth float64) {
 	if b.at.IsZero() {
 		b.tokens, b.at = 1, now
--- a/core/ratelimit/past.go
+++ b/core/ratelimit/past.go
@@ -5,15 +5,15 @@
 // past is what a collector knows of the requests of one team that ended processes admitted. As it
 // is not known when they were admitted, they count until a window after the last report.
 type past struct {
-	ended []endedSent
+	ended []endedCount
 	// known is the highest number of requests that all VMs admitted in a window before the
 	// collector started, heard of at knownAt.
 	known   int
 	knownAt time.Time
 }
 
-// endedSent is a number of requests that an ended process admitted, and counts until a time.
-type endedSent struct {
+// endedCount is a number of requests that an ended process admitted, and counts until a time.
+type endedCount struct {
 	n     int
 	until time.Time
 }
@@ -23,13 +23,13 @@
 	for id, d := range v.demands {
 		if d.Sent > 0 {
 			p := c.pastOf(id)
-			p.ended = append(p.ended, endedSent{d.Sent, v.at.Add(c.window)})
+			p.ended = append(p.ended, endedCount{d.Sent, v.at.Add(c.window)})
 		}
 	}
 }
 
-// recall records what a VM knows of the time before this collector started. Later totals come
-// from collectors that are known to this one's senders as well.
+// recall records what a VM knows of the time before this collector started. What was admitted
+// later is in the reports that it receives itself.
 func (c *Collector) recall(now time.Time, d Demand) {
 	at := now.Add(-d.KnownAge)
 	if d.Known <= 0 || !at.Before(c.started) || d.KnownAge >= c.window {
--- a/io/peer/datagram.go
+++ b/io/peer/datagram.go
@@ -61,7 +61,7 @@
 	// more than the limit.
 	IsPeer(now time.Time, addr string) bool
 	// RecordDemand records the demand at the VM at an address and returns the totals, or
-	// false if this VM does not have them. first marks the first datagram of a series.
+	// false if this VM does not have them.
 	RecordDemand(now time.Time, addr string, r ratelimit.Report) (ratelimit.Total, bool)
 	// Heard records received totals.
 	Heard(now time.Time, t ratelimit.Total)
