--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -102,6 +102,9 @@
 	s := l.share(now, b, t)
 	rate, depth := l.bounds.bucketTotals(t)
 	rate, depth = rate*s.part, depth*s.part
+	if b.at.IsZero() && l.noPriorTraffic {
+		b.tokens, b.at = max(1, depth), now
+	}
 	b.refill(now, rate, depth)
 	free := b.tokens < 1 && l.free(now, b, t, s)
 	if (free || b.tokens >= 1) && l.withinWindow(now, b, t, s) {
@@ -259,7 +262,7 @@
 	return t.Limited() && l.bounds.load(t, perSecond) > lowLoadEqualFraction
 }
 
-// refill adds the tokens that accrued up to now. The bucket starts with one token: processes
+// refill adds the tokens that accrued up to now. The bucket starts with one token, as processes
 // that have ended may have used the others.
 func (b *bucket) refill(now time.Time, rate, depth float64) {
 	if b.at.IsZero() {
--- a/io/entry/charges_test.go
+++ b/io/entry/charges_test.go
@@ -21,6 +21,7 @@
 		v := &VM{}
 		v.limits.SetBounds(ratelimit.Bounds{Window: 5 * time.Second})
 		v.limits.SetVMs(1)
+		v.limits.AssumeNoPriorTraffic() // So that all of the limit is there.
 		a := &attempt{vm: v, req: &request{team: few}, charges: &charges{}}
 		left := func() (n int) {
 			for _, ok := v.limits.Take(now, few); ok; _, ok = v.limits.Take(now, few) {
