--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -45,10 +45,10 @@
 	tokens float64
 	at     time.Time // When tokens was updated; zero: the bucket has not been used yet.
 	window window
-	// free are the requests that were admitted without a token.
-	free     window
-	demand   meter
-	reported Demand // The last report.
+	// untokened are the requests that were admitted without a token.
+	untokened window
+	demand    meter
+	reported  Demand // The last report.
 	// total is the demand at all VMs as received at totalsAt, and counted this VM's own
 	// contribution to it.
 	counted, total Demand
@@ -106,12 +106,12 @@
 		b.tokens, b.at = max(1, depth), now
 	}
 	b.refill(now, rate, depth)
-	free := b.tokens < 1 && l.free(now, b, t, s)
-	if (free || b.tokens >= 1) && l.withinWindow(now, b, t, s) {
-		if free {
-			b.free.add(l.slice(now), 1)
-		} else {
+	hasToken := b.tokens >= 1
+	if (hasToken || l.needsNoToken(now, b, t, s)) && l.withinWindow(now, b, t, s) {
+		if hasToken {
 			b.tokens--
+		} else {
+			b.untokened.add(l.slice(now), 1)
 		}
 		b.window.add(l.slice(now), 1)
 		return 0, true
@@ -125,8 +125,8 @@
 	return !l.noPriorTraffic && (l.base.IsZero() || now.Sub(l.base) < l.bounds.Window)
 }
 
-// free reports whether one more request may be admitted without a token.
-func (l *Limiter) free(now time.Time, b *bucket, t *team.Team, s share) bool {
+// needsNoToken reports whether one more request may be admitted without a token.
+func (l *Limiter) needsNoToken(now time.Time, b *bucket, t *team.Team, s share) bool {
 	if !s.lowLoad {
 		return false
 	}
@@ -134,7 +134,7 @@
 	if l.starting(now) {
 		allowed = startupRequests
 	}
-	return float64(b.free.sum(l.slice(now))+1) <= allowed
+	return float64(b.untokened.sum(l.slice(now))+1) <= allowed
 }
 
 // withinWindow reports whether one more request stays within the window allowance of this
--- a/tools/soak/chaos.go
+++ b/tools/soak/chaos.go
@@ -236,13 +236,17 @@
 	defer c.wait.Done()
 	for n := 0; ctx.Err() == nil; n++ {
 		began, id := time.Now(), fmt.Sprintf("c%d-%d", c.number, n)
-		once := c.rnd.IntN(c.fleet.perOnce) == 0
+		per := 2
+		if c.fleet.kills {
+			per = killOnce
+		}
+		once := c.rnd.IntN(per) == 0
 		if wait := c.ask(id, once, callTime); wait > 0 && c.fleet.returns {
 			wait = min(wait, callTime/3)
 			<-time.After(wait)
 			c.ask(id+"-back", once, callTime-wait)
 		}
-		if c.fleet.paced {
+		if c.fleet.kills {
 			<-time.After(time.Until(began.Add(pacedInterval)))
 			continue
 		}
--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -103,8 +103,7 @@
 	acceptAlways bool         // See proxy.acceptAlways.
 	objects      bool         // Requests concern an object of their caller.
 	homes        bool         // Some requests go to a route with a home.
-	paced        bool         // Callers send at a constant rate.
-	perOnce      int          // One in so many requests must run at most once.
+	kills        bool         // Callers send at a constant rate, mostly requests that may be retried.
 	links        links
 
 	mu       sync.Mutex
@@ -135,10 +134,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, ledger: newLedger(), acceptAlways: c.Taking, returns: c.Returns, objects: c.Restores || c.Cuts, homes: c.Cuts, paced: c.Kills, perOnce: 2, evacuated: make(map[string]bool)}
-	if c.Kills {
-		f.perOnce = 8 // Only the others are retried when their responses are lost.
-	}
+	f := &fleet{dir: dir, ledger: newLedger(), acceptAlways: c.Taking, returns: c.Returns, objects: c.Restores || c.Cuts, homes: c.Cuts, kills: c.Kills, evacuated: make(map[string]bool)}
 	if f.storeAddr, err = freeport.Addr(); err != nil {
 		return nil, err
 	}
--- a/tools/soak/kill.go
+++ b/tools/soak/kill.go
@@ -27,6 +27,9 @@
 	// pacedInterval is the time between two requests of a caller. Without it callers whose
 	// requests fail early would send more, which raises the limit on retries.
 	pacedInterval = 60 * time.Millisecond
+	// killOnce is the number of requests of which one must run at most once. Only the others are
+	// retried when their responses are lost.
+	killOnce = 8
 )
 
 // killer resets most responses of all upstreams, and kills most VMs at once meanwhile.
