--- a/core/throttle/throttle_test.go
+++ b/core/throttle/throttle_test.go
@@ -118,3 +118,24 @@
 		t.Errorf("lifted 58 s ago: %+v", r)
 	}
 }
+
+// Guards against a limit of which each process that starts takes a part at once.
+func TestStartsTakeNoTokens(t *testing.T) {
+	const perSecond, life = 5, 300 * time.Millisecond
+	place := throttle.Place{VMs: 10}
+	sent := 0
+	var l throttle.Limit
+	for age := time.Duration(0); age < 20*time.Second; age += 10 * time.Millisecond {
+		now := start.Add(age)
+		if age%life == 0 {
+			l = throttle.Limit{}
+			l.Answered(now, now, named(perSecond))
+		}
+		if l.Take(now, place) {
+			sent++
+		}
+	}
+	if most := perSecond * 20; sent > most {
+		t.Errorf("%d requests in 20 s of a process that starts again and again, want at most %d", sent, most)
+	}
+}
