--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 for program in target/auburnlatch-entry bin/review/rig; do
 	[ -x "$program" ] || { echo "$program is missing" >&2; exit 2; }
 done
-exec bin/review/rig behind review/2/record.txt
+exec bin/review/rig stop review/2/record.txt
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -59,11 +59,44 @@
 	ending         bool
 }
 
+// processes are the daemons that were started. It is safe for concurrent use.
+type processes struct {
+	mu    sync.Mutex
+	list  []*exec.Cmd
+	ended bool
+}
+
+// daemons are all daemons of the run.
+var daemons processes
+
+// start starts a daemon, unless the run has ended.
+func (p *processes) start(cmd *exec.Cmd) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		return errors.New("the run has ended")
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p.list = append(p.list, cmd)
+	return nil
+}
+
+// kill kills all daemons.
+func (p *processes) kill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = true
+	for _, cmd := range p.list {
+		_ = cmd.Process.Kill() // Fails only if it has exited.
+	}
+}
+
 // fleet is the stand-in deployment: the store, the upstreams and the VMs.
 type fleet struct {
 	dir     string
 	bounds  bounds
-	cores   int // Cores that a VM exposes; 0: all.
 	store   *store
 	runs    *runs
 	vms     []*vm
@@ -157,11 +190,8 @@
 	}
 	cmd := exec.Command(daemonPath)
 	cmd.Env = append(os.Environ(), settingsFileEnv+"="+v.settings)
-	if f.cores > 0 {
-		cmd.Env = append(cmd.Env, fmt.Sprintf("GOMAXPROCS=%d", f.cores))
-	}
 	cmd.Stdout, cmd.Stderr = out, out
-	if err := cmd.Start(); err != nil {
+	if err := daemons.start(cmd); err != nil {
 		return err
 	}
 	out.Close()
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -15,6 +15,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -44,6 +46,25 @@
 	os.Exit(play(scenarios[os.Args[1]], os.Args[2]))
 }
 
+// watchdog ends a run that takes too long or is interrupted.
+type watchdog struct{ done chan struct{} }
+
+// run waits until the run is done. If ctx ends before that, it kills the daemons and exits.
+func (w *watchdog) run(ctx context.Context) {
+	select {
+	case <-w.done:
+	case <-ctx.Done():
+	}
+	select {
+	case <-w.done:
+		return
+	default:
+	}
+	daemons.kill()
+	fmt.Fprintln(os.Stderr, "rig:", ctx.Err())
+	os.Exit(exitFailed)
+}
+
 // play plays a case and returns the exit code.
 func play(s scenario, path string) int {
 	rec, err := newRecord(path)
@@ -54,11 +75,17 @@
 	defer rec.close()
 	ctx, cancel := context.WithTimeout(context.Background(), maxRun)
 	defer cancel()
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	w := &watchdog{done: make(chan struct{})}
+	defer close(w.done)
+	go w.run(ctx)
 	findings, err := s(ctx, rec, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "rig:", err)
 		return exitFailed
 	}
+	daemons.kill()
 	for _, f := range findings {
 		rec.printf("BROKEN %s", f)
 		fmt.Println("BROKEN", f)
--- a/review/rig/stop.go
+++ b/review/rig/stop.go
@@ -13,15 +13,13 @@
 const (
 	stopVMs     = 4
 	stopTargets = 16
-	// stopCores is how many cores a VM exposes.
-	stopCores = 2
-	// stopClients keep one connection each, about 2,500 at a VM, and send a request every
+	// stopClients keep one connection each, about 3,000 at a VM, and send a request every
 	// stopPause on average.
-	stopClients = 10_000
+	stopClients = 12_000
 	stopPause   = 6 * time.Second
 	// Each slowLookups-th client keeps the directory's answers for three times as long as the
 	// others.
-	slowLookups = 3
+	slowLookups = 2
 	// stopWarmUp is how long clients send before the first stop, and stopFor how long VMs are
 	// stopped one after the other, stopGap apart.
 	stopWarmUp = 8 * time.Second
@@ -40,7 +38,6 @@
 		return nil, err
 	}
 	defer f.stop()
-	f.cores = stopCores
 	for i := range stopVMs {
 		if err := f.addVM(zoneNames[i%len(zoneNames)]); err != nil {
 			return nil, err
