review: case 2 says when too few files can be open

With too low a limit of open files the clients of case 2 could not connect, and the run would have passed for one in which the rule held.

--- a/review/rig/stop.go
+++ b/review/rig/stop.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -17,6 +18,9 @@
 	// stopPause on average.
 	stopClients = 12_000
 	stopPause   = 6 * time.Second
+	// stopFiles is how many files the stand-ins open: the clients' connections and those of
+	// the VMs to upstreams.
+	stopFiles = 13_500
 	// Each slowLookups-th client keeps the directory's answers for three times as long as the
 	// others.
 	slowLookups = 2
@@ -33,6 +37,13 @@
 // playStop stops the VMs in turn and starts them again, while clients with kept connections send
 // requests without a body.
 func playStop(ctx context.Context, rec *record, trouble bool) ([]string, error) {
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
+		return nil, err
+	}
+	if files.Cur < stopFiles {
+		return nil, fmt.Errorf("%d files can be open, and the clients need %d", files.Cur, stopFiles)
+	}
 	f, err := newFleet(bounds{grace: 6 * time.Second, drain: 2500 * time.Millisecond, ttl: 5 * time.Second, beat: 1500 * time.Millisecond})
 	if err != nil {
 		return nil, err
