io/entry: the log says who ended a request that was canceled

A request whose context ended was logged as Canceled, whether its caller had left, the VM had ended its connection as idle, or the stop had cancelled the work. RequestGivenUp now has, for these, what the read behind the request returned, how long ago its header was handed to the server and the connection was ended as idle, the bytes that the server held then, whether another request of the connection was in progress, and whether the VM stops.

--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -93,6 +93,12 @@
 	closed      bool
 	err         error // Of readLoop's last read.
 	deadlineSeq int   // Counts changes of the deadline, to ignore the timeout of an old one.
+	// handedAt is when bytes of a request were last passed to the server while it served none,
+	// endedAt is when the connection was last ended as idle, with held bytes of a request at
+	// the server, and behindErr is the error of the last read behind a request.
+	handedAt, endedAt time.Time
+	held              int
+	behindErr         error
 	// pipeline is the requests that were read and not yet served, in order; nil for a
 	// request that waits for its turn.
 	pipeline []*pipelined
@@ -137,12 +143,14 @@
 		return c.consume(p), nil
 	}
 	if c.reading {
+		c.behindErr = c.err
 		return 0, c.err
 	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	if n == 0 {
+		c.behindErr = err
 		return 0, err
 	}
 	c.cancelExpiry()
@@ -195,6 +203,9 @@
 
 // recordConsumed records that p was passed to the server.
 func (c *callerConn) recordConsumed(p []byte) {
+	if !c.serving {
+		c.handedAt, c.behindErr = time.Now(), nil
+	}
 	c.tail = append(c.tail, p[max(0, len(p)-len(headerEnd)):]...)
 	c.tail = c.tail[max(0, len(c.tail)-len(headerEnd)):]
 	if bytes.Equal(c.tail, headerEnd) {
@@ -247,6 +258,29 @@
 	c.serving = false
 }
 
+// connTrace is what is known of a connection on which a request got no response.
+type connTrace struct {
+	// Handed is when the request's header was passed to the server, and Ended when the
+	// connection was ended as idle; zero: it was not.
+	Handed, Ended time.Time
+	// Held is how many bytes of a request the server had then.
+	Held int
+	// Err is the error of the read behind the request; nil: there was none.
+	Err error
+	// Pending says that a request behind this one was being processed.
+	Pending bool
+}
+
+// trace returns what is known of the connection.
+func (c *callerConn) trace() connTrace {
+	if c == nil {
+		return connTrace{}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return connTrace{Handed: c.handedAt, Ended: c.endedAt, Held: c.held, Err: c.behindErr, Pending: len(c.pipeline) > 0}
+}
+
 // mayClose reports whether the response to be written may be the connection's last,
 // as no later request is in flight. If so, none is started from then on.
 func (c *callerConn) mayClose() bool {
@@ -398,6 +432,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.expiring = true
+	c.endedAt, c.held = time.Now(), c.after
 	_ = c.setDeadline(time.Unix(1, 0))
 }
 
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -91,7 +91,7 @@
 }
 
 // refused logs a request without a response, with the state that led to it.
-func (l *requestLog) refused(v *VM, req *request, e *verdict.Error, code int) {
+func (l *requestLog) refused(v *VM, req *request, e *verdict.Error, code int, trace connTrace) {
 	if !l.failures.take() {
 		return
 	}
@@ -110,6 +110,16 @@
 	if e.Err != nil {
 		f["Err"] = e.Err
 	}
+	if e.Reason == verdict.ReasonCanceled {
+		f["HeadMs"] = millis(now.Sub(trace.Handed))
+		if !trace.Ended.IsZero() {
+			f["IdleEndMs"], f["HeldBytes"] = millis(now.Sub(trace.Ended)), trace.Held
+		}
+		if trace.Err != nil {
+			f["ReadErr"] = trace.Err
+		}
+		f["Behind"], f["Leaving"], f["WorkCanceled"] = trace.Pending, v.leaving.Load(), v.workCtx.Err() != nil
+	}
 	if e.Reason == verdict.ReasonQuarantined {
 		f["Print"] = req.identity.Print()
 	}
@@ -184,3 +194,5 @@
 	}
 	return f
 }
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -289,7 +289,7 @@
 func (v *VM) refuse(w http.ResponseWriter, r *http.Request, req *request, e *verdict.Error) {
 	code := status(e)
 	v.counts.failed(e)
-	v.requests.refused(v, req, e, code)
+	v.requests.refused(v, req, e, code, connOf(r).trace())
 	if r.Context().Err() != nil {
 		panic(http.ErrAbortHandler) // The caller has disconnected.
 	}
