io/entry: closing a pipelined connection ends the server's read

Callers saw nothing of it: the process ends soon after the one place that closes a connection under a read. Once a caller pipelines, the server's Read waits for bytes of readLoop and looked only at bytes and at readLoop's error. Close makes readLoop return without an error, so that Read, and with it the goroutine of the connection, waited for ever. Read now returns net.ErrClosed.

The test fails before (deadlock: all goroutines in bubble are blocked).

--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -135,7 +136,7 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.reading && c.consumed == len(c.buf) && c.err == nil {
+	for c.reading && c.consumed == len(c.buf) && c.err == nil && !c.closed {
 		c.cond.Wait()
 	}
 	if c.consumed < len(c.buf) {
@@ -143,8 +144,8 @@
 		return c.consume(p), nil
 	}
 	if c.reading {
-		c.behindErr = c.err
-		return 0, c.err
+		c.behindErr = cmp.Or(c.err, net.ErrClosed)
+		return 0, c.behindErr
 	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
