io/entry: a connection is ended as idle only while no request is handed over

Callers saw a connection closed without a response, 2 to 40 ms after they had sent a request on a kept connection of a VM that stops; the request had run.

Cause: the idle connections were listed by the hook ConnState, which runs when the server has parsed a request. A connection hands the request over before, in Read. While it was parsed, and while the hook waited for the lock of the loop over some 3,000 connections, the loop still found it and set its read deadline into the past. The server's read behind the request then timed out, which canceled the request's context, and the handler took the caller for gone. The same loop ends connections when the limit on idle time is lowered.

Now the connection itself knows whether its server waits for a request: from the hook's idle or new state on, while a read blocks. Read and those who end the connection decide by that under the connection's lock (io/keepalive). So a request that was handed over can't be hit, and a connection that is not waiting ends when it waits next. If the server holds the first bytes of the next request, that request has the time of a header to arrive; so has one of fewer than four bytes, which no timeout of the server bounds.

TestRequestAsIdleConnectionsEndIsServed makes each order happen. It replaces TestRequestDuringIdleCloseIsServed, whose only order is one of its cases, with a real server in place of a look at the deadline.

--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -10,6 +10,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"auburnlatch/io/keepalive"
 )
 
 // Bounds on a caller's connection with pipelined requests.
@@ -23,6 +25,9 @@
 	// If it were closed with unread bytes, it would be reset and the caller might lose
 	// the last response.
 	lingerFor = 500 * time.Millisecond
+	// minPeek is how many bytes of a request the http.Server waits for before it reads the
+	// header and sets the timeout of that.
+	minPeek = 4
 )
 
 // headerEnd terminates a request's header.
@@ -55,9 +60,8 @@
 //
 // If an idle connection is closed while a request arrives on it, the request is
 // lost: the process has read it, and the caller gets no response and cannot tell
-// whether it ran. So an idle connection is never closed from outside. Instead its
-// blocked read is made to time out, and the server then closes the connection. A
-// read that has just returned a request cancels the timeout and is served as usual.
+// whether it ran. So a connection is ended only while the server waits for a request,
+// as package keepalive describes.
 //
 // The http.Server reads a request only when the one before has been answered. Each
 // pipelined request would wait for all requests before it: it would be late by their
@@ -74,7 +78,7 @@
 
 	mu       sync.Mutex
 	cond     sync.Cond // Signals each change of the fields below.
-	expiring bool
+	state    keepalive.State
 	deadline time.Time // Set by the server.
 
 	// buf has the bytes that were read from the socket. The first consumed of them have
@@ -82,10 +86,12 @@
 	buf              []byte
 	consumed, parsed int
 	// tail is the last bytes passed to the server, as they may begin headerEnd.
-	// after counts the bytes since the last headerEnd, and first is the first of them.
-	tail  []byte
-	after int
-	first byte
+	// after counts the bytes since the end of the last request, and first is the first of
+	// them. bodyLeft counts the bytes that are missing of a body of known length.
+	tail     []byte
+	after    int
+	first    byte
+	bodyLeft int64
 
 	reading     bool // readLoop reads the socket.
 	inSync      bool // parsed is the offset of the beginning of a request.
@@ -136,42 +142,59 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.consumed == len(c.buf) && !c.state.Waits() {
+		if !c.begun() {
+			return 0, os.ErrDeadlineExceeded
+		}
+		c.end(time.Now())
+	}
 	for c.reading && c.consumed == len(c.buf) && c.err == nil && !c.closed {
 		c.cond.Wait()
 	}
 	if c.consumed < len(c.buf) {
-		c.cancelExpiry()
+		c.returned(true)
 		return c.consume(p), nil
 	}
 	if c.reading {
+		c.returned(false)
 		c.behindErr = cmp.Or(c.err, net.ErrClosed)
 		return 0, c.behindErr
 	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
+	c.returned(n > 0)
 	if n == 0 {
 		c.behindErr = err
 		return 0, err
 	}
-	c.cancelExpiry()
 	if end := c.headerLen(p[:n]); end < n {
 		c.buf = append(c.buf[:0], p[end:n]...)
 		c.consumed = 0
 		n = end
 	}
 	c.recordConsumed(p[:n])
+	c.boundHeader()
 	c.watch()
 	return n, nil
 }
 
-// cancelExpiry cancels the timeout of an idle connection on which a request arrives.
-func (c *callerConn) cancelExpiry() {
-	if !c.expiring {
-		return
+// begun reports whether the server, which waits for a request, holds the first bytes of one.
+func (c *callerConn) begun() bool { return c.after > 0 && c.after < minPeek }
+
+// boundHeader bounds the time in which the rest of a request's header arrives, as long as the
+// server has too little of it to do so.
+func (c *callerConn) boundHeader() {
+	if c.begun() && !c.serving && c.deadline.IsZero() {
+		_ = c.setDeadline(time.Now().Add(readHeaderTimeout))
+	}
+}
+
+// returned records that the server's read returned, with bytes or with an error.
+func (c *callerConn) returned(bytes bool) {
+	if c.state.Returned(bytes) {
+		_ = c.setDeadline(c.deadline)
 	}
-	c.expiring = false
-	c.setDeadline(c.deadline)
 }
 
 // consume copies buffered bytes to the server's read buffer.
@@ -180,6 +203,7 @@
 	n = c.headerLen(p[:n])
 	c.consumed += n
 	c.recordConsumed(p[:n])
+	c.boundHeader()
 	if c.consumed == len(c.buf) && !c.reading {
 		c.buf, c.consumed = c.buf[:0], 0
 	}
@@ -188,8 +212,11 @@
 }
 
 // headerLen returns the length of p up to the end of the first header that ends in
-// it, or len(p) if none does.
+// it, or len(p) if none does. In a body of known length it ends with the body.
 func (c *callerConn) headerLen(p []byte) int {
+	if c.bodyLeft > 0 {
+		return int(min(c.bodyLeft, int64(len(p))))
+	}
 	if len(c.tail) > 0 {
 		both := append(append(make([]byte, 0, 2*len(headerEnd)), c.tail...), p[:min(len(p), len(headerEnd))]...)
 		if i := bytes.Index(both, headerEnd); i >= 0 {
@@ -207,6 +234,10 @@
 	if !c.serving {
 		c.handedAt, c.behindErr = time.Now(), nil
 	}
+	if c.bodyLeft > 0 {
+		c.bodyLeft -= int64(len(p))
+		return
+	}
 	c.tail = append(c.tail, p[max(0, len(p)-len(headerEnd)):]...)
 	c.tail = c.tail[max(0, len(c.tail)-len(headerEnd)):]
 	if bytes.Equal(c.tail, headerEnd) {
@@ -239,6 +270,9 @@
 		}
 		return p
 	}
+	if c.after == 0 {
+		c.bodyLeft = max(0, r.ContentLength)
+	}
 	c.inSync = !r.Close && bodyless(r) && c.after <= 1
 	c.sealed = c.sealed || r.Close
 	if c.inSync && c.reading {
@@ -413,9 +447,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = t
-	if c.expiring {
-		return nil
-	}
 	return c.setDeadline(t)
 }
 
@@ -428,13 +459,41 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// expire makes a blocked read time out.
-func (c *callerConn) expire() {
+// Idle implements keepalive.Ender.
+func (c *callerConn) Idle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.expiring = true
-	c.endedAt, c.held = time.Now(), c.after
-	_ = c.setDeadline(time.Unix(1, 0))
+	c.bodyLeft = 0
+	c.state.Idle(now)
+}
+
+// EndOlder implements keepalive.Ender.
+func (c *callerConn) EndOlder(now time.Time, than time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state.EndOlder(now, than) {
+		c.end(now)
+	}
+}
+
+// EndWhenIdle implements keepalive.Ender.
+func (c *callerConn) EndWhenIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state.Close() {
+		c.end(now)
+	}
+}
+
+// end makes the read time out in which the server waits for a request. If it holds the first
+// bytes of one, the others have the time of a request's header to arrive.
+func (c *callerConn) end(now time.Time) {
+	c.endedAt, c.held = now, c.after
+	at := keepalive.Ended
+	if c.begun() {
+		at = now.Add(readHeaderTimeout)
+	}
+	_ = c.setDeadline(at)
 }
 
 // Close implements net.Conn. Work for requests that are not answered ends.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -19,6 +19,7 @@
 	"auburnlatch/core/replica"
 	"auburnlatch/core/route"
 	"auburnlatch/core/target"
+	"auburnlatch/io/keepalive"
 	"auburnlatch/io/lifecycle"
 	"auburnlatch/io/peer"
 	"auburnlatch/io/quarantine"
@@ -86,9 +87,9 @@
 	workCtx        context.Context // Canceled when a stopping VM cancels the remaining requests.
 	cancelWork     context.CancelFunc
 	inFlight       atomic.Int64
-	pipelinedCount atomic.Int64 // Pipelined requests that are processed before their turn.
-	idle           idleConns
-	loaded         chan struct{} // Closed when rules and upstreams are known.
+	pipelinedCount atomic.Int64    // Pipelined requests that are processed before their turn.
+	idle           keepalive.Conns // The connections of callers.
+	loaded         chan struct{}   // Closed when rules and upstreams are known.
 	changed        chan struct{}
 	toPush         chan struct{}
 	newPlacements  chan struct{} // Signals new placements of this VM.
@@ -158,7 +159,7 @@
 	live, stop := context.WithCancel(context.Background())
 	defer stop()
 	front := &http.Server{
-		Handler: v, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader, ConnState: v.idle.connState, ConnContext: connContext, ErrorLog: nil,
+		Handler: v, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader, ConnState: v.idle.ConnState, ConnContext: connContext, ErrorLog: nil,
 	}
 	var servers []*http.Server
 	serving := lifecycle.NewServing(len(further) + 2)
--- a/io/entry/idle_test.go
+++ b/io/entry/idle_test.go
@@ -1,70 +1,252 @@
 package entry
 
 import (
+	"bufio"
+	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"auburnlatch/io/keepalive"
 )
 
-// racingConn is a connection on which a request arrives while idle connections are being
-// closed.
-type racingConn struct {
+// pipeListener accepts the connections that are sent to it.
+type pipeListener chan net.Conn
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	c, ok := <-l
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (l pipeListener) Close() error   { return nil }
+func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// hookedConn calls read whenever a read has returned bytes, before the reader has them.
+type hookedConn struct {
+	net.Conn
+	read func()
+}
+
+func (c *hookedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.read()
+	}
+	return n, err
+}
+
+// noStarter has all requests wait for their turn.
+type noStarter struct{}
+
+func (noStarter) start(context.Context, *http.Request) *pipelined { return nil }
+
+// idleServer serves one connection of a caller and calls its hooks at fixed points.
+type idleServer struct {
+	conns keepalive.Conns
+	// read is called when a read of the socket has returned bytes, active when the server has
+	// parsed a header, and idle when the connection has been marked idle.
+	read, active, idle func()
+	canceled           int // Requests whose context was canceled while they were served.
+}
+
+// ServeHTTP responds once nothing else can proceed, so that whatever cancels the request has
+// done so.
+func (s *idleServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := connOf(r)
+	c.beginServing(r)
+	defer c.endServing()
+	_, _ = io.Copy(io.Discard, r.Body)
+	synctest.Wait()
+	if r.Context().Err() != nil {
+		s.canceled++
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, r.URL.Path)
+}
+
+func (s *idleServer) connState(c net.Conn, state http.ConnState) {
+	if state == http.StateActive {
+		s.active()
+	}
+	s.conns.ConnState(c, state)
+	if state == http.StateIdle {
+		s.idle()
+	}
+}
+
+// dial starts the server and returns the caller's end of its connection.
+func (s *idleServer) dial(t *testing.T) *pipelineConn {
+	t.Helper()
+	l := make(pipeListener)
+	srv := &http.Server{Handler: s, ReadHeaderTimeout: readHeaderTimeout, ConnState: s.connState, ConnContext: connContext}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = srv.Serve(callerListener{l, noStarter{}})
+	}()
+	client, server := net.Pipe()
+	l <- &hookedConn{server, func() { s.read() }}
+	t.Cleanup(func() {
+		client.Close()
+		close(l)
+		srv.Close()
+		<-served
+	})
+	return &pipelineConn{client, bufio.NewReader(client)}
+}
+
+// pipelineConn is a caller's end of a connection.
+type pipelineConn struct {
 	net.Conn
-	meanwhile func()
-	deadline  time.Time
-	closed    bool
+	r *bufio.Reader
 }
 
-func (c *racingConn) Read(p []byte) (int, error) {
-	c.meanwhile()
-	return copy(p, "GET"), nil
+// path reads the next response and returns its body.
+func (c *pipelineConn) path() (string, error) {
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
 }
 
-func (c *racingConn) SetReadDeadline(t time.Time) error {
-	c.deadline = t
-	return nil
+const (
+	idleGet  = "GET /get HTTP/1.1\r\nHost: h\r\n\r\n"
+	idlePost = "POST /post HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"
+)
+
+// idleEnds are the ways in which idle connections are ended.
+var idleEnds = map[string]func(*keepalive.Conns){
+	"all are closed": func(c *keepalive.Conns) { c.CloseAll(time.Now()) },
+	// A nanosecond below zero: at all connections, however short they have been idle.
+	"the limit is lowered": func(c *keepalive.Conns) { c.CloseOlder(time.Now(), -1) },
 }
 
-func (c *racingConn) Close() error {
-	c.closed = true
-	return nil
+// Idle connections are ended while the server is handed a request. The request must be served:
+// it may have been sent on, and its caller cannot tell.
+func TestRequestAsIdleConnectionsEndIsServed(t *testing.T) {
+	nothing := func() {}
+	for end, closeIdle := range idleEnds {
+		for name, request := range map[string]string{"no body": idleGet, "body": idlePost} {
+			for when, hook := range map[string]func(*idleServer, func()){
+				"the socket's read has returned":        func(s *idleServer, f func()) { s.read = f },
+				"the server has the request":            func(s *idleServer, f func()) { s.active = f },
+				"the first byte came with the last one": nil,
+			} {
+				t.Run(end+", "+name+", "+when, func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						s := &idleServer{read: nothing, active: nothing, idle: nothing}
+						c := s.dial(t)
+						first, second := request, request
+						if hook == nil {
+							first, second = request+request[:1], request[1:]
+							s.idle = func() { closeIdle(&s.conns) }
+						}
+						testExchange(t, s, c, first)
+						if hook != nil {
+							synctest.Wait()
+							hook(s, func() { closeIdle(&s.conns) })
+						}
+						testExchange(t, s, c, second)
+					})
+				})
+			}
+		}
+	}
 }
 
-// A VM stops. A request has just been read from a connection that still counts as idle when
-// idle connections are closed. The connection must stay open: the caller of a request that
-// is not idempotent would get no response and could not tell whether it ran.
-func TestRequestDuringIdleCloseIsServed(t *testing.T) {
-	var conns idleConns
-	raw := &racingConn{meanwhile: conns.closeAll}
-	c := &callerConn{Conn: raw}
-	conns.connState(c, http.StateNew)
-	conns.connState(c, http.StateIdle)
-	server := time.Now().Add(time.Minute)
-	if err := c.SetReadDeadline(server); err != nil {
-		t.Fatal(err)
+// testExchange sends a request and expects its response.
+func testExchange(t *testing.T, s *idleServer, c *pipelineConn, request string) {
+	t.Helper()
+	if _, err := io.WriteString(c, request); err != nil {
+		t.Fatalf("connection ended before the request was written: %v", err)
 	}
-	if n, err := c.Read(make([]byte, 10)); n == 0 || err != nil {
-		t.Fatalf("Read: %d, %v", n, err)
+	if path, err := c.path(); err != nil || path == "" {
+		t.Fatalf("no response: %q, %v; %d requests were canceled", path, err, s.canceled)
 	}
-	if raw.closed || !raw.deadline.Equal(server) {
-		t.Errorf("closed %v, deadline %v, want it open with the server's deadline", raw.closed, raw.deadline)
+}
+
+// A connection that carries a request when all are closed ends once it is idle. Without that,
+// a VM that stops would wait for its callers to close their connections.
+func TestConnectionsThatBecomeIdleLaterEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &idleServer{read: func() {}, idle: func() {}}
+		s.active = func() { s.conns.CloseAll(time.Now()) }
+		c := s.dial(t)
+		testExchange(t, s, c, idleGet)
+		if _, err := c.r.ReadByte(); err != io.EOF {
+			t.Errorf("read after the response: %v, want EOF", err)
+		}
+		synctest.Wait()
+		if n := s.conns.Count(); n != 0 {
+			t.Errorf("%d connections are open", n)
+		}
+	})
+}
+
+// A caller sends the first bytes of a request and no more. The connection must end: without a
+// timeout of its own it would stay open for ever.
+func TestBegunRequestHasTheTimeOfAHeader(t *testing.T) {
+	for name, end := range map[string]func(*keepalive.Conns){"in operation": func(*keepalive.Conns) {}, "as all are closed": idleEnds["all are closed"]} {
+		for held, rest := range map[string]string{idleGet + "G": "", idleGet: "GE"} {
+			t.Run(name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := &idleServer{read: func() {}, active: func() {}, idle: func() {}}
+					c := s.dial(t)
+					testExchange(t, s, c, held)
+					synctest.Wait()
+					if _, err := io.WriteString(c, rest); err != nil {
+						t.Fatal(err)
+					}
+					synctest.Wait()
+					end(&s.conns)
+					// As on each heartbeat of the VM.
+					for began := time.Now(); s.conns.Count() > 0; time.Sleep(heartbeat) {
+						s.conns.CloseOlder(time.Now(), defaultIdle)
+						if time.Since(began) > defaultIdle+readHeaderTimeout+heartbeat {
+							t.Fatal("the connection is still open")
+						}
+					}
+				})
+			})
+		}
 	}
 }
 
+// Connections end that have been idle for longer than the limit, and no others.
 func TestIdleConnectionsExpire(t *testing.T) {
-	var conns idleConns
-	old, young, busy := &racingConn{}, &racingConn{}, &racingConn{}
-	now := time.Now()
-	for raw, state := range map[*racingConn]http.ConnState{old: http.StateIdle, busy: http.StateActive} {
-		c := &callerConn{Conn: raw}
-		conns.connState(c, http.StateNew)
-		conns.connState(c, state)
-	}
-	conns.closeOlder(now.Add(time.Minute), 30*time.Second)
-	conns.connState(&callerConn{Conn: young}, http.StateNew)
-	conns.closeOlder(now.Add(time.Second), 30*time.Second)
-	if old.deadline.IsZero() || !young.deadline.IsZero() || !busy.deadline.IsZero() {
-		t.Errorf("expired: old %v, young %v, busy %v", !old.deadline.IsZero(), !young.deadline.IsZero(), !busy.deadline.IsZero())
+	for _, tc := range []struct {
+		name string
+		idle time.Duration
+		ends bool
+	}{
+		{"old", 31 * time.Second, true},
+		{"young", 29 * time.Second, false},
+	} {
+		for kind, used := range map[string]bool{"kept": true, "new": false} {
+			t.Run(tc.name+" "+kind, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := &idleServer{read: func() {}, active: func() {}, idle: func() {}}
+					c := s.dial(t)
+					if used {
+						testExchange(t, s, c, idleGet)
+					}
+					synctest.Wait()
+					s.conns.CloseOlder(time.Now().Add(tc.idle), 30*time.Second)
+					synctest.Wait()
+					if ended := s.conns.Count() == 0; ended != tc.ends {
+						t.Errorf("ended: %v, want %v", ended, tc.ends)
+					}
+				})
+			})
+		}
 	}
 }
--- a/io/entry/leave.go
+++ b/io/entry/leave.go
@@ -53,13 +53,13 @@
 	// The callers' server is not stopped with Shutdown, which closes idle connections
 	// while a request may be arriving on them.
 	front.Close()
-	v.idle.closeAll()
+	v.idle.CloseAll(time.Now())
 	working := max(lifecycle.Share(grace, minWorkFraction), grace-margin-answerMargin)
 	last := time.AfterFunc(time.Until(started.Add(working)), v.cancelWork)
 	defer last.Stop()
-	for v.idle.count() > 0 && lifecycle.Sleep(ctx, drainTick) {
+	for v.idle.Count() > 0 && lifecycle.Sleep(ctx, drainTick) {
 	}
-	v.log.WithField("Connections", v.idle.count()).Info("FrontClosed")
+	v.log.WithField("Connections", v.idle.Count()).Info("FrontClosed")
 	for _, srv := range servers {
 		srv.Close()
 	}
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -47,7 +47,7 @@
 		v.upstreams.Sweep(now, v.targets.has)
 		v.relaying.pool.Sweep(now, func(string) bool { return true })
 		v.relaying.traffic.Traffic(now)
-		v.idle.closeOlder(now, v.idleTimeout())
+		v.idle.CloseOlder(now, v.idleTimeout())
 	})
 }
 
