io/vm: a stop loses no request that another VM sends on a kept connection

auburnlatchd stopped its servers with http.Server.Shutdown, which closes each connection that it counts as idle, also one on which it has just read a request and not parsed it yet. Requests of callers are refused by then. Those of other VMs are not: such a request was passed on, and its VM got no response.

Not seen in operation. TestShutdownServesRequestThatArrives stops the server as a read returns and as a request has been parsed; with http.Server.Shutdown in place of ours both cases fail ("no response: unexpected EOF").

--- a/io/keepalive/keepalive.go
+++ b/io/keepalive/keepalive.go
@@ -12,7 +12,14 @@
 //
 // # Usage
 //
-// The server's connections have a State under their own lock and implement Ender:
+// A server that only needs to stop without losing a request:
+//
+//	srv := &keepalive.Server{HTTP: &http.Server{Handler: h}}
+//	go srv.Serve(l)
+//	err := srv.Shutdown(ctx)
+//
+// A server with connections of its own, which have a State under their own lock and
+// implement Ender:
 //
 //	var conns keepalive.Conns
 //	srv := &http.Server{Handler: h, ConnState: conns.ConnState}
@@ -22,10 +29,16 @@
 package keepalive
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"auburnlatch/io/lifecycle"
 )
 
 // Ended is a read deadline in the past. It makes a blocked read time out.
@@ -171,3 +184,147 @@
 	defer c.mu.Unlock()
 	return len(c.open)
 }
+
+// shutdownTick is how often Shutdown counts the open connections.
+const shutdownTick = 20 * time.Millisecond
+
+// Server is an HTTP server whose Shutdown loses no request that a handler was given. That of
+// http.Server closes a connection which has just become active. HTTP is set before Serve and
+// not used otherwise; its hook ConnState is replaced.
+type Server struct {
+	HTTP *http.Server
+
+	conns    Conns
+	mu       sync.Mutex
+	listener net.Listener
+	stopping bool
+}
+
+// Serve accepts connections until Shutdown or Close, and returns http.ErrServerClosed then.
+func (s *Server) Serve(l net.Listener) error {
+	if !s.begin(l) {
+		return http.ErrServerClosed
+	}
+	s.HTTP.ConnState = s.conns.ConnState
+	err := s.HTTP.Serve(listener{l})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+// begin records the listener, unless the server was stopped before.
+func (s *Server) begin(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		l.Close()
+		return false
+	}
+	s.listener = l
+	return true
+}
+
+// Shutdown accepts no further connections and waits until those that are open have served
+// their requests and ended, or until ctx ends. It closes what is left then.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.stop()
+	s.conns.CloseAll(time.Now())
+	for s.conns.Count() > 0 && lifecycle.Sleep(ctx, shutdownTick) {
+	}
+	return errors.CombineErrors(ctx.Err(), s.HTTP.Close())
+}
+
+// Close closes the server at once, with all its connections.
+func (s *Server) Close() error {
+	s.stop()
+	return s.HTTP.Close()
+}
+
+func (s *Server) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	if s.listener != nil {
+		s.listener.Close()
+	}
+}
+
+// listener accepts connections that implement Ender.
+type listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: raw}, nil
+}
+
+// conn is an accepted connection.
+type conn struct {
+	net.Conn
+	mu       sync.Mutex
+	state    State
+	deadline time.Time // Of reads, set by the server.
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.state.Waits() {
+		return 0, os.ErrDeadlineExceeded
+	}
+	c.mu.Unlock()
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	if c.state.Returned(n > 0) {
+		_ = c.Conn.SetReadDeadline(c.deadline)
+	}
+	return n, err
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// Idle implements Ender.
+func (c *conn) Idle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.Idle(now)
+}
+
+// EndOlder implements Ender.
+func (c *conn) EndOlder(now time.Time, than time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state.EndOlder(now, than) {
+		_ = c.Conn.SetReadDeadline(Ended)
+	}
+}
+
+// EndWhenIdle implements Ender.
+func (c *conn) EndWhenIdle(time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state.Close() {
+		_ = c.Conn.SetReadDeadline(Ended)
+	}
+}
--- a/io/vm/leave.go
+++ b/io/vm/leave.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"auburnlatch/core/member"
+	"auburnlatch/io/keepalive"
 )
 
 const (
@@ -25,7 +25,7 @@
 // that name it has passed, as callers may use a cached look-up until then. After
 // that it refuses new requests with NotRun and waits for those in flight, for at
 // most the stop's grace period.
-func (v *VM) leave(callerSrv, forwardSrv *http.Server) error {
+func (v *VM) leave(callerSrv, forwardSrv *keepalive.Server) error {
 	v.leaving.Store(true)
 	v.log.Info("VMLeaving")
 	now := time.Now()
--- a/io/vm/vm.go
+++ b/io/vm/vm.go
@@ -29,6 +29,7 @@
 	"auburnlatch/core/steer"
 	"auburnlatch/io/caller"
 	"auburnlatch/io/forward"
+	"auburnlatch/io/keepalive"
 	"auburnlatch/io/lifecycle"
 	"auburnlatch/io/operator"
 	"auburnlatch/io/peer"
@@ -210,10 +211,10 @@
 	return err
 }
 
-func (v *VM) httpServer(h http.Handler) *http.Server {
-	return &http.Server{
+func (v *VM) httpServer(h http.Handler) *keepalive.Server {
+	return &keepalive.Server{HTTP: &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: v.cfg.Limits.MaxHeaderBytes,
-	}
+	}}
 }
 
 // forwardHandler serves requests from other VMs and counts those in flight.
