io/upstream: the end of a check closes no connection that requests use

Pool.Contact keeps the connection of a check for requests, and only then revoked what closes it when the check's context ends. A check whose context ended in between closed a connection on which a request may have been sent: its verdict was MaybeRan, and one that must not be repeated failed.

Found by going through all places that end kept connections, not seen in operation. A connection is now kept only if closing it was revoked in time.

TestConnectionOfEndedCheckIsNotUsed has the end of the check run late, as a goroutine may; both cases fail before: "MaybeRan: Broken: use of closed network connection". TestIdleTimeEndsAsRequestIsSent shows that the idle time of a connection, a removed upstream and lost links end no connection in use: it passes before as well, since requests take a connection out of the idle ones under the lock under which these are closed.

--- a/io/upstream/contact.go
+++ b/io/upstream/contact.go
@@ -31,13 +31,17 @@
 		return reach.None
 	}
 	p.opened.Add(1)
-	defer context.AfterFunc(ctx, func() { raw.Close() })()
+	stop := context.AfterFunc(ctx, func() { raw.Close() })
+	defer stop()
 	c := &conn{Conn: raw, r: bufio.NewReaderSize(raw, readBuffer)}
 	if wanted == reach.Heard {
-		return p.contactByCheck(ctx, target, c, addr, check)
+		return p.contactByCheck(ctx, target, c, addr, check, stop)
+	}
+	// Once it is idle a request may be sent on it, and it must not be closed any more.
+	if stop() {
+		c.usedAt, c.keepAlive = time.Now(), defaultKeepAlive
+		p.pushIdle(target, c)
 	}
-	c.usedAt, c.keepAlive = time.Now(), defaultKeepAlive
-	p.pushIdle(target, c)
 	return reach.Accepted
 }
 
@@ -63,12 +67,15 @@
 	}
 }
 
-// contactByCheck sends a check on a new connection.
-func (p *Pool) contactByCheck(ctx context.Context, target string, c *conn, addr string, check Check) reach.Contact {
+// contactByCheck sends a check on a new connection. stop keeps the end of ctx from closing it, and
+// returns false if that is too late.
+func (p *Pool) contactByCheck(ctx context.Context, target string, c *conn, addr string, check Check, stop func() bool) reach.Contact {
 	resp, err := c.check(addr, check)
 	switch {
 	case err == nil:
-		p.keep(target, c, resp)
+		if stop() {
+			p.keep(target, c, resp)
+		}
 		return reach.Heard
 	case ctx.Err() != nil:
 		return reach.Open
