io/peer: an idle connection is not dropped under a call that begins

A call looked up its connection and locked it afterwards. If CloseIdle came in between, the connection was dropped from the list, the call opened a new one on it, and nobody closed that any more: a descriptor lost at each time, on VMs with few of them. No call failed by it. Found by reading, not seen in operation.

Calls are now counted under the lock under which CloseIdle decides.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -43,9 +43,13 @@
 // conn is the connection to one VM. Its lock is held during a call, as a drpc
 // connection carries one call at a time.
 type conn struct {
+	// calls counts those that hold the connection or wait for it, and used is when the last
+	// one ended. Client.mu guards both.
+	calls int
+	used  time.Time
+
 	mu   sync.Mutex
 	drpc *drpcconn.Conn
-	used time.Time
 }
 
 // Dial opens a connection, as net.Dialer.DialContext does.
@@ -160,13 +164,13 @@
 func (c *Client) callConn(ctx context.Context, addr string, f func(context.Context, drpc.Conn) error) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	cn := c.conn(addr)
+	cn := c.acquire(addr)
+	defer c.release(cn)
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
 	if err := c.connect(ctx, cn, addr); err != nil {
 		return errors.Wrapf(err, "peer %s", addr)
 	}
-	cn.used = time.Now()
 	err := f(ctx, cn.drpc)
 	if err != nil {
 		// It is unknown what the connection still carries, so the next call
@@ -177,7 +181,8 @@
 	return errors.Wrapf(err, "peer %s", addr)
 }
 
-func (c *Client) conn(addr string) *conn {
+// acquire returns the connection to a VM for a call. It stays as it is until release.
+func (c *Client) acquire(addr string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cn := c.conns[addr]
@@ -185,9 +190,17 @@
 		cn = &conn{}
 		c.conns[addr] = cn
 	}
+	cn.calls++
 	return cn
 }
 
+func (c *Client) release(cn *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cn.calls--
+	cn.used = time.Now()
+}
+
 func (c *Client) connect(ctx context.Context, cn *conn, addr string) error {
 	if cn.drpc != nil {
 		select {
@@ -209,15 +222,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for addr, cn := range c.conns {
-		if !cn.mu.TryLock() {
+		if cn.calls > 0 || now.Sub(cn.used) <= maxIdle {
 			continue
 		}
-		if now.Sub(cn.used) > maxIdle {
-			if cn.drpc != nil {
-				_ = cn.drpc.Close()
-			}
-			delete(c.conns, addr)
+		if cn.drpc != nil {
+			_ = cn.drpc.Close()
 		}
-		cn.mu.Unlock()
+		delete(c.conns, addr)
 	}
 }
