io/upstream: the header of a response has a bound in bytes

An upstream in trouble may send bytes that are no answer without an end.

A connection now counts what is read up to the end of the header, over interim and late responses together. Past Bounds.ResponseHeaderBytes (64 KiB, 16 KiB at least) it is closed at once: MaybeRan, so that what may run again goes to another upstream within attempts and budgets, and the rest gets 502 at once; the upstream's failure counts as that of a broken response. Interim responses no longer have a bound on their number beside that. Checks of upstreams, relayed requests and the client of auburnlatchd have the bound as well. UpstreamFailed has the form and the bytes read, HeadersTooLong counts by form.

Bodies, chunk extensions and trailers without an end were bounded already: TestBodyWithoutEndIsCut.

Memory of real processes was not measured again.

--- /dev/null
+++ b/io/entry/endless_test.go
@@ -0,0 +1,140 @@
+package entry_test
+
+import (
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"auburnlatch/io/entry"
+	"auburnlatch/io/logline"
+)
+
+// endlessBytes is what the stand-in sends of a header without an end before it holds the
+// connection.
+const endlessBytes = 4 << 20
+
+// sendEndless sends a header without an end on the connection of a request.
+func sendEndless(t *testing.T, w http.ResponseWriter, begin, repeat string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	go holdEndless(c, begin, repeat, endlessBytes)
+}
+
+// holdEndless sends up to the given number of bytes and waits until the connection is closed.
+func holdEndless(c net.Conn, begin, repeat string, bytes int) {
+	defer c.Close()
+	_, _ = io.WriteString(c, begin)
+	chunk := strings.Repeat(repeat, 4096/len(repeat))
+	for n := 0; n < bytes; n += len(chunk) {
+		if _, err := io.WriteString(c, chunk); err != nil {
+			return
+		}
+	}
+	_, _ = c.Read(make([]byte, 1))
+}
+
+// An upstream responds with a header without an end. A request that may run again must be served by
+// another upstream, and the caller of one that may not must be told long before the route's
+// timeout, which here is longer than the test waits.
+func TestHeaderWithoutEndEndsAtOnce(t *testing.T) {
+	for name, part := range map[string][2]string{
+		"line":    {"HTTP/1.1 200 OK", " and so on"},
+		"noise":   {"", "\x00\x01\x02"},
+		"fields":  {"HTTP/1.1 200 OK\r\n", "Field: value\r\n"},
+		"interim": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlatform()
+			cfg := config(1)
+			for _, r := range cfg.Routes {
+				r.Timeout = time.Minute
+			}
+			p.set(entry.TableRules, "config", cfg)
+			bad := startUpstream(t, func(w http.ResponseWriter, _ *http.Request) { sendEndless(t, w, part[0], part[1]) })
+			register(p, "i-0", bad.addr())
+			v := startVM(t, "a", p, nil)
+			ready(t, v)
+			http.DefaultClient.Timeout = 20 * time.Second
+			defer func() { http.DefaultClient.Timeout = 0 }()
+			if r := v.request(t, http.MethodPost, "/post/1", "1", "body"); r.err != nil || r.status != http.StatusBadGateway {
+				t.Errorf("not idempotent: %d, %v", r.status, r.err)
+			}
+			if n := bad.runs("1"); n != 1 {
+				t.Errorf("sent %d times", n)
+			}
+			good := startUpstream(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+			register(p, "i-1", good.addr())
+			eventually(t, "the other upstream serves", func() bool {
+				r := v.request(t, http.MethodGet, "/get/1", "2", "")
+				return r.err == nil && r.status == http.StatusOK && r.body == "ok"
+			})
+			total := int64(0)
+			for _, n := range v.Figures(time.Now()).HeadersTooLong {
+				total += n
+			}
+			if total == 0 {
+				t.Error("not counted")
+			}
+			logged := slices.ContainsFunc(v.trace(t, "1"), func(l logline.Line) bool {
+				return slices.Contains(l.Fields, logline.Field{Name: "HeaderBytes", Value: "65536"})
+			})
+			if !logged {
+				t.Error("no line with the bytes read")
+			}
+		})
+	}
+}
+
+// An upstream responds with a body without an end. It must be cut at the route's timeout, towards
+// the upstream so that no more is read, and so that the caller can't take it for complete.
+func TestBodyWithoutEndIsCut(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"
+	for name, part := range map[string][2]string{
+		"until the close": {head + "\r\n", "bytes"},
+		"chunks":          {head + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nbytes\r\n"},
+		"extension":       {head + "Transfer-Encoding: chunked\r\n\r\n5;name=", "value"},
+		"trailer":         {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nbytes\r\n0\r\n", "Field: value\r\n"},
+		"line of trailer": {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nbytes\r\n0\r\nField: ", "value"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlatform()
+			p.set(entry.TableRules, "config", config(1))
+			closed := make(chan struct{})
+			u := startUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer close(closed)
+				holdEndless(c, part[0], part[1], math.MaxInt)
+			})
+			register(p, "i-0", u.addr())
+			v := startVM(t, "a", p, nil)
+			ready(t, v)
+			req, err := http.NewRequest(http.MethodPost, "http://"+v.cfg.FrontAddr+"/post/1", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Host = "h"
+			req.Header.Set("Request-Id", "1")
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			if n, err := io.Copy(io.Discard, resp.Body); err == nil && resp.StatusCode == http.StatusOK {
+				t.Errorf("got a complete response of %d bytes", n)
+			}
+			<-closed
+		})
+	}
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -146,6 +146,8 @@
 // Configure applies new settings. Addresses stay as they were when the process started.
 func (v *VM) Configure(cfg *settings.Entry) {
 	v.cfg.Store(cfg)
+	v.upstreams.SetMaxHeader(cfg.ResponseHeaderBytes)
+	v.relaying.pool.SetMaxHeader(cfg.ResponseHeaderBytes)
 	v.retries.SetBounds(cfg.RetryRatio, cfg.RetryWindow, cfg.RetryExtra)
 	v.limits.SetBounds(cfg.Limits)
 	v.collector.SetBounds(cfg.Limits)
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -6,12 +6,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"auburnlatch/core/balance"
 	"auburnlatch/core/verdict"
 	"auburnlatch/io/forward"
 	"auburnlatch/io/lifecycle"
+	"auburnlatch/io/upstream"
 )
 
 // How many lines about requests a VM writes a second at most. Lines about requests
@@ -159,6 +161,10 @@
 		f["Print"] = req.identity.Print()
 	}
 	f["LeftMs"] = req.deadline.Sub(now).Milliseconds()
+	var header *upstream.HeaderTooLongError
+	if errors.As(e.Err, &header) {
+		f["HeaderForm"], f["HeaderBytes"] = header.Form, header.Bytes
+	}
 	if e.Err != nil {
 		f["Err"] = e.Err
 	}
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -82,6 +82,9 @@
 	ConnectionsOpened          int64
 	// ConnectionsFailed could not be opened. ConnectionsReused counts requests on open ones.
 	ConnectionsFailed, ConnectionsReused int64
+	// HeadersTooLong counts the connections to upstreams that were closed as the header of a
+	// response was too long, by its form: Line, Fields, Interim or Stray.
+	HeadersTooLong map[string]int64
 	// CutOff means that the VM reaches no upstream, and ReachChecks counts how often it checked.
 	CutOff      bool
 	ReachChecks int64
@@ -151,6 +154,7 @@
 	a := &v.appointments
 	f.Appointments, f.AppointmentsKept, f.Returned, f.ReturnedServed = a.told.Load(), a.promised.Load(), a.returned.Load(), a.served.Load()
 	conns := v.upstreams.Connections()
+	f.HeadersTooLong = v.upstreams.HeadersTooLong()
 	f.ConnectionsOpened, f.ConnectionsFailed, f.ConnectionsReused = conns.Opened, conns.Failed, conns.Reused
 	loads := v.balancer.LoadStats()
 	f.LoadsUnreadable, f.LoadAgeMs, f.OwnersLate = c.loadsUnreadable.Load(), loads.Age.Milliseconds(), loads.OwnersLate
--- a/io/settings/entry.go
+++ b/io/settings/entry.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"time"
@@ -47,6 +48,9 @@
 	// cannot be reached. If 0, VMs that cannot reach the platform use the keys as they
 	// last knew them.
 	RevokeWithin time.Duration
+	// ResponseHeaderBytes bounds what is read of an upstream's or another VM's response up to
+	// the end of its header, with the interim and late responses before it.
+	ResponseHeaderBytes int
 	// Limits bounds how far teams may exceed their limits.
 	Limits ratelimit.Bounds
 	// Capacity is the VM's link and CPU capacity.
@@ -75,6 +79,9 @@
 	defaultLeaveWithin       = 2 * time.Second
 	defaultUpstreamHeartbeat = 1500 * time.Millisecond
 	defaultLimitWindow       = 5 * time.Second
+	// defaultResponseHeader and minResponseHeader are in bytes. Usual servers send up to 8 KiB.
+	defaultResponseHeader = 64 << 10
+	minResponseHeader     = 16 << 10
 	// minRevokeWithin covers the exchange between VMs, which is twice a second, and a VM
 	// that has just started, which takes one second more.
 	minRevokeWithin = 2500 * time.Millisecond
@@ -113,7 +120,9 @@
 		LeaveWithin:       c.duration("Bounds/LeaveWithin", b.GetLeaveWithin(), defaultLeaveWithin),
 		LookupTTL:         c.duration("Bounds/LookupTtl", b.GetLookupTtl(), defaultLookupTTL),
 		FirstStart:        m.GetFirstStart(),
-		RevokeWithin:      c.duration("Bounds/RevokeWithin", b.GetRevokeWithin(), 0),
+
+		ResponseHeaderBytes: cmp.Or(int(b.GetResponseHeaderBytes()), defaultResponseHeader),
+		RevokeWithin:        c.duration("Bounds/RevokeWithin", b.GetRevokeWithin(), 0),
 		Limits: ratelimit.Bounds{
 			Window: c.duration("Bounds/LimitWindow", b.GetLimitWindow(), defaultLimitWindow), Excess: b.GetLimitExcess(), Slack: b.GetLimitSlack(),
 		},
@@ -145,6 +154,7 @@
 	c.require(s.RevokeWithin == 0 || s.RevokeWithin >= minRevokeWithin, "Bounds/RevokeWithin", "must be at least 2.5s, or 0: VMs exchange state twice a second, and a VM that has just started takes 1s more")
 	c.require(s.Limits.Excess >= 0 && s.Limits.Excess <= 1, "Bounds/LimitExcess", "must be from 0 to 1")
 	c.require(s.Limits.Slack >= 0, "Bounds/LimitSlack", "must not be below 0")
+	c.require(s.ResponseHeaderBytes >= minResponseHeader, "Bounds/ResponseHeaderBytes", fmt.Sprintf("must be at least %d: upstreams may send as much", minResponseHeader))
 	c.require(s.RetryExtra >= 0, "Bounds/RetryExtra", "must not be below 0")
 	return s
 }
--- a/io/settings/entry_test.go
+++ b/io/settings/entry_test.go
@@ -69,6 +69,29 @@
 	}
 }
 
+// A bound on headers below what upstreams may send would have their responses cut.
+func TestResponseHeaderBytes(t *testing.T) {
+	for _, tc := range []struct {
+		setting string
+		want    int // 0: refused.
+	}{
+		{"", 64 << 10},
+		{`, "ResponseHeaderBytes": 0`, 64 << 10},
+		{`, "ResponseHeaderBytes": 16384`, 16384},
+		{`, "ResponseHeaderBytes": 16383`, 0},
+		{`, "ResponseHeaderBytes": -1`, 0},
+	} {
+		text := strings.Replace(validEntry, `"RetryRatio": 0.2`, `"RetryRatio": 0.2`+tc.setting, 1)
+		cfg, err := settings.ParseEntry("f", []byte(text))
+		switch {
+		case tc.want == 0 && (err == nil || !strings.Contains(err.Error(), "Bounds.ResponseHeaderBytes")):
+			t.Errorf("%s: %v", tc.setting, err)
+		case tc.want > 0 && (err != nil || cfg.ResponseHeaderBytes != tc.want):
+			t.Errorf("%s: %v, want %d", tc.setting, err, tc.want)
+		}
+	}
+}
+
 func TestParseEntryCapacity(t *testing.T) {
 	text := strings.Replace(validEntry, `"Bounds"`, `"Capacity": {"LinkMbps": 20, "CpuShare": 0.5, "Cores": 2}, "Bounds"`, 1)
 	cfg, err := settings.ParseEntry("f", []byte(text))
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -73,7 +73,7 @@
 			return &countingConn{Conn: conn}, nil
 		},
 		MaxIdleConnsPerHost: idlePerUpstream, IdleConnTimeout: idleTimeout,
-		ExpectContinueTimeout: continueTimeout, DisableCompression: true,
+		ExpectContinueTimeout: continueTimeout, DisableCompression: true, MaxResponseHeaderBytes: defaultMaxHeader,
 	}
 	return c
 }
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -46,6 +46,7 @@
 // conn is a connection to an upstream. It carries one request at a time.
 type conn struct {
 	net.Conn
+	header    headerReader
 	r         *bufio.Reader
 	written   atomic.Int64
 	usedAt    time.Time
@@ -53,6 +54,13 @@
 	reused    bool
 }
 
+func newConn(raw net.Conn) *conn {
+	c := &conn{Conn: raw}
+	c.header.r = raw
+	c.r = bufio.NewReaderSize(&c.header, readBuffer)
+	return c
+}
+
 // Write implements net.Conn and counts the bytes that may have been sent. It
 // counts before it writes, since a failed write may have sent part of the data.
 func (c *conn) Write(p []byte) (int, error) {
@@ -124,14 +132,19 @@
 }
 
 // readResponse reads the header of the response to the call. A response with the
-// ID of another request is late or a duplicate, and is skipped.
-func (e *exchange) readResponse() (*http.Response, error) {
-	for range maxStrayResponses {
+// ID of another request is late or a duplicate, and is skipped. All headers together
+// have up to maxHeader bytes.
+func (e *exchange) readResponse(maxHeader int) (*http.Response, error) {
+	header := &e.conn.header
+	header.begin(maxHeader)
+	defer header.end()
+	for stray := 0; stray < maxStrayResponses; {
 		resp, err := http.ReadResponse(e.conn.r, &http.Request{Method: e.call.Method})
 		if err != nil {
-			return nil, err
+			return nil, header.explain(err)
 		}
 		if resp.StatusCode < 200 {
+			header.next(HeaderInterim)
 			continue
 		}
 		if e.call.EchoHeader == "" || resp.Header.Get(e.call.EchoHeader) == e.call.EchoID {
@@ -140,9 +153,12 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errStray
 		}
+		header.end()
 		if n, err := io.CopyN(io.Discard, resp.Body, maxStrayResponseBody); err != io.EOF || n == maxStrayResponseBody {
 			return nil, errStray
 		}
+		header.next(HeaderStray)
+		stray++
 	}
 	return nil, errStray
 }
--- a/io/upstream/contact.go
+++ b/io/upstream/contact.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net/http"
@@ -33,7 +32,7 @@
 	p.opened.Add(1)
 	stop := context.AfterFunc(ctx, func() { raw.Close() })
 	defer stop()
-	c := &conn{Conn: raw, r: bufio.NewReaderSize(raw, readBuffer)}
+	c := newConn(raw)
 	if wanted == reach.Heard {
 		return p.contactByCheck(ctx, target, c, addr, check, stop)
 	}
@@ -70,7 +69,8 @@
 // contactByCheck sends a check on a new connection. stop keeps the end of ctx from closing it, and
 // returns false if that is too late.
 func (p *Pool) contactByCheck(ctx context.Context, target string, c *conn, addr string, check Check, stop func() bool) reach.Contact {
-	resp, err := c.check(addr, check)
+	resp, err := c.check(addr, check, int(p.maxHeader.Load()))
+	p.countHeader(err)
 	switch {
 	case err == nil:
 		if stop() {
@@ -85,8 +85,8 @@
 	}
 }
 
-// check sends a check and reads the response.
-func (c *conn) check(addr string, check Check) (*http.Response, error) {
+// check sends a check and reads the response, whose header has up to maxHeader bytes.
+func (c *conn) check(addr string, check Check, maxHeader int) (*http.Response, error) {
 	req, err := http.NewRequest(http.MethodGet, "http://"+addr+check.Path, nil)
 	if err != nil {
 		return nil, err
@@ -97,10 +97,12 @@
 	if err := req.Write(c); err != nil {
 		return nil, err
 	}
+	c.header.begin(maxHeader)
 	resp, err := http.ReadResponse(c.r, req)
 	if err != nil {
-		return nil, err
+		return nil, c.header.explain(err)
 	}
+	c.header.end()
 	_, err = io.CopyN(io.Discard, resp.Body, maxHealthBody)
 	if err == nil {
 		resp.Close = true // There is more.
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -1,7 +1,7 @@
 package upstream
 
 import (
-	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -42,6 +42,9 @@
 	failed   atomic.Int64
 	reused   atomic.Int64
 	answered atomic.Int64 // When the last response arrived, in Unix nanoseconds; 0: never.
+	// maxHeader is as set by SetMaxHeader, and tooLong counts the headers beyond it.
+	maxHeader atomic.Int64
+	tooLong   [headerForms]atomic.Int64
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -76,7 +79,26 @@
 	for _, opt := range opts {
 		opt(o)
 	}
-	return &Pool{dial: o.dial, idle: make(map[string][]*conn)}
+	p := &Pool{dial: o.dial, idle: make(map[string][]*conn)}
+	p.SetMaxHeader(defaultMaxHeader)
+	return p
+}
+
+// SetMaxHeader bounds what is read of a response up to the end of its header, with the interim
+// and stray responses before it, in bytes; 0: defaultMaxHeader. The body of a stray response has
+// a bound of its own.
+func (p *Pool) SetMaxHeader(n int) { p.maxHeader.Store(int64(cmp.Or(n, defaultMaxHeader))) }
+
+// HeadersTooLong returns how often a connection was closed as the header of a response was too
+// long, by its form.
+func (p *Pool) HeadersTooLong() map[string]int64 {
+	m := make(map[string]int64)
+	for f := range p.tooLong {
+		if n := p.tooLong[f].Load(); n > 0 {
+			m[HeaderForm(f).String()] = n
+		}
+	}
+	return m
 }
 
 // AbortDials ends all attempts of Send to open a connection that are in progress.
@@ -113,8 +135,9 @@
 	e := &exchange{conn: c, call: call, wrote: make(chan struct{})}
 	before := c.written.Load()
 	e.start()
-	resp, err := e.readResponse()
+	resp, err := e.readResponse(int(p.maxHeader.Load()))
 	if err != nil {
+		p.countHeader(err)
 		stop()
 		c.Close()
 		return nil, e.verdict(ctx, before, err)
@@ -149,7 +172,7 @@
 	}
 	p.opened.Add(1)
 	call.Connect = time.Since(now)
-	return &conn{Conn: raw, r: bufio.NewReaderSize(raw, readBuffer)}, nil
+	return newConn(raw), nil
 }
 
 // Listening states whether a process accepts connections at an address.
