core/replica: a delta that lacks a change is refused, and all rows asked for

Cause: a copy that claims a version is promised to have each row that changed up to then, but keeps neither equivalent values nor removals of rows that it never had. A row withdrawn and written again while a VM was cut off keeps its old version there; the deltas that this VM hands on lack it, and their receivers take over the version all the same. Even a whole delta had no effect on a removal that is newer than the version it listed.

Deltas of other VMs now have the digest of the sender's rows by their meaning. One after which the receiver's rows would have another digest has no effect: the receiver stays at its version, which is true, and asks for all rows. Whole deltas go before what a copy had. Copies that meet at one version compare digests too; one that differs is logged, counted, and read from the platform again. VMs of earlier builds send no digest and are believed as before.

--- a/core/replica/era.go
+++ b/core/replica/era.go
@@ -15,7 +15,7 @@
 func (t *Table) enterEra(now time.Time, d Delta) {
 	old, restored := t.rows, t.restored
 	t.rows, t.restored = make(map[string]*storedRow, len(d.Rows)), make(map[string]restoredState)
-	t.log, t.replaced, t.tombstones = nil, 0, nil
+	t.log, t.replaced, t.tombstones, t.digest = nil, 0, nil, emptyDigest
 	t.era, t.historyFrom, t.newestRow = d.To.Era, d.To.Version, 0
 	for i := range d.Rows {
 		r := &d.Rows[i]
@@ -38,6 +38,7 @@
 	for key, was := range old {
 		lost := *was
 		lost.version, lost.replaced = d.To.Version, false
+		lost.sum = 0
 		if lost.removed == nil {
 			lost.removed = &tombstone{at: now, afterGap: true}
 			t.changedKeys[key] = struct{}{}
--- a/core/replica/log.go
+++ b/core/replica/log.go
@@ -13,6 +13,7 @@
 	packed  *[]byte       // nil: Row.Packed is nil.
 	at      time.Duration // Since the table's epoch.
 	removed *tombstone    // nil: not removed.
+	sum     uint64        // Digest of key and meaning; 0: removed, or there are no digests.
 	// replaced says that the table has a newer row with the key, or none.
 	replaced bool
 }
@@ -25,6 +26,10 @@
 
 // insert adds a row that the table does not have.
 func (t *Table) insert(r *storedRow) {
+	if old := t.rows[r.key]; old != nil {
+		t.digest -= old.sum
+	}
+	t.digest += r.sum
 	t.rows[r.key] = r
 	t.addToLog(r)
 	t.newestRow = max(t.newestRow, r.version)
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -8,6 +8,13 @@
 // Transactions" (Burckhardt et al.) in which one arbiter orders all updates and
 // a replica only chooses how much of that order it sees.
 //
+// A replica does not keep all that it has seen: changes to equivalent values, removals of
+// rows that it never had, and removals long ago. What it sends may therefore lack a change
+// that its receiver has to make, if a row changed and changed back at versions that the
+// receiver knows and the sender does not. So a delta from a peer states the digest of the sender's rows, by
+// their meaning, and has an effect only if the receiver's rows have that digest afterwards.
+// Otherwise the receiver stays at its version and asks for a whole delta.
+//
 // The platform's store may come back from an older copy of its data. The versions after
 // that copy are given out again, for other changes, and a new era begins: versions are
 // ordered only within an era. A replica enters a later era by a whole delta, whoever sent
@@ -29,6 +36,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"auburnlatch/core/lease"
@@ -70,6 +78,10 @@
 	Era uint64
 	// NoEra is set by a sender that does not know of eras.
 	NoEra bool
+	// Digest is the digest of the rows by their meaning, in the head of a delta; 0: unknown.
+	Digest uint64
+	// WantsWhole says that the replica could not apply a delta, and needs a whole one.
+	WantsWhole bool
 	// Content is the highest version of the content, as its writers number it, that the VM
 	// has had in force; 0: none, or the content has no version.
 	Content uint64
@@ -116,6 +128,7 @@
 type Table struct {
 	name       string
 	equivalent func(key string, a, b []byte) bool
+	meaning    func(key string, value []byte) []byte // nil: there are no digests.
 
 	mu    sync.Mutex
 	epoch time.Time // Of the first delta; the At of rows is relative to it.
@@ -142,13 +155,33 @@
 	content  uint64 // See Head.
 	lost     uint64 // See LostContent.
 	observed bool
+
+	digest     uint64 // emptyDigest and the sum of the digests of the present rows.
+	wantsWhole bool
+	differs    bool      // See Differs.
+	healed     time.Time // When differs was last reset.
+	gaps       atomic.Int64
+	unlike     atomic.Int64
+}
+
+// Option configures a Table.
+type Option func(*Table)
+
+// WithMeaning has the table state and check digests. meaning returns the same bytes for two
+// values of a row if, and only if, they are equivalent.
+func WithMeaning(meaning func(key string, value []byte) []byte) Option {
+	return func(t *Table) { t.meaning, t.digest = meaning, emptyDigest }
 }
 
 // NewTable returns an empty replica. equivalent reports whether two values of a row
 // have the same meaning, such as values that differ only in a heartbeat counter.
 // A change to an equivalent value is not stored and so not propagated.
-func NewTable(name string, equivalent func(key string, a, b []byte) bool) *Table {
-	return &Table{name: name, equivalent: equivalent, rows: make(map[string]*storedRow), changedKeys: make(map[string]struct{})}
+func NewTable(name string, equivalent func(key string, a, b []byte) bool, opts ...Option) *Table {
+	t := &Table{name: name, equivalent: equivalent, rows: make(map[string]*storedRow), changedKeys: make(map[string]struct{})}
+	for _, opt := range opts {
+		opt(t)
+	}
+	return t
 }
 
 // Head returns the version and age of the replica. It does not set VerifiedAge.
@@ -159,7 +192,7 @@
 }
 
 func (t *Table) head(now time.Time) Head {
-	h := Head{Table: t.name, Version: t.version, Era: t.era, Content: t.content, Age: NeverConfirmed}
+	h := Head{Table: t.name, Version: t.version, Era: t.era, Content: t.content, Age: NeverConfirmed, WantsWhole: t.wantsWhole}
 	if !t.confirmed.IsZero() {
 		h.Age = max(0, now.Sub(t.confirmed))
 	}
@@ -194,13 +227,16 @@
 
 // Apply applies a delta and reports whether the meaning of any row changed, or the era. It
 // ignores a delta that begins after the replica's version, as it would leave a gap,
-// and one that ends before it.
+// one that ends before it, and one of a peer after which the rows would differ from the peer's.
 func (t *Table) Apply(now time.Time, d Delta) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if d.To.Before(t.head(now)) || !d.Whole && (d.From > t.version || d.To.Era != t.era) {
 		return false
 	}
+	if d.FromPeer && !d.Whole && !t.matches(now, d) {
+		return false
+	}
 	if t.epoch.IsZero() {
 		t.epoch = now
 	}
@@ -209,13 +245,22 @@
 		changed = true
 	} else {
 		for i := range d.Rows {
-			changed = t.put(now, &d.Rows[i], d.FromPeer) || changed
+			r := &d.Rows[i]
+			if d.Whole && t.contradicts(r, d.To.Version) {
+				restated := *r
+				restated.Version = d.To.Version
+				r = &restated
+			}
+			changed = t.put(now, r, d.FromPeer) || changed
 		}
 		if d.Whole {
 			changed = t.removeOthers(now, d) || changed
 		}
 	}
-	t.version = d.To.Version
+	t.version, t.wantsWhole = d.To.Version, false
+	if d.Whole && t.differs {
+		t.differs, t.healed = false, now
+	}
 	if at := now.Add(-d.To.Age); d.To.Age < NeverConfirmed && at.After(t.confirmed) {
 		t.confirmed = at
 	}
@@ -242,6 +287,20 @@
 	return changed
 }
 
+// contradicts reports whether a row of a whole delta as of a version has another meaning than the
+// stored one, although its version is not higher. Its sender did not see that the row had another
+// state in between, and kept the version from before.
+func (t *Table) contradicts(r *Row, version uint64) bool {
+	old := t.rows[r.Key]
+	if old == nil || r.Version > old.version || old.version > version {
+		return false
+	}
+	if r.Removed {
+		return old.removed == nil
+	}
+	return old.removed != nil || !t.equivalent(r.Key, old.value, r.Value)
+}
+
 // put stores a row and reports whether that changed the replica. It ignores rows that
 // are not newer than the stored one, equivalent values, and removals of rows that are not
 // there. fromPeer says that the row's AfterGap is valid.
@@ -256,7 +315,7 @@
 	if r.Removed && (old == nil || old.removed != nil) {
 		return false
 	}
-	n := &storedRow{key: r.Key, version: r.Version}
+	n := &storedRow{key: r.Key, version: r.Version, sum: t.sum(r)}
 	if r.Removed {
 		n.value, n.packed, n.at = old.value, old.packed, old.at
 		n.removed = &tombstone{at: now, afterGap: r.AfterGap}
@@ -289,24 +348,35 @@
 func (t *Table) Since(now time.Time, version uint64) Delta {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.delta(now, version, version < t.historyFrom)
+	return t.delta(now, version, version < t.historyFrom || t.ahead(), false)
+}
+
+// All returns all rows as a whole delta, for a replica of the same era that wants one. It lists the
+// removed rows as well, as only they say whether a row may have lapsed.
+func (t *Table) All(now time.Time) Delta {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.delta(now, 0, true, true)
 }
 
 // Whole returns all rows as a whole delta, for a replica of an earlier era.
 func (t *Table) Whole(now time.Time) Delta {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.delta(now, 0, true)
+	return t.delta(now, 0, true, false)
 }
 
-func (t *Table) delta(now time.Time, from uint64, whole bool) Delta {
+func (t *Table) delta(now time.Time, from uint64, whole, removed bool) Delta {
 	d := Delta{From: from, To: t.head(now), Whole: whole, Changes: t.changes}
+	if !t.ahead() {
+		d.To.Digest = t.digest
+	}
 	log := t.log
 	if !whole {
 		log = log[t.after(from):]
 	}
 	for _, r := range log {
-		if !r.replaced && !(whole && r.removed != nil) {
+		if !r.replaced && (!whole || removed || r.removed == nil) {
 			d.Rows = append(d.Rows, t.row(r))
 		}
 	}
--- a/io/entry/copies.go
+++ b/io/entry/copies.go
@@ -263,7 +263,7 @@
 // fetch reads what the copy with a head lacks from the platform: the changes since its
 // version, or the whole table if there are no such changes or they are of another era.
 func (v *VM) fetch(ctx context.Context, have replica.Head, wait time.Duration) (replica.Delta, error) {
-	if have.Age != replica.NeverConfirmed {
+	if have.Age != replica.NeverConfirmed && !v.replicas[have.Table].Differs() {
 		v.counts.platformCalls.Add(1)
 		d, err := v.platform.Changes(ctx, have.Table, have.Version, wait)
 		if err != nil && !errors.Is(err, ErrCompacted) || err == nil && d.To.Era == have.Era {
@@ -375,15 +375,30 @@
 }
 
 // copiesLog logs when a copy has not been confirmed for so long that the bound on leaving
-// upstreams may be missed, when it is confirmed again, and when it enters another era.
+// upstreams may be missed, when it is confirmed again, when it enters another era, and when it has
+// refused deltas of other VMs.
 type copiesLog struct {
-	log   *logrus.Entry
-	stale map[string]bool
-	heads map[string]replica.Head
+	log        *logrus.Entry
+	stale      map[string]bool
+	heads      map[string]replica.Head
+	mismatches map[string]replica.Mismatches
+}
+
+func newCopiesLog(log *logrus.Entry) *copiesLog {
+	return &copiesLog{log: log, stale: make(map[string]bool), heads: make(map[string]replica.Head), mismatches: make(map[string]replica.Mismatches)}
 }
 
-func (s *copiesLog) logChange(head replica.Head, bound time.Duration) {
+func (s *copiesLog) logChange(head replica.Head, m replica.Mismatches, bound time.Duration) {
 	name := head.Table
+	if old := s.mismatches[name]; m != old {
+		s.mismatches[name] = m
+		f := logrus.Fields{"Table": name, "Version": head.Version, "Gaps": m.Gaps - old.Gaps, "Differing": m.Differing - old.Differing}
+		if m.Differing > old.Differing {
+			s.log.WithFields(f).Error("CopiesDiffer")
+		} else {
+			s.log.WithFields(f).Info("CopyGap")
+		}
+	}
 	if stale := head.Age > bound; stale != s.stale[name] {
 		s.stale[name] = stale
 		s.log.WithFields(logrus.Fields{"Table": name, "AgeMs": head.Age.Milliseconds(), "Stale": stale}).Warn("CopyStale")
--- a/io/entry/doc.go
+++ b/io/entry/doc.go
@@ -62,6 +62,8 @@
 	RTT(ctx context.Context) (time.Duration, error)
 	// Same reports whether two values of a row have the same meaning.
 	Same(table, key string, a, b []byte) bool
+	// Meaning returns the same bytes for two values of a row if, and only if, Same.
+	Meaning(table, key string, value []byte) []byte
 	// Rules decodes the table of rules. Config is nil if there is none.
 	Rules(rows []replica.Row) (Rules, error)
 	// Registration decodes a row of the table of upstreams.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -125,7 +125,9 @@
 		newPlacements: make(chan struct{}, 1),
 	}
 	for _, name := range []string{TableRules, TableTargets} {
-		v.replicas[name] = replica.NewTable(name, func(key string, a, b []byte) bool { return p.Same(name, key, a, b) })
+		v.replicas[name] = replica.NewTable(name,
+			func(key string, a, b []byte) bool { return p.Same(name, key, a, b) },
+			replica.WithMeaning(func(key string, value []byte) []byte { return p.Meaning(name, key, value) }))
 	}
 	v.links = upstream.NewLinks(linkObserver{v})
 	v.relaying.pool = upstream.NewPool()
--- a/io/entry/fake_test.go
+++ b/io/entry/fake_test.go
@@ -123,6 +123,8 @@
 
 func (p *fakePlatform) Same(_, _ string, a, b []byte) bool { return string(a) == string(b) }
 
+func (p *fakePlatform) Meaning(_, _ string, value []byte) []byte { return value }
+
 func (p *fakePlatform) Rules(rows []replica.Row) (entry.Rules, error) {
 	rules := entry.Rules{Evacuations: target.Evacuations{Zones: map[string]bool{}}}
 	for _, r := range rows {
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -10,7 +10,6 @@
 	"auburnlatch/core/callers"
 	"auburnlatch/core/dispatch"
 	"auburnlatch/core/member"
-	"auburnlatch/core/replica"
 	"auburnlatch/io/lifecycle"
 )
 
@@ -29,7 +28,7 @@
 // heartbeatLoop publishes this VM's state and exchanges it with others.
 func (v *VM) heartbeatLoop(ctx context.Context) {
 	v.awaitRTT(ctx)
-	copies := &copiesLog{log: v.log, stale: make(map[string]bool), heads: make(map[string]replica.Head)}
+	copies := newCopiesLog(v.log)
 	lifecycle.Every(ctx, heartbeat, func(now time.Time) {
 		v.members.Tick(now)
 		v.publish(now)
@@ -42,7 +41,7 @@
 		}
 		v.peerClient.CloseIdle(now)
 		for _, t := range v.replicas {
-			copies.logChange(t.Head(now), v.cfg.Load().LeaveWithin)
+			copies.logChange(t.Head(now), t.Mismatches(), v.cfg.Load().LeaveWithin)
 		}
 		v.upstreams.Sweep(now, v.targets.has)
 		v.relaying.pool.Sweep(now, func(string) bool { return true })
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -118,6 +118,9 @@
 	PlatformEra, RulesVersion, TargetsVersion uint64
 	ConfigVersion                             uint64
 	RulesAgeMs, TargetsAgeMs                  int64
+	// CopyGaps counts the changes of other VMs that were refused as the copy would have lacked some,
+	// and CopiesDiffering those of a VM that had other rows at the same version.
+	CopyGaps, CopiesDiffering int64
 	// RulesSureMs is how long ago the rules in force were verified to be the newest.
 	RulesSureMs int64
 	// LimitsHeardMs is how long ago totals of the teams' demand were received.
@@ -154,6 +157,10 @@
 	a := &v.appointments
 	f.Appointments, f.AppointmentsKept, f.Returned, f.ReturnedServed = a.told.Load(), a.promised.Load(), a.returned.Load(), a.served.Load()
 	conns := v.upstreams.Connections()
+	for _, t := range v.replicas {
+		m := t.Mismatches()
+		f.CopyGaps, f.CopiesDiffering = f.CopyGaps+m.Gaps, f.CopiesDiffering+m.Differing
+	}
 	f.HeadersTooLong = v.upstreams.HeadersTooLong()
 	f.ConnectionsOpened, f.ConnectionsFailed, f.ConnectionsReused = conns.Opened, conns.Failed, conns.Reused
 	loads := v.balancer.LoadStats()
--- a/io/peer/replica.go
+++ b/io/peer/replica.go
@@ -80,6 +80,8 @@
 		case own.Before(their), own.Age == replica.NeverConfirmed:
 		case own.Era != their.Era:
 			list = append(list, t.Whole(now))
+		case their.WantsWhole && own.Version > their.Version:
+			list = append(list, t.All(now))
 		case own.Version == their.Version && own.Age+minAgeGain > their.Age:
 		default:
 			list = append(list, t.Since(now, their.Version))
--- a/io/peer/replica_test.go
+++ b/io/peer/replica_test.go
@@ -81,3 +81,33 @@
 		})
 	}
 }
+
+// A row was withdrawn and written again with the value that it had. A VM that saw neither has it at
+// its old version, and one that saw only the withdrawal must get it from there all the same: it
+// would otherwise take over the version without the row.
+func TestRowThatReturnedReachesVMs(t *testing.T) {
+	now := time.Now()
+	same := func(_ string, a, b []byte) bool { return string(a) == string(b) }
+	meaning := func(_ string, value []byte) []byte { return value }
+	a, b := newNode("a"), newNode("b")
+	for _, n := range []node{a, b} {
+		n.replicas["t"] = replica.NewTable("t", same, replica.WithMeaning(meaning))
+		n.replicas["t"].Apply(now, replica.Delta{Whole: true, To: replica.Head{Table: "t", Version: 50}, Rows: []replica.Row{{Key: "order", Version: 50, Value: []byte("v")}}})
+	}
+	apply := func(n node, from, to uint64, r replica.Row) {
+		n.replicas["t"].Apply(now, replica.Delta{From: from, To: replica.Head{Table: "t", Version: to}, Rows: []replica.Row{r}})
+	}
+	apply(b, 50, 80, replica.Row{Key: "order", Version: 80, Removed: true})
+	apply(a, 50, 100, replica.Row{Key: "order", Version: 95, Value: []byte("v")})
+	addr := a.serve(t)
+	c := peer.NewClient()
+	for range 2 { // The first delta lacks the row, the second is whole.
+		if _, err := c.Sync(t.Context(), addr, "z", nil, b.replicas); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rows, _ := b.replicas["t"].Rows()
+	if head := b.replicas["t"].Head(now); head.Version != 100 || len(rows) != 1 || rows[0].Removed {
+		t.Errorf("at version %d with %+v, want the row at version 100", head.Version, rows)
+	}
+}
--- a/io/wire/replica.go
+++ b/io/wire/replica.go
@@ -24,7 +24,7 @@
 
 func head(m *schema.ReplicaHead) replica.Head {
 	return replica.Head{
-		Table: m.GetTable(), Version: m.GetVersion(), Era: m.GetEra(), NoEra: m == nil || m.Era == nil, Content: m.GetContent(), Age: time.Duration(m.GetAgeMillis()) * time.Millisecond, VerifiedAge: verifiedAge(m.GetSureAgeMillis()),
+		Table: m.GetTable(), Version: m.GetVersion(), Era: m.GetEra(), NoEra: m == nil || m.Era == nil, Content: m.GetContent(), Digest: m.GetDigest(), WantsWhole: m.GetWantsWhole(), Age: time.Duration(m.GetAgeMillis()) * time.Millisecond, VerifiedAge: verifiedAge(m.GetSureAgeMillis()),
 	}
 }
 
@@ -47,7 +47,7 @@
 }
 
 func fromHead(h replica.Head) *schema.ReplicaHead {
-	m := &schema.ReplicaHead{Table: h.Table, Version: h.Version, Era: &h.Era, Content: h.Content, AgeMillis: h.Age.Milliseconds()}
+	m := &schema.ReplicaHead{Table: h.Table, Version: h.Version, Era: &h.Era, Content: h.Content, Digest: h.Digest, WantsWhole: h.WantsWhole, AgeMillis: h.Age.Milliseconds()}
 	if h.VerifiedAge > 0 && h.VerifiedAge < lease.Never {
 		m.SureAgeMillis = lease.Millis(h.VerifiedAge)
 	}
