--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -11,9 +11,9 @@
 // A replica does not keep all that it has seen: changes to equivalent values, removals of
 // rows that it never had, and removals long ago. What it sends may therefore lack a change
 // that its receiver has to make, if a row changed and changed back at versions that the
-// receiver knows and the sender does not. So a delta from a peer states the digest of the sender's rows, by
-// their meaning, and has an effect only if the receiver's rows have that digest afterwards.
-// Otherwise the receiver stays at its version and asks for a whole delta.
+// receiver knows and the sender does not. So a delta from a peer states the digest of the
+// sender's rows, by their meaning, and has an effect only if the receiver's rows have that
+// digest afterwards. Otherwise the receiver stays at its version and asks for a whole delta.
 //
 // The platform's store may come back from an older copy of its data. The versions after
 // that copy are given out again, for other changes, and a new era begins: versions are
@@ -30,6 +30,7 @@
 //	t.Renew(d.To, asOf)                  // A response proved that d.To was the newest.
 //	rows, expired := t.Changed()         // What has changed since the last call.
 //	asOf, changes := t.VerifiedAsOf()    // As of when the replica was certainly the newest.
+//	d = t.All(now)                       // For a peer whose head has WantsWhole.
 package replica
 
 import (
