--- a/core/replica/digest.go
+++ b/core/replica/digest.go
@@ -41,11 +41,11 @@
 		return true
 	}
 	if d.To.Version > t.version || t.ahead() {
-		t.gaps.Add(1)
+		t.mismatches.Gaps++
 		t.wantsWhole = true
 		return false
 	}
-	t.unlike.Add(1)
+	t.mismatches.Differing++
 	t.differs = t.differs || t.healed.IsZero() || now.Sub(t.healed) > healInterval
 	return false
 }
@@ -84,5 +84,7 @@
 
 // Mismatches returns the counts so far.
 func (t *Table) Mismatches() Mismatches {
-	return Mismatches{Gaps: t.gaps.Load(), Differing: t.unlike.Load()}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.mismatches
 }
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -37,7 +37,6 @@
 	"cmp"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"auburnlatch/core/lease"
@@ -161,8 +160,7 @@
 	wantsWhole bool
 	differs    bool      // See Differs.
 	healed     time.Time // When differs was last reset.
-	gaps       atomic.Int64
-	unlike     atomic.Int64
+	mismatches Mismatches
 }
 
 // Option configures a Table.
