io/entry: a caller's connection in files by job

Reading, ending as idle, reading ahead and lingering stood in one file. What the log says of a connection is one value. No behaviour changes.

--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -14,32 +14,9 @@
 	"auburnlatch/io/keepalive"
 )
 
-// Bounds on a caller's connection with pipelined requests.
-const (
-	// maxUnread is how many bytes are read ahead of the server: some tens of look-ups
-	// of 300 bytes. Further bytes are not read from the socket.
-	maxUnread = 16 << 10
-	// readChunk is the size of a read in bytes.
-	readChunk = 4 << 10
-	// lingerFor is how long a closing connection still reads what its caller has sent.
-	// If it were closed with unread bytes, it would be reset and the caller might lose
-	// the last response.
-	lingerFor = 500 * time.Millisecond
-	// minPeek is how many bytes of a request the http.Server waits for before it reads the
-	// header and sets the timeout of that.
-	minPeek = 4
-)
-
 // headerEnd terminates a request's header.
 var headerEnd = []byte("\r\n\r\n")
 
-// starter starts to process pipelined requests before their turn.
-type starter interface {
-	// start starts to process a request, or returns nil if the request has to wait
-	// for its turn.
-	start(ctx context.Context, r *http.Request) *pipelined
-}
-
 // callerListener wraps the accepted connections of callers.
 type callerListener struct {
 	net.Listener
@@ -100,12 +77,7 @@
 	closed      bool
 	err         error // Of readLoop's last read.
 	deadlineSeq int   // Counts changes of the deadline, to ignore the timeout of an old one.
-	// handedAt is when bytes of a request were last passed to the server while it served none,
-	// endedAt is when the connection was last ended as idle, with held bytes of a request at
-	// the server, and behindErr is the error of the last read behind a request.
-	handedAt, endedAt time.Time
-	held              int
-	behindErr         error
+	last        connTrace
 	// pipeline is the requests that were read and not yet served, in order; nil for a
 	// request that waits for its turn.
 	pipeline []*pipelined
@@ -157,15 +129,15 @@
 	}
 	if c.reading {
 		c.returned(false)
-		c.behindErr = cmp.Or(c.err, net.ErrClosed)
-		return 0, c.behindErr
+		c.last.Err = cmp.Or(c.err, net.ErrClosed)
+		return 0, c.last.Err
 	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	c.returned(n > 0)
 	if n == 0 {
-		c.behindErr = err
+		c.last.Err = err
 		return 0, err
 	}
 	if end := c.headerLen(p[:n]); end < n {
@@ -179,24 +151,6 @@
 	return n, nil
 }
 
-// begun reports whether the server, which waits for a request, holds the first bytes of one.
-func (c *callerConn) begun() bool { return c.after > 0 && c.after < minPeek }
-
-// boundHeader bounds the time in which the rest of a request's header arrives, as long as the
-// server has too little of it to do so.
-func (c *callerConn) boundHeader() {
-	if c.begun() && !c.serving && c.deadline.IsZero() {
-		_ = c.setDeadline(time.Now().Add(readHeaderTimeout))
-	}
-}
-
-// returned records that the server's read returned, with bytes or with an error.
-func (c *callerConn) returned(bytes bool) {
-	if c.state.Returned(bytes) {
-		_ = c.setDeadline(c.deadline)
-	}
-}
-
 // consume copies buffered bytes to the server's read buffer.
 func (c *callerConn) consume(p []byte) int {
 	n := copy(p, c.buf[c.consumed:])
@@ -232,7 +186,7 @@
 // recordConsumed records that p was passed to the server.
 func (c *callerConn) recordConsumed(p []byte) {
 	if !c.serving {
-		c.handedAt, c.behindErr = time.Now(), nil
+		c.last.Handed, c.last.Err = time.Now(), nil
 	}
 	if c.bodyLeft > 0 {
 		c.bodyLeft -= int64(len(p))
@@ -293,29 +247,6 @@
 	c.serving = false
 }
 
-// connTrace is what is known of a connection on which a request got no response.
-type connTrace struct {
-	// Handed is when the request's header was passed to the server, and Ended when the
-	// connection was ended as idle; zero: it was not.
-	Handed, Ended time.Time
-	// Held is how many bytes of a request the server had then.
-	Held int
-	// Err is the error of the read behind the request; nil: there was none.
-	Err error
-	// Pending says that a request behind this one was being processed.
-	Pending bool
-}
-
-// trace returns what is known of the connection.
-func (c *callerConn) trace() connTrace {
-	if c == nil {
-		return connTrace{}
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return connTrace{Handed: c.handedAt, Ended: c.endedAt, Held: c.held, Err: c.behindErr, Pending: len(c.pipeline) > 0}
-}
-
 // mayClose reports whether the response to be written may be the connection's last,
 // as no later request is in flight. If so, none is started from then on.
 func (c *callerConn) mayClose() bool {
@@ -333,115 +264,6 @@
 	return true
 }
 
-// watch starts readLoop once bytes arrive behind a request that is being served.
-func (c *callerConn) watch() {
-	behind := c.after > 0 || len(c.buf) > c.consumed
-	if !c.serving || !c.inSync || c.reading || !behind || c.closed {
-		return
-	}
-	if c.after == 1 {
-		// The server has already read the first byte, but it has to be parsed too.
-		c.buf = append([]byte{c.first}, c.buf[c.consumed:]...)
-		c.consumed = 1
-	} else {
-		c.buf, c.consumed = bytes.Clone(c.buf[c.consumed:]), 0
-	}
-	c.parsed, c.reading = 0, true
-	c.parse()
-	go c.readLoop()
-}
-
-// readLoop reads the connection until it ends.
-func (c *callerConn) readLoop() {
-	chunk := make([]byte, readChunk)
-	for {
-		seq, ok := c.awaitRoom()
-		if !ok {
-			return
-		}
-		n, err := c.Conn.Read(chunk)
-		if !c.received(chunk[:n], err, seq) {
-			return
-		}
-	}
-}
-
-// awaitRoom waits until the buffer has room and the last read's timeout was reset.
-func (c *callerConn) awaitRoom() (seq int, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for !c.closed && (len(c.buf)-c.consumed >= maxUnread || c.err != nil) {
-		c.cond.Wait()
-	}
-	return c.deadlineSeq, !c.closed
-}
-
-// received stores what was read, and reports whether to go on reading.
-func (c *callerConn) received(p []byte, err error, seq int) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	defer c.cond.Broadcast()
-	if c.closed {
-		return false
-	}
-	if len(p) > 0 {
-		c.buf = append(c.buf, p...)
-		c.parse()
-	}
-	switch {
-	case err == nil:
-	case !errors.Is(err, os.ErrDeadlineExceeded):
-		// The caller has closed the connection: cancel all its requests.
-		c.err = err
-		c.cancel()
-		return false
-	case seq == c.deadlineSeq:
-		c.err = err
-	}
-	return true
-}
-
-// parse starts to process the complete requests in the buffer.
-func (c *callerConn) parse() {
-	for c.inSync && !c.sealed {
-		i := bytes.Index(c.buf[c.parsed:], headerEnd)
-		if i < 0 {
-			break
-		}
-		r := parseHeader(c.buf[c.parsed : c.parsed+i+len(headerEnd)])
-		if r == nil || !bodyless(r) {
-			c.inSync = false // Until the server has read it.
-			break
-		}
-		c.parsed += i + len(headerEnd)
-		c.pipeline = append(c.pipeline, c.start(r))
-		c.sealed = r.Close
-	}
-	// Discard bytes that are no longer needed.
-	done := c.consumed - 1
-	if c.inSync && !c.sealed {
-		done = min(done, c.parsed)
-	}
-	if done > 0 {
-		c.buf = append(c.buf[:0], c.buf[done:]...)
-		c.consumed, c.parsed = c.consumed-done, max(0, c.parsed-done)
-	}
-}
-
-// start starts to process a request, unless too many of the connection are in flight.
-func (c *callerConn) start(r *http.Request) *pipelined {
-	n := 0
-	for _, p := range c.pipeline {
-		if p != nil {
-			n++
-		}
-	}
-	if n >= maxPipelinedPerConn {
-		return nil
-	}
-	return c.starter.start(c.ctx, r)
-}
-
 // SetReadDeadline implements net.Conn.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -459,43 +281,6 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Idle implements keepalive.Ender.
-func (c *callerConn) Idle(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.bodyLeft = 0
-	c.state.Idle(now)
-}
-
-// EndOlder implements keepalive.Ender.
-func (c *callerConn) EndOlder(now time.Time, than time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.state.EndOlder(now, than) {
-		c.end(now)
-	}
-}
-
-// EndWhenIdle implements keepalive.Ender.
-func (c *callerConn) EndWhenIdle(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.state.Close() {
-		c.end(now)
-	}
-}
-
-// end makes the read time out in which the server waits for a request. If it holds the first
-// bytes of one, the others have the time of a request's header to arrive.
-func (c *callerConn) end(now time.Time) {
-	c.endedAt, c.held = now, c.after
-	at := keepalive.Ended
-	if c.begun() {
-		at = now.Add(readHeaderTimeout)
-	}
-	_ = c.setDeadline(at)
-}
-
 // Close implements net.Conn. Work for requests that are not answered ends.
 func (c *callerConn) Close() error {
 	c.mu.Lock()
@@ -519,25 +304,3 @@
 	l := &linger{conn: c.Conn}
 	return l.start()
 }
-
-// linger reads and discards what a caller has sent after its last response.
-type linger struct{ conn net.Conn }
-
-func (l *linger) start() error {
-	if err := l.conn.SetReadDeadline(time.Now().Add(lingerFor)); err != nil {
-		return l.conn.Close()
-	}
-	go l.run()
-	return nil
-}
-
-// run reads until the caller has closed the connection too.
-func (l *linger) run() {
-	defer l.conn.Close()
-	chunk := make([]byte, readChunk)
-	for {
-		if _, err := l.conn.Read(chunk); err != nil {
-			return
-		}
-	}
-}
