--- a/core/replica/complete_test.go
+++ b/core/replica/complete_test.go
@@ -113,8 +113,9 @@
 	return d, true
 }
 
-// checkCompleteness plays one seed: the platform changes, and replicas learn of it from the platform and
-// from each other, late, twice and out of order. It returns what is wrong at first, or "".
+// checkCompleteness plays one seed: the platform changes, and replicas learn of it from the
+// platform and from each other, late, twice and out of order. It returns the first thing that is
+// wrong, or "".
 func checkCompleteness(seed uint64) string {
 	r := rand.New(rand.NewPCG(seed, 2))
 	p := &platformTable{era: 1, values: make(map[string]string), changed: make(map[string]uint64)}
@@ -205,8 +206,7 @@
 	return ""
 }
 
-// A replica at a version must have the rows that the platform had then. One that lacks a change
-// lacks it until the row changes again, and passes that on.
+// Guards against replicas that claim a version and lack a change up to it.
 func TestReplicaHasTheRowsOfItsVersion(t *testing.T) {
 	failed := 0
 	for seed := range *seeds {
@@ -221,8 +221,7 @@
 	}
 }
 
-// A replica that was behind gets all rows from a peer that was not. A row that is gone must count as
-// removed, not as possibly lapsed, as if the removal itself had come.
+// Guards against removals that count as possibly lapsed since they came with all rows.
 func TestAllTellsRemovalsFromLapses(t *testing.T) {
 	source, behind := replica.NewTable("t", sameBeforeBar), replica.NewTable("t", sameBeforeBar)
 	for _, tbl := range []*replica.Table{source, behind} {
@@ -239,8 +238,7 @@
 	}
 }
 
-// A peer has other rows at the same version, as after a fault that no rule of this package explains.
-// The table must be read from the platform as a whole, once.
+// Guards against a copy with other rows at the same version that is never read again, or always.
 func TestDifferingReplicaIsReadAgain(t *testing.T) {
 	newTable := func(rows ...replica.Row) *replica.Table {
 		tbl := replica.NewTable("t", sameBeforeBar, replica.WithMeaning(meaningBeforeBar))
--- a/io/entry/conn_test.go
+++ b/io/entry/conn_test.go
@@ -7,8 +7,7 @@
 	"testing/synctest"
 )
 
-// A connection with pipelined requests is closed while the server reads it. The read must
-// return: a server that waits for it never ends.
+// Guards against a read of a pipelined connection that does not return when it is closed.
 func TestCloseEndsReadOfPipelinedConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		client, server := net.Pipe()
--- a/io/entry/endless_test.go
+++ b/io/entry/endless_test.go
@@ -6,44 +6,31 @@
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
 	"auburnlatch/io/entry"
 	"auburnlatch/io/logline"
+	"auburnlatch/standin/endless"
 )
 
 // endlessBytes is what the stand-in sends of a header without an end before it holds the
 // connection.
 const endlessBytes = 4 << 20
 
-// sendEndless sends a header without an end on the connection of a request.
-func sendEndless(t *testing.T, w http.ResponseWriter, begin, repeat string) {
+// sendEndless sends what does not end on the connection of a request, up to a number of bytes, and
+// returns when the connection has been closed.
+func sendEndless(t *testing.T, w http.ResponseWriter, begin, repeat string, limit int64) {
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		t.Error(err)
 		return
 	}
-	go holdEndless(c, begin, repeat, endlessBytes)
+	endless.Send(c, begin, repeat, limit)
 }
 
-// holdEndless sends up to the given number of bytes and waits until the connection is closed.
-func holdEndless(c net.Conn, begin, repeat string, bytes int) {
-	defer c.Close()
-	_, _ = io.WriteString(c, begin)
-	chunk := strings.Repeat(repeat, 4096/len(repeat))
-	for n := 0; n < bytes; n += len(chunk) {
-		if _, err := io.WriteString(c, chunk); err != nil {
-			return
-		}
-	}
-	_, _ = c.Read(make([]byte, 1))
-}
-
-// An upstream responds with a header without an end. A request that may run again must be served by
-// another upstream, and the caller of one that may not must be told long before the route's
-// timeout, which here is longer than the test waits.
+// Guards against callers that wait for the route's timeout while an upstream sends a header without
+// an end.
 func TestHeaderWithoutEndEndsAtOnce(t *testing.T) {
 	for name, part := range map[string][2]string{
 		"line":    {"HTTP/1.1 200 OK", " and so on"},
@@ -58,7 +45,7 @@
 				r.Timeout = time.Minute
 			}
 			p.set(entry.TableRules, "config", cfg)
-			bad := startUpstream(t, func(w http.ResponseWriter, _ *http.Request) { sendEndless(t, w, part[0], part[1]) })
+			bad := startUpstream(t, func(w http.ResponseWriter, _ *http.Request) { sendEndless(t, w, part[0], part[1], endlessBytes) })
 			register(p, "i-0", bad.addr())
 			v := startVM(t, "a", p, nil)
 			ready(t, v)
@@ -93,8 +80,8 @@
 	}
 }
 
-// An upstream responds with a body without an end. It must be cut at the route's timeout, towards
-// the upstream so that no more is read, and so that the caller can't take it for complete.
+// Guards against bodies without an end that are read on after the route's timeout, or that callers
+// take for complete.
 func TestBodyWithoutEndIsCut(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"
 	for name, part := range map[string][2]string{
@@ -109,13 +96,8 @@
 			p.set(entry.TableRules, "config", config(1))
 			closed := make(chan struct{})
 			u := startUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
-				c, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					t.Error(err)
-					return
-				}
 				defer close(closed)
-				holdEndless(c, part[0], part[1], math.MaxInt)
+				sendEndless(t, w, part[0], part[1], math.MaxInt64)
 			})
 			register(p, "i-0", u.addr())
 			v := startVM(t, "a", p, nil)
@@ -138,3 +120,31 @@
 		})
 	}
 }
+
+// Guards against callers' headers that are read without a bound.
+func TestCallersHeaderWithoutEnd(t *testing.T) {
+	p := newPlatform()
+	p.set(entry.TableRules, "config", config(1))
+	v := startVM(t, "a", p, nil)
+	ready(t, v)
+	for name, part := range map[string][2]string{
+		"line":   {"GET /", "path"},
+		"fields": {"GET / HTTP/1.1\r\n", "Field: value\r\n"},
+	} {
+		c, err := net.Dial("tcp", v.cfg.FrontAddr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			endless.Send(c, part[0], part[1], math.MaxInt64)
+		}()
+		select {
+		case <-closed:
+		case <-time.After(20 * time.Second):
+			t.Errorf("%s: the connection is still read", name)
+			c.Close()
+		}
+	}
+}
--- a/io/entry/idle_test.go
+++ b/io/entry/idle_test.go
@@ -11,36 +11,9 @@
 	"time"
 
 	"auburnlatch/io/keepalive"
+	"auburnlatch/standin/pipe"
 )
 
-// pipeListener accepts the connections that are sent to it.
-type pipeListener chan net.Conn
-
-func (l pipeListener) Accept() (net.Conn, error) {
-	c, ok := <-l
-	if !ok {
-		return nil, net.ErrClosed
-	}
-	return c, nil
-}
-
-func (l pipeListener) Close() error   { return nil }
-func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-// hookedConn calls read whenever a read has returned bytes, before the reader has them.
-type hookedConn struct {
-	net.Conn
-	read func()
-}
-
-func (c *hookedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.read()
-	}
-	return n, err
-}
-
 // noStarter has all requests wait for their turn.
 type noStarter struct{}
 
@@ -83,18 +56,16 @@
 // dial starts the server and returns the caller's end of its connection.
 func (s *idleServer) dial(t *testing.T) *pipelineConn {
 	t.Helper()
-	l := make(pipeListener)
+	l := pipe.NewListener()
 	srv := &http.Server{Handler: s, ReadHeaderTimeout: readHeaderTimeout, ConnState: s.connState, ConnContext: connContext}
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
 		_ = srv.Serve(callerListener{l, noStarter{}})
 	}()
-	client, server := net.Pipe()
-	l <- &hookedConn{server, func() { s.read() }}
+	client := l.Dial(func() { s.read() })
 	t.Cleanup(func() {
 		client.Close()
-		close(l)
 		srv.Close()
 		<-served
 	})
@@ -126,12 +97,11 @@
 // idleEnds are the ways in which idle connections are ended.
 var idleEnds = map[string]func(*keepalive.Conns){
 	"all are closed": func(c *keepalive.Conns) { c.CloseAll(time.Now()) },
-	// A nanosecond below zero: at all connections, however short they have been idle.
+	// Below zero, as no time may pass in the test.
 	"the limit is lowered": func(c *keepalive.Conns) { c.CloseOlder(time.Now(), -1) },
 }
 
-// Idle connections are ended while the server is handed a request. The request must be served:
-// it may have been sent on, and its caller cannot tell.
+// Guards against requests that are cut, as their connection is ended as idle while they arrive.
 func TestRequestAsIdleConnectionsEndIsServed(t *testing.T) {
 	nothing := func() {}
 	for end, closeIdle := range idleEnds {
@@ -174,8 +144,7 @@
 	}
 }
 
-// A connection that carries a request when all are closed ends once it is idle. Without that,
-// a VM that stops would wait for its callers to close their connections.
+// Guards against a stop that waits for callers to close connections that became idle after it began.
 func TestConnectionsThatBecomeIdleLaterEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &idleServer{read: func() {}, idle: func() {}}
@@ -192,8 +161,7 @@
 	})
 }
 
-// A caller sends the first bytes of a request and no more. The connection must end: without a
-// timeout of its own it would stay open for ever.
+// Guards against connections that stay open for ever with the first bytes of a request.
 func TestBegunRequestHasTheTimeOfAHeader(t *testing.T) {
 	for name, end := range map[string]func(*keepalive.Conns){"in operation": func(*keepalive.Conns) {}, "as all are closed": idleEnds["all are closed"]} {
 		for held, rest := range map[string]string{idleGet + "G": "", idleGet: "GE"} {
@@ -208,12 +176,12 @@
 					}
 					synctest.Wait()
 					end(&s.conns)
-					// As on each heartbeat of the VM.
-					for began := time.Now(); s.conns.Count() > 0; time.Sleep(heartbeat) {
-						s.conns.CloseOlder(time.Now(), defaultIdle)
-						if time.Since(began) > defaultIdle+readHeaderTimeout+heartbeat {
-							t.Fatal("the connection is still open")
-						}
+					began := time.Now()
+					const limit = defaultIdle + heartbeat // The VM ends idle connections on heartbeats.
+					s.conns.CloseOlder(began.Add(limit), defaultIdle)
+					_, err := c.r.ReadByte()
+					if took := time.Since(began); err != io.EOF || took > limit+readHeaderTimeout {
+						t.Errorf("read: %v after %v", err, took)
 					}
 				})
 			})
@@ -221,7 +189,7 @@
 	}
 }
 
-// Connections end that have been idle for longer than the limit, and no others.
+// Guards against connections that are ended too early, or not at all.
 func TestIdleConnectionsExpire(t *testing.T) {
 	for _, tc := range []struct {
 		name string
--- a/io/keepalive/keepalive_test.go
+++ b/io/keepalive/keepalive_test.go
@@ -7,34 +7,12 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
-)
-
-// pipeListener accepts the connections that are sent to it.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func newPipeListener() *pipeListener {
-	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
 
-func (l *pipeListener) Close() error   { l.once.Do(func() { close(l.closed) }); return nil }
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+	"auburnlatch/standin/pipe"
+)
 
 // stoppingServer is stopped as it is handed a request.
 type stoppingServer struct {
@@ -59,22 +37,7 @@
 
 func (s *stoppingServer) runShutdown() { s.stopped <- s.Shutdown(context.Background()) }
 
-// raceConn calls read when a read has returned bytes, before the server has them.
-type raceConn struct {
-	net.Conn
-	read func()
-}
-
-func (c *raceConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.read()
-	}
-	return n, err
-}
-
-// A server stops while it is handed a request on a kept connection. The request must be
-// answered: it may have run, and its caller cannot tell. http.Server.Shutdown loses it.
+// Guards against requests on kept connections that are cut as the server stops.
 func TestShutdownServesRequestThatArrives(t *testing.T) {
 	for _, when := range []string{"read", "parsed"} {
 		t.Run(when, func(t *testing.T) {
@@ -82,7 +45,7 @@
 				s := &stoppingServer{stopped: make(chan error, 1)}
 				hooks := map[string]func(){"read": func() {}, "parsed": func() {}}
 				s.HTTP = &http.Server{Handler: s, IdleTimeout: time.Minute}
-				l := newPipeListener()
+				l := pipe.NewListener()
 				go s.Serve(l)
 				synctest.Wait()
 				state := s.HTTP.ConnState
@@ -92,9 +55,8 @@
 					}
 					state(c, st)
 				}
-				client, server := net.Pipe()
+				client := l.Dial(func() { hooks["read"]() })
 				defer client.Close()
-				l.conns <- &raceConn{server, func() { hooks["read"]() }}
 				r := bufio.NewReader(client)
 				exchange := func() {
 					t.Helper()
@@ -131,17 +93,15 @@
 	}
 }
 
-// A server stops. Connections without a request must end, those that were never used too, and
-// one that never ends must not keep Shutdown from returning.
+// Guards against a stop that waits for connections without a request, or for ever for others.
 func TestShutdownEndsIdleConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &Server{HTTP: &http.Server{Handler: http.NotFoundHandler()}}
-		l := newPipeListener()
+		l := pipe.NewListener()
 		served := make(chan error, 1)
 		go func() { served <- s.Serve(l) }()
-		client, server := net.Pipe()
+		client := l.Dial(nil)
 		defer client.Close()
-		l.conns <- server
 		synctest.Wait()
 		began := time.Now()
 		if err := s.Shutdown(context.Background()); err != nil || time.Since(began) > shutdownTick {
@@ -153,11 +113,10 @@
 	})
 	synctest.Test(t, func(t *testing.T) {
 		s := &Server{HTTP: &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })}}
-		l := newPipeListener()
+		l := pipe.NewListener()
 		go s.Serve(l)
-		client, server := net.Pipe()
+		client := l.Dial(nil)
 		defer client.Close()
-		l.conns <- server
 		if _, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
 			t.Fatal(err)
 		}
--- a/io/peer/client_test.go
+++ b/io/peer/client_test.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// The idle time of a connection ends as a call begins. The connection must stay: the call would
-// open one that nobody closes.
+// Guards against calls that open a connection which nobody closes, as the idle one was just dropped.
 func TestIdleConnectionStaysForCall(t *testing.T) {
 	c := NewClient()
 	later := time.Now().Add(time.Hour)
--- a/io/peer/replica_test.go
+++ b/io/peer/replica_test.go
@@ -82,9 +82,7 @@
 	}
 }
 
-// A row was withdrawn and written again with the value that it had. A VM that saw neither has it at
-// its old version, and one that saw only the withdrawal must get it from there all the same: it
-// would otherwise take over the version without the row.
+// Guards against VMs that never get a row which was withdrawn and written again with its old value.
 func TestRowThatReturnedReachesVMs(t *testing.T) {
 	now := time.Now()
 	same := func(_ string, a, b []byte) bool { return string(a) == string(b) }
--- a/io/settings/entry_test.go
+++ b/io/settings/entry_test.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// A bound on headers below what upstreams may send would have their responses cut.
+// Guards against a bound on headers by which legal responses would be cut.
 func TestResponseHeaderBytes(t *testing.T) {
 	for _, tc := range []struct {
 		setting string
--- a/io/upstream/headerlimit_test.go
+++ b/io/upstream/headerlimit_test.go
@@ -15,15 +15,25 @@
 	"auburnlatch/core/reach"
 	"auburnlatch/core/verdict"
 	"auburnlatch/io/upstream"
+	"auburnlatch/standin/endless"
 )
 
-// maxHeader is the bound on headers in these tests, and endless the bytes that a stand-in sends
-// before it holds the connection.
+// maxHeader is the bound on headers in these tests, and endlessBytes what a stand-in sends before it
+// holds the connection.
 const (
-	maxHeader = 16 << 10
-	endless   = 8 << 20
+	maxHeader    = 16 << 10
+	endlessBytes = 8 << 20
 )
 
+// countingPool returns a Pool and the number of bytes that it has read.
+func countingPool() (*upstream.Pool, *atomic.Int64) {
+	read := &atomic.Int64{}
+	return upstream.NewPool(upstream.WithDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		raw, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		return &readCounter{raw, read}, err
+	})), read
+}
+
 // headerForms are the beginning and the repeated part of headers without an end.
 var headerForms = []struct{ form, begin, repeat string }{
 	{"Line", "HTTP/1.1 200 OK", " and so on"},
@@ -35,19 +45,6 @@
 	{"Stray", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nok", "HTTP"},
 }
 
-// sendEndless sends a header without an end until the connection is closed or endless bytes were
-// sent, and then waits for the close.
-func sendEndless(c net.Conn, begin, repeat string) {
-	_, _ = io.WriteString(c, begin)
-	chunk := strings.Repeat(repeat, 4096/len(repeat))
-	for n := 0; n < endless; n += len(chunk) {
-		if _, err := io.WriteString(c, chunk); err != nil {
-			return
-		}
-	}
-	_, _ = c.Read(make([]byte, 1))
-}
-
 // readCounter counts the bytes that were read from a connection.
 type readCounter struct {
 	net.Conn
@@ -60,8 +57,7 @@
 	return n, err
 }
 
-// An upstream sends a header without an end. The connection must be closed at the bound, with the
-// verdict that the request may have run: what is read takes memory, and the caller waits.
+// Guards against headers without an end that are read on beyond the bound.
 func TestHeaderWithoutEnd(t *testing.T) {
 	for _, tc := range headerForms {
 		t.Run(tc.form+" "+tc.begin+tc.repeat, func(t *testing.T) {
@@ -69,14 +65,10 @@
 			addr := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 				defer close(closed)
 				if _, ok := readRequest(r); ok {
-					sendEndless(c, tc.begin, tc.repeat)
+					endless.Send(c, tc.begin, tc.repeat, endlessBytes)
 				}
 			})
-			var read atomic.Int64
-			p := upstream.NewPool(upstream.WithDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
-				raw, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-				return &readCounter{raw, &read}, err
-			}))
+			p, read := countingPool()
 			p.SetMaxHeader(maxHeader)
 			_, err := send(t, p, call(addr, "1"))
 			var tooLong *upstream.HeaderTooLongError
@@ -94,7 +86,7 @@
 	}
 }
 
-// A check of an upstream gets a header without an end.
+// Guards against checks of upstreams that read a header without an end.
 func TestHeaderWithoutEndOfCheck(t *testing.T) {
 	for _, tc := range headerForms {
 		if tc.form == "Interim" || tc.form == "Stray" {
@@ -102,7 +94,7 @@
 		}
 		addr := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 			if _, ok := readRequest(r); ok {
-				sendEndless(c, tc.begin, tc.repeat)
+				endless.Send(c, tc.begin, tc.repeat, endlessBytes)
 			}
 		})
 		p := upstream.NewPool()
@@ -117,14 +109,14 @@
 	}
 }
 
-// The other client closes such connections as well.
+// Guards against headers without an end that a Client reads on.
 func TestHeaderWithoutEndOfClient(t *testing.T) {
 	for _, tc := range headerForms {
 		closed := make(chan struct{})
 		addr := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 			defer close(closed)
 			if _, ok := readRequest(r); ok {
-				sendEndless(c, tc.begin, tc.repeat)
+				endless.Send(c, tc.begin, tc.repeat, endlessBytes)
 			}
 		})
 		if tc.form == "Stray" {
@@ -144,7 +136,7 @@
 	}
 }
 
-// Headers up to the bound, long bodies and some interim responses are legal.
+// Guards against legal responses that are taken for endless ones.
 func TestLongResponsesWithinBounds(t *testing.T) {
 	const begin = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1048576\r\nField: "
 	const rest = "\r\n\r\n"
@@ -170,6 +162,30 @@
 	}
 }
 
+// Guards against bodies of late responses that are read without a bound.
+func TestStrayBodyWithoutEnd(t *testing.T) {
+	for name, begin := range map[string]string{
+		"length":          "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 99999999999\r\n\r\n",
+		"until the close": "HTTP/1.1 200 OK\r\nId: other\r\n\r\n",
+	} {
+		closed := make(chan struct{})
+		addr := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			defer close(closed)
+			if _, ok := readRequest(r); ok {
+				endless.Send(c, begin, "bytes", endlessBytes)
+			}
+		})
+		p, read := countingPool()
+		if _, err := send(t, p, call(addr, "1")); verdict.Of(err) != verdict.MaybeRan {
+			t.Errorf("%s: %v, want MaybeRan", name, err)
+		}
+		<-closed
+		if n := read.Load(); n > 2<<20 {
+			t.Errorf("%s: %d bytes were read", name, n)
+		}
+	}
+}
+
 func BenchmarkPoolSend(b *testing.B) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/io/upstream/idle_test.go
+++ b/io/upstream/idle_test.go
@@ -24,8 +24,7 @@
 	}
 }
 
-// The idle time of a connection ends while a request is about to be written on it. The request
-// must be sent: it has left the idle connections, and only those are closed.
+// Guards against connections whose idle time ends while a request is about to be written on them.
 func TestIdleTimeEndsAsRequestIsSent(t *testing.T) {
 	for name, end := range map[string]func(*upstream.Pool){
 		"its own":           func(p *upstream.Pool) { p.Sweep(time.Now().Add(time.Hour), func(string) bool { return true }) },
@@ -62,8 +61,7 @@
 	return c.Conn.Close()
 }
 
-// A check of an upstream ends as its connection has been opened. The connection must not be kept
-// for requests: the end of the check closes it, which would cut a request that was sent on it.
+// Guards against requests on a connection that the end of a check of the upstream closes.
 func TestConnectionOfEndedCheckIsNotUsed(t *testing.T) {
 	for name, wanted := range map[string]reach.Contact{"accepted": reach.Accepted, "heard": reach.Heard} {
 		t.Run(name, func(t *testing.T) {
