--- a/io/entry/idle.go
+++ b/io/entry/idle.go
@@ -49,7 +49,7 @@
 func (c *callerConn) EndWhenIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state.Close() {
+	if c.state.EndWhenIdle() {
 		c.end(now)
 	}
 }
--- a/io/keepalive/keepalive.go
+++ b/io/keepalive/keepalive.go
@@ -87,9 +87,9 @@
 	return true
 }
 
-// Close has the connection ended as soon as it waits for a request. It reports whether it
+// EndWhenIdle has the connection ended as soon as it waits for a request. It reports whether it
 // does already and was not ended before. If so, its blocked read has to be made to time out.
-func (s *State) Close() bool {
+func (s *State) EndWhenIdle() bool {
 	s.closing = true
 	if !s.waiting || s.ended {
 		return false
@@ -154,23 +154,30 @@
 
 // CloseOlder ends the connections that have been idle for longer than a duration.
 func (c *Conns) CloseOlder(now time.Time, than time.Duration) {
-	for _, e := range c.list(false) {
+	for _, e := range c.list() {
 		e.EndOlder(now, than)
 	}
 }
 
 // CloseAll ends all idle connections, and the others, also later ones, when they are idle.
 func (c *Conns) CloseAll(now time.Time) {
-	for _, e := range c.list(true) {
+	c.close()
+	for _, e := range c.list() {
 		e.EndWhenIdle(now)
 	}
 }
 
-// list returns the open connections. closing says that all are to be closed from now on.
-func (c *Conns) list(closing bool) []Ender {
+// close has connections that are added from now on ended when they are idle.
+func (c *Conns) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+}
+
+// list returns the open connections.
+func (c *Conns) list() []Ender {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = c.closing || closing
 	list := make([]Ender, 0, len(c.open))
 	for e := range c.open {
 		list = append(list, e)
@@ -324,7 +331,7 @@
 func (c *conn) EndWhenIdle(time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state.Close() {
+	if c.state.EndWhenIdle() {
 		_ = c.Conn.SetReadDeadline(Ended)
 	}
 }
--- a/io/keepalive/keepalive_test.go
+++ b/io/keepalive/keepalive_test.go
@@ -139,10 +139,12 @@
 		steps func(s *State) []bool
 		want  []bool
 	}{
-		{"waiting", func(s *State) []bool { return []bool{s.Waits(), s.Close(), s.Close()} }, []bool{true, true, false}},
-		{"closed before it waits", func(s *State) []bool { return []bool{s.Close(), s.Waits(), s.Returned(true)} }, []bool{false, false, true}},
-		{"handed a request meanwhile", func(s *State) []bool { return []bool{s.Waits(), s.Close(), s.Returned(true), s.Waits()} }, []bool{true, true, true, true}},
-		{"handed a request before", func(s *State) []bool { return []bool{s.Waits(), s.Returned(true), s.Close(), s.EndOlder(later, 0)} }, []bool{true, false, false, false}},
+		{"waiting", func(s *State) []bool { return []bool{s.Waits(), s.EndWhenIdle(), s.EndWhenIdle()} }, []bool{true, true, false}},
+		{"closed before it waits", func(s *State) []bool { return []bool{s.EndWhenIdle(), s.Waits(), s.Returned(true)} }, []bool{false, false, true}},
+		{"handed a request meanwhile", func(s *State) []bool { return []bool{s.Waits(), s.EndWhenIdle(), s.Returned(true), s.Waits()} }, []bool{true, true, true, true}},
+		{"handed a request before", func(s *State) []bool {
+			return []bool{s.Waits(), s.Returned(true), s.EndWhenIdle(), s.EndOlder(later, 0)}
+		}, []bool{true, false, false, false}},
 		{"old", func(s *State) []bool {
 			return []bool{s.Waits(), s.EndOlder(later, time.Minute-1), s.EndOlder(later, 0)}
 		}, []bool{true, true, false}},
