io/entry: the log says how requests were split, and by which version

SplitUsed, each half second for each part of a split route, has the requests picked, relayed, answered, refused and failed by version, and the counted share by which the VM chooses. Lines about a request now have the version by which it was decided. Nothing is decided by either.

--- a/core/route/split.go
+++ b/core/route/split.go
@@ -24,6 +24,13 @@
 	routes map[string]*splitCount
 }
 
+// Share returns the counted share of a service among the requests of a route.
+func (s *SplitCounts) Share(name, service string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.count(name).share(service)
+}
+
 // splitCount has the decayed counts of one route's parts.
 type splitCount struct {
 	total float64
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -77,6 +77,7 @@
 	relaying      requestRelay
 	seconds       secondSends
 	splits        route.SplitCounts
+	splitLog      splitLog
 	guard         *quarantine.Guard
 	table         atomic.Pointer[route.Table]
 	applied       atomic.Pointer[appliedRules]
@@ -217,7 +218,7 @@
 // startLoops starts all background loops.
 func (v *VM) startLoops(ctx context.Context, datagrams *peer.Datagrams) {
 	for _, loop := range []func(context.Context){
-		v.rttLoop, v.heartbeatLoop, v.links.Loop, v.rulesLoop, v.targetsLoop, v.applyLoop, v.addressLoop, v.requests.loop, v.sentLoop, (&retryLog{vm: v}).loop,
+		v.rttLoop, v.heartbeatLoop, v.links.Loop, v.rulesLoop, v.targetsLoop, v.applyLoop, v.addressLoop, v.requests.loop, v.sentLoop, (&retryLog{vm: v}).loop, v.splitLogLoop,
 		(&pusher{vm: v}).loop, (&placementPublisher{vm: v, peer: datagrams}).loop, (&demandPublisher{vm: v, peer: datagrams}).loop, (&noticePublisher{vm: v, peer: datagrams}).loop, datagrams.Run,
 	} {
 		v.background.Start(ctx, loop)
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -179,7 +179,9 @@
 		"RulesAgeMs":   v.replicas[TableRules].Head(now).Age.Milliseconds(),
 		"TargetsAgeMs": v.replicas[TableTargets].Head(now).Age.Milliseconds(),
 	}
-	if t := v.table.Load(); t != nil {
+	if req.rules > 0 {
+		f["ConfigVersion"] = req.rules
+	} else if t := v.table.Load(); t != nil {
 		f["ConfigVersion"] = t.Config.Version
 	}
 	if req.keyPrint != "" {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -148,6 +148,7 @@
 		}
 	}
 	res.readyAt = time.Now()
+	v.splitLog.done(res)
 	if req.appointing {
 		v.appointed(res)
 	}
@@ -201,6 +202,7 @@
 		return req, e
 	}
 	req.service = rt.Pick(req.key, &v.splits)
+	v.splitLog.picked(req)
 	return req, nil
 }
 
