--- a/io/entry/splits_test.go
+++ b/io/entry/splits_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"testing"
+	"time"
 
 	"auburnlatch/core/route"
 	"auburnlatch/core/target"
@@ -51,6 +52,21 @@
 	return float64(got) / float64(n)
 }
 
+// Guards against requests under earlier weights that decide the parts of later ones.
+func TestSplitFollowsChangedWeights(t *testing.T) {
+	p, v := startSplit(t, splitConfig(1, 0.9, 0.1))
+	for i, weight := range []float64{0.9, 0.5, 0.1, 0.5} {
+		version := uint64(i + 1)
+		if version > 1 {
+			p.set(entry.TableRules, "config", splitConfig(version, weight, 1-weight))
+			eventually(t, "the version is in force", func() bool { return v.Figures(time.Now()).ConfigVersion == version })
+		}
+		if share := v.share(t, fmt.Sprint("v", version, "-"), 300); math.Abs(share-weight) > 0.1 {
+			t.Errorf("version %d: s got %.2f of 300 requests, its weight is %.2f", version, share, weight)
+		}
+	}
+}
+
 // The lines about splits must tell how many requests went to each part by which version.
 func TestSplitsAreLogged(t *testing.T) {
 	_, v := startSplit(t, splitConfig(1, 1, 3))
