core/route: a split route's requests are drawn by the weights, without counts

Callers saw one part of a split route get nearly all of its requests for seconds to minutes after operators had changed the weights: 0.05 of 422 where the weight says 0.5, 0.02 of 724 where it says 0.25.

Cause: SplitCounts counted the requests of a route under its name over about 400 requests of a VM. What had been sent under earlier weights decided under the new ones, for as long as it took the VM to send as many again. A second cause: each VM that starts sends an object to the same part until its counts correct it, so few requests a VM all go there.

Each request now draws its part independently. There is no state that could be of another version or of one VM only, so the shares hold by construction. NewTable refuses weights from which no share follows.

--- a/core/route/doc.go
+++ b/core/route/doc.go
@@ -8,8 +8,8 @@
 // is immutable and shared by all requests:
 //
 //	table, err := route.NewTable(cfg)
-//	r := table.Find(host, path)     // nil: no route matches
-//	service := r.Pick(key, &counts) // the service for this request
+//	r := table.Find(host, path)       // nil: no route matches
+//	service := r.Pick(rand.Float64()) // the service for this request
 package route
 
 import (
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -63,6 +63,9 @@
 	if len(r.Parts) == 0 {
 		return errors.New("route has no service")
 	}
+	if err := checkWeights(r.Parts); err != nil {
+		return err
+	}
 	for _, p := range r.Parts {
 		if t.services[p.Service] == nil {
 			return errors.Newf("unknown service %q", p.Service)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -76,7 +76,6 @@
 	links         *upstream.Links
 	relaying      requestRelay
 	seconds       secondSends
-	splits        route.SplitCounts
 	splitLog      splitLog
 	guard         *quarantine.Guard
 	table         atomic.Pointer[route.Table]
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -201,7 +202,7 @@
 	if e := v.limit(req); e != nil {
 		return req, e
 	}
-	req.service = rt.Pick(req.key, &v.splits)
+	req.service = rt.Pick(rand.Float64())
 	v.splitLog.picked(req)
 	return req, nil
 }
--- a/io/entry/splits.go
+++ b/io/entry/splits.go
@@ -130,7 +130,7 @@
 		v.log.WithFields(logrus.Fields{
 			"Route": k.route, "ConfigVersion": k.version, "Service": k.service, "Weight": u.weight,
 			"Picked": u.picked, "Relayed": u.relayed, "Answered": u.answered, "Through": u.through,
-			"Refused": u.refused, "Failed": u.failed, "Counted": v.splits.Share(k.route, k.service),
+			"Refused": u.refused, "Failed": u.failed,
 		}).Info("SplitUsed")
 	}
 }
