core/overdue: responses of one service do not say when those of another are overdue

They were sent to a second upstream, as far as the retry budget lets them: few, as the quantile follows after a twentieth of new responses.

--- a/core/overdue/load_test.go
+++ b/core/overdue/load_test.go
@@ -132,7 +132,7 @@
 	}
 	l.events.Add(now.Add(timeout), func(now time.Time) {
 		if !l.answered {
-			l.estimators[l.vm].Observe(now, service, warm, timeout)
+			l.estimators[l.vm].Observe(now, overdue.Class{Service: service, Warm: warm}, timeout)
 		}
 	})
 }
@@ -144,7 +144,7 @@
 }
 
 func (l *lookup) request(warm bool) overdue.Request {
-	r := overdue.Request{Route: service, Warm: warm, Idempotent: true, Sent: 1, Attempts: 2, Deadline: l.made.Add(timeout), Utilization: l.utilization()}
+	r := overdue.Request{Class: overdue.Class{Service: service, Warm: warm}, Idempotent: true, Sent: 1, Attempts: 2, Deadline: l.made.Add(timeout), Utilization: l.utilization()}
 	if l.policy == evenIfShort {
 		r.Utilization = 0
 	}
@@ -194,7 +194,7 @@
 }
 
 func (l *lookup) receive(now time.Time, took time.Duration, warm bool) {
-	l.estimators[l.vm].Observe(now, service, warm, took)
+	l.estimators[l.vm].Observe(now, overdue.Class{Service: service, Warm: warm}, took)
 	if l.answered || now.Sub(l.made) > timeout {
 		return
 	}
--- a/core/overdue/overdue.go
+++ b/core/overdue/overdue.go
@@ -3,18 +3,19 @@
 //
 // A response that is lost, or whose upstream has run into trouble, is not worth waiting for
 // until the route's timeout. It is overdue once it takes longer than nearly all responses of its
-// route, with the upstreams that have the object cached and the others apart, as those take
-// several times as long.
+// class: of its route and service, with the upstreams that have the object cached and the others
+// apart, as those take several times as long.
 //
 // # Usage
 //
 //	var e overdue.Estimator
-//	e.Observe(now, "look-up", warm, took)        // Each response, and each wait in vain.
-//	at, ok := e.Due(now, overdue.Request{...})   // As the request is sent.
-//	ok = overdue.Allowed(req)                    // Again when it is overdue.
+//	e.Observe(now, overdue.Class{...}, took)   // Each response, and each wait in vain.
+//	at, ok := e.Due(now, overdue.Request{...}) // As the request is sent.
+//	ok = overdue.Allowed(req)                  // Again when it is overdue.
 package overdue
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -49,11 +50,17 @@
 	digits  = 2
 )
 
-// Request has the properties of a request on which the decision depends.
-type Request struct {
-	Route string
+// Class has the properties of a request on which the usual time to its response depends. A route
+// has several services when it is split or moved to another one.
+type Class struct {
+	Route, Service string
 	// Warm reports whether the upstream is believed to have the object cached.
 	Warm bool
+}
+
+// Request has the properties of a request on which the decision depends.
+type Request struct {
+	Class
 	// Idempotent requests may run more than once.
 	Idempotent bool
 	// Suspected requests may be crashing the upstreams that run them.
@@ -66,19 +73,14 @@
 	Utilization float64
 }
 
-// Estimator has the response times of a VM's routes. The zero value is ready to use. It is safe
+// Estimator has the response times of a VM's requests. The zero value is ready to use. It is safe
 // for concurrent use.
 type Estimator struct {
-	mu     sync.Mutex
-	routes map[routeKey]*responses
+	mu      sync.Mutex
+	classes map[Class]*responses
 }
 
-type routeKey struct {
-	route string
-	warm  bool
-}
-
-// responses has the response times of one route, of upstreams with or without the object cached.
+// responses has the response times of one class.
 type responses struct {
 	began             time.Time // When newest was begun.
 	newest, last      *hdrhistogram.Histogram
@@ -87,17 +89,16 @@
 }
 
 // Observe records that a response took a time, or that there was none in that time.
-func (e *Estimator) Observe(now time.Time, route string, warm bool, took time.Duration) {
+func (e *Estimator) Observe(now time.Time, c Class, took time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	key := routeKey{route, warm}
-	r := e.routes[key]
+	r := e.classes[c]
 	if r == nil {
-		if e.routes == nil {
-			e.routes = make(map[routeKey]*responses)
+		if e.classes == nil {
+			e.classes = make(map[Class]*responses)
 		}
 		r = &responses{began: now, newest: newHistogram(), last: newHistogram()}
-		e.routes[key] = r
+		e.classes[c] = r
 	}
 	r.rotate(now)
 	// The error would mean that the value is out of range, which min and max exclude.
@@ -144,7 +145,7 @@
 	if !Allowed(req) {
 		return time.Time{}, false
 	}
-	after, expected := e.estimate(now, req.Route, req.Warm)
+	after, expected := e.estimate(now, req.Class)
 	if after == 0 {
 		return time.Time{}, false
 	}
@@ -154,20 +155,28 @@
 
 // estimate returns after which time a response is overdue, and how long a second upstream is
 // expected to take, which may not have the object cached.
-func (e *Estimator) estimate(now time.Time, route string, warm bool) (after, expected time.Duration) {
+func (e *Estimator) estimate(now time.Time, c Class) (after, expected time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if r := e.routes[routeKey{route, warm}]; r != nil {
+	if r := e.classes[c]; r != nil {
 		r.refresh(now)
 		after, expected = r.overdue, r.expected
 	}
-	if r := e.routes[routeKey{route, false}]; r != nil {
+	c.Warm = false
+	if r := e.classes[c]; r != nil {
 		r.refresh(now)
 		expected = max(expected, r.expected)
 	}
 	return after, expected
 }
 
+// KeepRoutes forgets the responses of routes for which keep returns false.
+func (e *Estimator) KeepRoutes(keep func(route string) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	maps.DeleteFunc(e.classes, func(c Class, _ *responses) bool { return !keep(c.Route) })
+}
+
 // Allowed reports whether a request may be sent to a second upstream while the first has not
 // responded.
 func Allowed(req Request) bool {
--- a/core/overdue/overdue_test.go
+++ b/core/overdue/overdue_test.go
@@ -7,21 +7,25 @@
 	"auburnlatch/core/overdue"
 )
 
-var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+var (
+	start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	warm  = overdue.Class{Route: "r", Service: "s", Warm: true}
+	fresh = overdue.Class{Route: "r", Service: "s"}
+)
 
 // observed returns an Estimator that has seen a hundred responses each of 300 ms for warm
 // objects and 1 s for new ones.
 func observed() *overdue.Estimator {
 	var e overdue.Estimator
 	for range 100 {
-		e.Observe(start, "r", true, 300*time.Millisecond)
-		e.Observe(start, "r", false, time.Second)
+		e.Observe(start, warm, 300*time.Millisecond)
+		e.Observe(start, fresh, time.Second)
 	}
 	return &e
 }
 
 func TestDue(t *testing.T) {
-	valid := overdue.Request{Route: "r", Warm: true, Idempotent: true, Sent: 1, Attempts: 2, Deadline: start.Add(2 * time.Second)}
+	valid := overdue.Request{Class: warm, Idempotent: true, Sent: 1, Attempts: 2, Deadline: start.Add(2 * time.Second)}
 	for _, tc := range []struct {
 		name   string
 		change func(*overdue.Request)
@@ -35,6 +39,7 @@
 		{"no attempts left", func(r *overdue.Request) { r.Sent = 2 }, 0},
 		{"short of slots", func(r *overdue.Request) { r.Utilization = 0.9 }, 0},
 		{"unknown route", func(r *overdue.Request) { r.Route = "other" }, 0},
+		{"another service", func(r *overdue.Request) { r.Service = "slower" }, 0},
 	} {
 		req := valid
 		tc.change(&req)
@@ -45,12 +50,37 @@
 	}
 }
 
+// Guards against response times of a service that decide when those of another one are overdue,
+// after its route has moved there: most requests were sent twice.
+func TestMovedRouteBeginsWithoutResponses(t *testing.T) {
+	e := observed()
+	moved := overdue.Request{Class: overdue.Class{Route: "r", Service: "slower", Warm: true}, Idempotent: true, Attempts: 2, Deadline: start.Add(time.Minute)}
+	now := start
+	for range 100 {
+		now = now.Add(20 * time.Millisecond)
+		if at, ok := e.Due(now, moved); ok && at.Sub(now) < 900*time.Millisecond {
+			t.Fatalf("overdue after %v, the service responds after 900ms", at.Sub(now))
+		}
+		e.Observe(now, moved.Class, 900*time.Millisecond)
+	}
+}
+
+// Guards against state of routes that are gone: it used memory for each name, and counted again
+// when a route came back.
+func TestRemovedRouteIsForgotten(t *testing.T) {
+	e := observed()
+	e.KeepRoutes(func(route string) bool { return route != "r" })
+	if at, ok := e.Due(start, overdue.Request{Class: warm, Idempotent: true, Attempts: 2, Deadline: start.Add(time.Hour)}); ok {
+		t.Errorf("overdue after %v by responses of a route that was removed", at.Sub(start))
+	}
+}
+
 func TestFewResponsesSayNothing(t *testing.T) {
 	var e overdue.Estimator
 	for range 39 {
-		e.Observe(start, "r", true, time.Millisecond)
+		e.Observe(start, warm, time.Millisecond)
 	}
-	if _, ok := e.Due(start, overdue.Request{Route: "r", Warm: true, Idempotent: true, Attempts: 2, Deadline: start.Add(time.Hour)}); ok {
+	if _, ok := e.Due(start, overdue.Request{Class: warm, Idempotent: true, Attempts: 2, Deadline: start.Add(time.Hour)}); ok {
 		t.Error("39 responses are enough")
 	}
 }
@@ -58,11 +88,11 @@
 // A service becomes slower for good: after two windows no earlier response counts.
 func TestQuantilesFollowTheService(t *testing.T) {
 	e := observed()
-	req := overdue.Request{Route: "r", Warm: true, Idempotent: true, Attempts: 2}
+	req := overdue.Request{Class: warm, Idempotent: true, Attempts: 2}
 	now := start
 	for range 300 {
 		now = now.Add(100 * time.Millisecond)
-		e.Observe(now, "r", true, 900*time.Millisecond)
+		e.Observe(now, warm, 900*time.Millisecond)
 	}
 	req.Deadline = now.Add(time.Minute)
 	at, ok := e.Due(now, req)
@@ -75,14 +105,14 @@
 func TestOldResponsesAreForgotten(t *testing.T) {
 	e := observed()
 	now := start.Add(21 * time.Second)
-	if _, ok := e.Due(now, overdue.Request{Route: "r", Warm: true, Idempotent: true, Attempts: 2, Deadline: now.Add(time.Minute)}); ok {
+	if _, ok := e.Due(now, overdue.Request{Class: warm, Idempotent: true, Attempts: 2, Deadline: now.Add(time.Minute)}); ok {
 		t.Error("responses of 21 s ago count")
 	}
 }
 
 func BenchmarkDue(b *testing.B) {
 	e := observed()
-	req := overdue.Request{Route: "r", Warm: true, Idempotent: true, Attempts: 2, Deadline: start.Add(time.Minute)}
+	req := overdue.Request{Class: warm, Idempotent: true, Attempts: 2, Deadline: start.Add(time.Minute)}
 	b.ReportAllocs()
 	for b.Loop() {
 		e.Due(start, req)
--- a/io/entry/overdue.go
+++ b/io/entry/overdue.go
@@ -222,7 +222,7 @@
 // overdueRequest returns what the decision about a second send depends on.
 func (v *VM) overdueRequest(now time.Time, req *request, sent int) overdue.Request {
 	return overdue.Request{
-		Route: req.route.Name, Idempotent: req.idempotent(), Suspected: v.guard.Ledger().Knows(req.identity.Head()),
+		Class: overdue.Class{Route: req.route.Name, Service: req.service}, Idempotent: req.idempotent(), Suspected: v.guard.Ledger().Knows(req.identity.Head()),
 		Sent: sent, Attempts: req.attempts(), Deadline: req.deadline, Utilization: v.balancer.Utilization(now, req.service),
 	}
 }
@@ -263,7 +263,7 @@
 // observe records how long an upstream took to respond, or did not.
 func (s *secondSends) observe(now, began time.Time, req *request, lease balance.Lease) {
 	if req.idempotent() {
-		s.estimator.Observe(now, req.route.Name, lease.Warm, now.Sub(began))
+		s.estimator.Observe(now, overdue.Class{Route: req.route.Name, Service: req.service, Warm: lease.Warm}, now.Sub(began))
 	}
 }
 
