core/balance: times of requests are kept by route and service, and forgotten with the route

A split route had the mean of its services.

What was learned of a route also outlived it: it used memory for each name, without end where routes come and go, and decided for a later route of that name. Rules that are applied now forget it, here and for overdue responses and callers that come back. Placements are left: upstreams have the objects.

TestMovedRouteExpectsNothingOfAnotherService and TestRemovedRouteIsForgotten failed before. TestOwnerOutlivesSticky and TestShorterTimeoutSuspectsNobody hold as it was.

--- a/core/balance/pace.go
+++ b/core/balance/pace.go
@@ -43,8 +43,8 @@
 	maxWarm = 2
 )
 
-// workTimes are the mean times that a route's requests take at the usual pace without the wait for
-// a slot. They are kept apart for objects that are warm at the target and for others: a mean over
+// workTimes are the mean times that a route's requests take at one service, at the usual pace without
+// the wait for a slot. They are kept apart for objects that are warm at the target and for others: a mean over
 // both says nothing of either.
 type workTimes struct{ warm, fresh, all workTime }
 
@@ -88,7 +88,7 @@
 		took /= o.Load.Pace
 	}
 	if l.Warm || l.first {
-		l.route.work.observe(time.Duration(took), l.Warm)
+		l.route.workAt(s.Service).observe(time.Duration(took), l.Warm)
 	}
 	if l.placement != nil {
 		l.placement.markWarm(now, s)
@@ -107,12 +107,13 @@
 // expected estimates the time to a response if the request is sent now, 0 if too little is known.
 // The pace may change meanwhile: that of half of the time counts.
 func (b *Balancer) expected(now time.Time, s *state, route *routeStats, warm bool) time.Duration {
-	work := float64(route.work.of(warm))
+	times := route.workAt(s.Service)
+	work := float64(times.of(warm))
 	if work == 0 {
 		return 0
 	}
 	queued := max(0, s.outstanding(now)+1-float64(s.Slots)) / float64(s.Slots)
-	usual := work + queued*float64(route.work.all.mean)
+	usual := work + queued*float64(times.all.mean)
 	return b.rtt(s) + time.Duration(usual*s.pace(now.Add(time.Duration(usual/2))))
 }
 
--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -304,7 +304,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expireSignals(now)
-	for _, placed := range b.routePlacements {
+	for key, placed := range b.routePlacements {
 		for hash, pl := range placed.objects {
 			if now.Sub(pl.used) > placementTTL {
 				placed.assign(pl, nil)
@@ -312,5 +312,8 @@
 				b.placementCount--
 			}
 		}
+		if len(placed.objects) == 0 {
+			delete(b.routePlacements, key)
+		}
 	}
 }
--- a/core/balance/weigh.go
+++ b/core/balance/weigh.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -50,9 +51,9 @@
 	weight float64
 }
 
-// routeStats has the statistics of one route's requests, whichever service they go to. Distance
-// is weighted by route and not by service: otherwise look-ups that operators move to a service
-// that takes uploads would change regions at once, as large requests are kept near.
+// routeStats has the statistics of one route's requests. Distance is weighted by route and not by
+// service: otherwise look-ups that operators move to a service that takes uploads would change
+// regions at once, as large requests are kept near.
 type routeStats struct {
 	// meanBytes is the moving average of the bytes of a request and its response.
 	meanBytes float64
@@ -60,7 +61,21 @@
 	// exponent determines the factor of targets of other regions, exp(-exponent).
 	exponent    float64
 	exponentSet bool
-	work        workTimes
+	// work is by service: a route has several when it is split or moved to another one.
+	work map[string]*workTimes
+}
+
+// workAt returns the times of the route's requests at a service.
+func (r *routeStats) workAt(service string) *workTimes {
+	w := r.work[service]
+	if w == nil {
+		if r.work == nil {
+			r.work = make(map[string]*workTimes)
+		}
+		w = &workTimes{}
+		r.work[service] = w
+	}
+	return w
 }
 
 // observe records the bytes of a request and its response.
@@ -69,6 +84,14 @@
 	r.meanBytes += max(meanBytesWeight, 1/float64(r.answers)) * (float64(bytes) - r.meanBytes)
 }
 
+// KeepRoutes forgets the statistics of routes for which keep returns false. Placements expire by
+// themselves: upstreams still have the objects when a route comes back soon.
+func (b *Balancer) KeepRoutes(keep func(route string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.DeleteFunc(b.routes, func(name string, _ *routeStats) bool { return !keep(name) })
+}
+
 // routeStatsOf returns the statistics of a request's route with the exponent updated.
 func (b *Balancer) routeStatsOf(req Request) *routeStats {
 	r := b.routes[req.Route]
--- a/io/entry/appointments.go
+++ b/io/entry/appointments.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -129,6 +130,13 @@
 	return r
 }
 
+// keepRoutes forgets what is known of routes for which keep returns false.
+func (a *appointments) keepRoutes(keep func(route string) bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	maps.DeleteFunc(a.routes, func(name string, _ *appointment.Recognizer) bool { return !keep(name) })
+}
+
 func (a *appointments) room(req *request) *room {
 	key := roomKey{req.service, rankOf(req)}
 	r := a.rooms[key]
--- a/io/entry/copies.go
+++ b/io/entry/copies.go
@@ -351,11 +351,25 @@
 		return false
 	}
 	v.table.Store(table)
+	v.forgetRoutes(cfg)
 	v.replicas[TableRules].SetContent(cfg.Version)
 	v.log.WithFields(logrus.Fields{"Version": cfg.Version, "Routes": len(cfg.Routes), "Services": len(cfg.Services)}).Info("ConfigInForce")
 	return true
 }
 
+// forgetRoutes forgets what was learned about routes that a configuration does not have. They may
+// come back as others under the same name, and names must not use memory forever.
+func (v *VM) forgetRoutes(cfg *route.Config) {
+	names := make(map[string]bool, len(cfg.Routes))
+	for _, r := range cfg.Routes {
+		names[r.Name] = true
+	}
+	keep := func(name string) bool { return names[name] }
+	v.balancer.KeepRoutes(keep)
+	v.seconds.estimator.KeepRoutes(keep)
+	v.appointments.keepRoutes(keep)
+}
+
 func (v *VM) applyTargets(now time.Time, ev target.Evacuations) (soon bool) {
 	v.registry.Heartbeat = v.cfg.Load().UpstreamHeartbeat
 	before := v.registry.Len()
