core/admission: objectives and ranks of earlier rules decide no more

A rank's objective was the least that any of its requests ever had: once operators had set a longer one, requests of lower ranks still got the depth for the short one, for as long as the process ran. A rank that no route or team has any more was counted for the longer, the more requests it had had: room was reserved for it for 26 s after 300 requests, and if it had been starved, ranks above it had no more room than it.

The objective is that of the newest rules now, whatever requests of earlier ones are still served, and a rank counts for nine seconds after its last request.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -41,7 +41,7 @@
 	defer c.mu.Unlock()
 	s := c.service(req.Service)
 	s.decay(now)
-	s.ensureRank(req.Rank).record(req, d, sent)
+	s.ensureRank(req.Rank).record(now, req, d, sent)
 }
 
 // Answered records the time for which a request occupied a slot.
--- a/core/admission/demand.go
+++ b/core/admission/demand.go
@@ -15,9 +15,8 @@
 	// minKnown is the number of recent requests to a service below which too little is known of
 	// its demand.
 	minKnown = 8
-	// minRecent is the count from which on a rank has had a recent request: one within three times
-	// timeConstant.
-	minRecent = 0.05
+	// recentTime is how long a request is recent.
+	recentTime = 3 * timeConstant
 	// minTraffic is the part of a service's recent requests from which on a rank has traffic
 	// there.
 	minTraffic = 0.02
@@ -51,8 +50,10 @@
 	uses [useBuckets]float64
 	// serviceTime is the mean time for which a request occupies a slot; 0: unknown.
 	serviceTime time.Duration
-	// objective is the least of recent requests; 0: none has one.
+	// objective is the least of the requests by the newest rules; 0: none has one.
 	objective time.Duration
+	rules     uint64
+	askedAt   time.Time // When the last request was recorded.
 	// returnCredit is how many returned requests may go first.
 	returnCredit float64
 
@@ -126,12 +127,14 @@
 }
 
 // hasTraffic reports whether a rank has a noticeable part of the requests.
-func (s *service) hasTraffic(r *rank) bool { return r.askedCount() >= minTraffic*s.askedCount() }
+func (s *service) hasTraffic(r *rank) bool {
+	return s.recent(r) && r.askedCount() >= minTraffic*s.askedCount()
+}
 
 // starved reports whether a rank is served much less often than all requests.
 func (s *service) starved(r *rank) bool {
 	asked := r.askedCount()
-	if asked < minStarved {
+	if asked < minStarved || !s.recent(r) {
 		return false
 	}
 	sent := 0.0
@@ -141,8 +144,11 @@
 	return r.sent/asked < starvedFraction*sent/max(1, s.askedCount())
 }
 
-// recent reports whether the rank has had any recent request.
-func (r *rank) recent() bool { return r.askedCount() >= minRecent }
+// recent reports whether a rank has had a recent request. A rank that no route or team has any more
+// must not count for longer if it had more requests.
+func (s *service) recent(r *rank) bool {
+	return !r.askedAt.IsZero() && s.at.Sub(r.askedAt) < recentTime
+}
 
 func (r *rank) askedCount() float64 {
 	sum := 0.0
@@ -152,16 +158,15 @@
 	return sum
 }
 
-func (r *rank) record(req Request, d Decision, sent bool) {
+func (r *rank) record(now time.Time, req Request, d Decision, sent bool) {
+	r.askedAt = now
 	r.asked[classOf(d)]++
 	r.uses[useBucket(req.Use)]++
 	r.returnCredit = min(maxReturnCredit, r.returnCredit+returnRatio)
 	if d.Returned {
 		r.returnCredit -= 1 + returnRatio
 	}
-	if req.Objective > 0 && (r.objective == 0 || req.Objective < r.objective) {
-		r.objective = req.Objective
-	}
+	r.recordObjective(req)
 	switch {
 	case sent:
 		r.sent++
@@ -175,6 +180,16 @@
 	}
 }
 
+// recordObjective records the objective of a request. Those of earlier rules do not count.
+func (r *rank) recordObjective(req Request) {
+	if req.Rules > r.rules {
+		r.objective, r.rules = 0, req.Rules
+	}
+	if req.Rules == r.rules && req.Objective > 0 && (r.objective == 0 || req.Objective < r.objective) {
+		r.objective = req.Objective
+	}
+}
+
 func (r *rank) observe(serviceTime time.Duration) {
 	if r.serviceTime == 0 {
 		r.serviceTime = serviceTime
--- a/core/admission/depth.go
+++ b/core/admission/depth.go
@@ -47,7 +47,7 @@
 		if high.Compare(r.Rank) >= 0 {
 			break
 		}
-		if high.recent() && high.objective > 0 && (req.Objective == 0 || high.objective < req.Objective) {
+		if s.recent(high) && high.objective > 0 && (req.Objective == 0 || high.objective < req.Objective) {
 			return SharedDepth
 		}
 	}
@@ -63,7 +63,7 @@
 		if high.Compare(r.Rank) >= 0 {
 			return false
 		}
-		if high.recent() {
+		if s.recent(high) {
 			return true
 		}
 	}
@@ -100,7 +100,7 @@
 			for _, n := range r.asked[:k] {
 				before += n * serviceTime
 			}
-		case other.Compare(r.Rank) < 0:
+		case other.Compare(r.Rank) < 0 && s.recent(other):
 			before += other.askedCount() * serviceTime
 		}
 	}
--- a/core/admission/doc.go
+++ b/core/admission/doc.go
@@ -80,6 +80,8 @@
 	Use float64
 	// Returned says that the caller was refused before and has come back.
 	Returned bool
+	// Rules is the version of the rules that the request's properties follow from.
+	Rules uint64
 	// Objective is the response time objective, and Within what is left of it; 0: none.
 	Objective, Within time.Duration
 }
--- a/io/entry/admission.go
+++ b/io/entry/admission.go
@@ -28,7 +28,7 @@
 func (v *VM) admissionRequest(req *request, now time.Time) admission.Request {
 	return admission.Request{
 		Service: req.service, Rank: rankOf(req), ID: req.id, Use: v.limitUse(now, req.team),
-		Returned: req.returned, Objective: req.route.Objective, Within: req.within(now),
+		Returned: req.returned, Rules: req.rules, Objective: req.route.Objective, Within: req.within(now),
 	}
 }
 
