core/steer: VMs that start together do not begin with the same zone

A window of one process where the promise is about all: each row began its sequence of picks with the zone of the largest weight, so the first requests at VMs that had started together all went there, 1.00 where the weight is 0.40, a shift beyond the cap when they add up. Rows begin anywhere in their sequence now; each keeps within one request of its weights as before.

TestStartedVMsPickByTheWeights failed before. By reading and in the test, not seen in operation.

--- a/core/steer/row.go
+++ b/core/steer/row.go
@@ -61,6 +61,7 @@
 	weights []float64 // By zone.
 	credit  []float64 // By zone; see Pick.
 	moves   []Move    // Within the last Window, oldest first.
+	skip    int       // How many picks are skipped before the first one.
 }
 
 // Restore initializes the row with a peer's weights and past moves.
@@ -217,6 +218,14 @@
 	if len(r.zones) == 0 {
 		return ""
 	}
+	for ; r.skip > 0; r.skip-- {
+		r.next()
+	}
+	return r.zones[r.next()]
+}
+
+// next returns the index of the next zone in the sequence of picks.
+func (r *Row) next() int {
 	best := 0
 	for i := range r.zones {
 		r.credit[i] += r.weights[i]
@@ -225,5 +234,5 @@
 		}
 	}
 	r.credit[best]--
-	return r.zones[best]
+	return best
 }
--- a/core/steer/rows.go
+++ b/core/steer/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +13,10 @@
 	Service, Origin string
 }
 
+// maxSkip is the number of positions in its sequence of picks at which a row may
+// begin: a multiple of what most weights take to repeat.
+const maxSkip = 256
+
 // Rows holds the rows of a VM. It is safe for concurrent use; the zero value is
 // ready to use.
 type Rows struct {
@@ -21,7 +26,9 @@
 	limits map[RowKey]Limit
 }
 
-// Row returns the row with the key. A new row is empty.
+// Row returns the row with the key. A new row is empty. It begins anywhere in its
+// sequence of picks, as the first requests at VMs that start together would else
+// all go to the same zone.
 func (r *Rows) Row(key RowKey) *Row {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -32,7 +39,7 @@
 	}
 	row := r.rows[key]
 	if row == nil {
-		row = &Row{}
+		row = &Row{skip: rand.IntN(maxSkip)}
 		r.rows[key] = row
 	}
 	return row
