core/steer: a service that is removed and comes back keeps its cap on shifts

State that ended with one version of the inventory though the promise spans versions: the rows of a service that is removed were dropped with their moves, so that one that came back in the next version began with the wanted weights, 1.00 of its traffic shifted within a minute of a cap of 0.20. Rows are kept for the minute that the cap is about.

TestServiceThatComesBackKeepsTheCap failed before. By reading and in the test, not seen in operation.

--- a/core/steer/rows.go
+++ b/core/steer/rows.go
@@ -24,6 +24,8 @@
 	rows   map[RowKey]*Row
 	wanted map[RowKey]Weights
 	limits map[RowKey]Limit
+	// unused is since when a row has not been retained.
+	unused map[RowKey]time.Time
 }
 
 // Row returns the row with the key. A new row is empty. It begins anywhere in its
@@ -83,15 +85,27 @@
 	return keys
 }
 
-// Retain keeps the rows for which keep returns true and drops the others.
-func (r *Rows) Retain(keep func(RowKey) bool) {
+// Retain keeps the rows for which keep returns true, and drops the others when it
+// has not for Window: until then their moves count if the service comes back.
+func (r *Rows) Retain(now time.Time, keep func(RowKey) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for key := range r.rows {
-		if !keep(key) {
+		if keep(key) {
+			delete(r.unused, key)
+			continue
+		}
+		if _, ok := r.unused[key]; !ok {
+			if r.unused == nil {
+				r.unused = map[RowKey]time.Time{}
+			}
+			r.unused[key] = now
+		}
+		if now.Sub(r.unused[key]) > Window {
 			delete(r.rows, key)
 			delete(r.wanted, key)
 			delete(r.limits, key)
+			delete(r.unused, key)
 		}
 	}
 }
--- a/core/steer/rows_test.go
+++ b/core/steer/rows_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"testing"
+	"time"
 )
 
 // Guards against VMs that start together and each send their first requests to the same zone: over
@@ -27,3 +28,26 @@
 		}
 	}
 }
+
+// Guards against a service that is removed and added again, and so begins with all weights at their
+// wanted values: its traffic would shift at once.
+func TestServiceThatComesBackKeepsTheCap(t *testing.T) {
+	key, limit := RowKey{"s", "a"}, Limit{Cap: testCap}
+	all := func(RowKey) bool { return true }
+	none := func(RowKey) bool { return false }
+	var rows Rows
+	rows.Move(start, key, Weights{"a": 1}, limit)
+	rows.Move(at(1), key, Weights{"b": 1}, limit)
+	rows.Retain(at(2), none)
+	rows.Retain(at(20), none)
+	rows.Move(at(21), key, Weights{"b": 1}, limit)
+	rows.Retain(at(21), all)
+	if moved := rows.Row(key).Weights()["b"]; moved > testCap+slack {
+		t.Errorf("%.2f of the traffic moved within a minute, cap %.2f", moved, testCap)
+	}
+	rows.Retain(at(100), none)
+	rows.Retain(at(100).Add(Window+time.Second), none)
+	if n := len(rows.Keys()); n != 0 {
+		t.Errorf("%d rows are left of a service that was removed", n)
+	}
+}
--- a/io/vm/steer.go
+++ b/io/vm/steer.go
@@ -82,7 +82,7 @@
 	for _, s := range inv.Services {
 		v.steerService(now, inv, s, views)
 	}
-	v.rows.Retain(func(key steer.RowKey) bool { return inv.Service(key.Service) != nil })
+	v.rows.Retain(now, func(key steer.RowKey) bool { return inv.Service(key.Service) != nil })
 }
 
 func (v *VM) steerService(now time.Time, inv *inventory.Inventory, s *inventory.Service, views []member.ZoneView) {
