core/dispatch: no retries for a service that may have none

State that was counted under one version of the inventory decided under another: credit for retries is kept for a process. After operators had set a service's RetryBudget to 0, up to 20 retries were still granted, and later ones by credit that other services earned. TestServiceWithoutRetriesGetsNone failed before. By reading and in the test, not seen in operation.

--- a/core/dispatch/budget.go
+++ b/core/dispatch/budget.go
@@ -29,12 +29,14 @@
 	b.credit = min(maxCredit, b.credit+share)
 }
 
-// Retry reports whether one more retry may be sent, and counts it if so.
-func (b *Budget) Retry(now time.Time) bool {
+// Retry reports whether one more retry may be sent, and counts it if so. share is
+// that of the request's service now: credit from before it was set to 0, or from
+// other services, permits none.
+func (b *Budget) Retry(now time.Time, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.decay(now)
-	if b.credit < 1 {
+	if b.credit < 1 || share <= 0 {
 		return false
 	}
 	b.credit--
--- a/core/dispatch/pool_test.go
+++ b/core/dispatch/pool_test.go
@@ -230,7 +230,7 @@
 		now := at(float64(i) / 1000)
 		b.Request(now, share)
 		for range 2 {
-			if b.Retry(now) {
+			if b.Retry(now, share) {
 				retries++
 			}
 		}
@@ -245,12 +245,27 @@
 	for i := range 100 {
 		var b Budget
 		b.Request(at(float64(i)), 0.1)
-		if b.Retry(at(float64(i))) {
+		if b.Retry(at(float64(i)), 0.1) {
 			t.Fatal("a VM that has just started was granted a retry for a tenth of a request's share")
 		}
 	}
 }
 
+// Guards against retries that are granted by credit from before operators switched retries off, or
+// from other services.
+func TestServiceWithoutRetriesGetsNone(t *testing.T) {
+	var b Budget
+	for i := range 1000 {
+		b.Request(at(float64(i)/1000), 0.5)
+	}
+	if b.Retry(at(1), 0) {
+		t.Error("a retry was granted to a service that may have none")
+	}
+	if !b.Retry(at(1), 0.5) {
+		t.Error("no retry was granted to a service that may have some")
+	}
+}
+
 // An upstream that has asked for a pause must get no requests until it is over.
 func TestPausedUpstreamGetsNothing(t *testing.T) {
 	p := newPool(four)
--- a/io/route/router.go
+++ b/io/route/router.go
@@ -122,7 +122,7 @@
 			return nil, last // An earlier attempt may have run.
 		}
 		last = err
-		if attempt == maxAttempts || !mayRetry(verdict.As(err), req) || !r.Budget.Retry(time.Now()) {
+		if attempt == maxAttempts || !mayRetry(verdict.As(err), req) || !r.Budget.Retry(time.Now(), rules.RetryBudget) {
 			return nil, err
 		}
 	}
