core/dispatch: an upstream at another address begins without the health of the one before

State that was counted under one version of the inventory decided under another: failures, health, pauses and response times are kept by the upstream's name. After operators had given a name another address, the new upstream got nothing for seconds, being Down, or paused for as long as the old one had asked for. Both the pool and the probes forget what they know when the address changes; the slots, which VMs share by name, stay.

TestUpstreamAtNewAddressIsUp failed before; TestProbesOfAnotherAddressDoNotCount holds the probes to it. By reading and in the tests, not seen in operation.

--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -104,6 +104,12 @@
 	}
 }
 
+// forgetHealth forgets what is known of the upstream: another one has its name.
+func (a *allocation) forgetHealth() {
+	a.state, a.stateAt, a.coldSince, a.failures, a.latency = Up, time.Time{}, time.Time{}, 0, 0
+	a.pausedUntil = time.Time{}
+}
+
 func (a *allocation) setState(now time.Time, state Health) {
 	if state == Cold || (a.state == Down && state == Up) {
 		a.coldSince = now
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -96,6 +96,9 @@
 			a = &allocation{}
 			p.allocations[t.Name] = a
 		}
+		if a.target != nil && (a.target.Addr != t.Addr || a.target.Service != t.Service) {
+			a.forgetHealth()
+		}
 		a.target, a.drained = t, v.Drained[t.Name]
 		s.allocations = append(s.allocations, a)
 		slots[t.Service] += t.Slots
--- a/core/dispatch/pool_test.go
+++ b/core/dispatch/pool_test.go
@@ -266,6 +266,28 @@
 	}
 }
 
+// Guards against the health of an upstream that decides about another one, which the inventory has
+// under its name at another address.
+func TestUpstreamAtNewAddressIsUp(t *testing.T) {
+	p := newPool(four)
+	for i := range maxFailures {
+		now := at(1 + float64(i)/10)
+		if _, ok := p.Offer(now, "istoric"); !ok {
+			t.Fatal("Offer found no free slot")
+		}
+		p.Done(now, "t4", Sample{Err: verdict.New(verdict.MaybeRan, verdict.ReasonBroken, 0)})
+	}
+	moved := *four
+	moved.Addr = "10.0.0.99:80"
+	p.Tick(at(2), alone(3, &moved))
+	if states := p.Targets(); states[0].Health != Up {
+		t.Errorf("the upstream is %v", states[0].Health)
+	}
+	if _, ok := p.Offer(at(2), "istoric"); !ok {
+		t.Error("the upstream at the new address gets no requests")
+	}
+}
+
 // An upstream that has asked for a pause must get no requests until it is over.
 func TestPausedUpstreamGetsNothing(t *testing.T) {
 	p := newPool(four)
--- a/io/vm/health.go
+++ b/io/vm/health.go
@@ -28,15 +28,22 @@
 	mu     sync.Mutex
 	states map[string]dispatch.Health // By target.
 	failed map[string]int             // Consecutive failed probes, by target.
+	addrs  map[string]string          // The addresses that were probed, by target.
 }
 
 // record records the outcome of a probe and returns the upstream's state after and
-// before it. A single failed probe does not change the state.
-func (r *healthRecord) record(target string, h dispatch.Health, err error) (now, before dispatch.Health) {
+// before it. A single failed probe does not change the state. A
+// target at another address is another upstream.
+func (r *healthRecord) record(target, addr string, h dispatch.Health, err error) (now, before dispatch.Health) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.states == nil {
-		r.states, r.failed = map[string]dispatch.Health{}, map[string]int{}
+		r.states, r.failed, r.addrs = map[string]dispatch.Health{}, map[string]int{}, map[string]string{}
+	}
+	if r.addrs[target] != addr {
+		delete(r.states, target)
+		delete(r.failed, target)
+		r.addrs[target] = addr
 	}
 	before = r.states[target]
 	if err != nil {
@@ -58,6 +65,7 @@
 	defer r.mu.Unlock()
 	maps.DeleteFunc(r.states, func(target string, _ dispatch.Health) bool { return !probed[target] })
 	maps.DeleteFunc(r.failed, func(target string, _ int) bool { return !probed[target] })
+	maps.DeleteFunc(r.addrs, func(target string, _ string) bool { return !probed[target] })
 }
 
 // forget deletes all results.
@@ -123,7 +131,7 @@
 	if ctx.Err() != nil || p.vm.links.Disturbed(began) {
 		return
 	}
-	state, before := p.vm.health.record(p.target.Name, h, err)
+	state, before := p.vm.health.record(p.target.Name, p.target.Addr, h, err)
 	p.vm.pool.ReportHealth(time.Now(), p.target.Name, state)
 	if state != before {
 		p.vm.log.WithFields(logrus.Fields{"Target": p.target.Name, "Health": state, "Before": before, "Err": err}).Info("HealthChanged")
--- /dev/null
+++ b/io/vm/health_test.go
@@ -0,0 +1,21 @@
+package vm
+
+import (
+	"errors"
+	"testing"
+
+	"auburnlatch/core/dispatch"
+)
+
+// Guards against probes of an address that decide about another one, which the inventory has under
+// the same name.
+func TestProbesOfAnotherAddressDoNotCount(t *testing.T) {
+	var r healthRecord
+	down := errors.New("refused")
+	for range downThreshold {
+		r.record("t", "10.0.0.1:80", dispatch.Up, down)
+	}
+	if now, _ := r.record("t", "10.0.0.2:80", dispatch.Up, down); now != dispatch.Up {
+		t.Errorf("%v after a single failed probe at the new address", now)
+	}
+}
