core/overdue: waits that a timeout cut off do not count under another one

After operators had set a timeout below the usual response time and raised it again, requests counted as overdue after the earlier timeout until two windows were over, and were sent twice as far as the retry budget lets them. TestRaisedTimeoutBeginsWithoutWaitsInVain failed before (without the field both classes are one). By reading and in the test, not seen in operation.

TestRetryBudgetFollowsTheRules: retry budgets hold as they are.

--- a/core/balance/route_change_test.go
+++ b/core/balance/route_change_test.go
@@ -108,3 +108,36 @@
 		t.Errorf("%d of %d upstreams are suspect", c.Suspect, len(targets))
 	}
 }
+
+// Guards against retries at a service by requests that were earned at another one, before their route
+// moved, and by requests of a higher ratio.
+func TestRetryBudgetFollowsTheRules(t *testing.T) {
+	earned := func() *balance.RetryBudget {
+		b := &balance.RetryBudget{}
+		b.SetBounds(0.2, 10*time.Second, 0)
+		for i := range 1000 {
+			b.Request(start.Add(time.Duration(i)*time.Millisecond), "s")
+		}
+		return b
+	}
+	now := start.Add(time.Second)
+	granted := func(b *balance.RetryBudget, service string) (n int) {
+		for b.Retry(now, service) {
+			n++
+		}
+		return n
+	}
+	if n := granted(earned(), "s"); n == 0 {
+		t.Error("no retry at the service that had the requests")
+	}
+	if n := granted(earned(), "t"); n != 0 {
+		t.Errorf("%d retries at a service without requests", n)
+	}
+	for _, ratio := range []float64{0.02, 0} {
+		b := earned()
+		b.SetBounds(ratio, 10*time.Second, 0)
+		if n, most := granted(b, "s"), ratio*1000; float64(n) > most {
+			t.Errorf("%d retries of 1,000 requests after the ratio was lowered to %v", n, ratio)
+		}
+	}
+}
--- a/core/overdue/overdue.go
+++ b/core/overdue/overdue.go
@@ -54,6 +54,8 @@
 // has several services when it is split or moved to another one.
 type Class struct {
 	Route, Service string
+	// Timeout is the route's timeout. Waits that it cut off say nothing under another one.
+	Timeout time.Duration
 	// Warm reports whether the upstream is believed to have the object cached.
 	Warm bool
 }
@@ -170,11 +172,11 @@
 	return after, expected
 }
 
-// KeepRoutes forgets the responses of routes for which keep returns false.
-func (e *Estimator) KeepRoutes(keep func(route string) bool) {
+// Keep forgets the responses of classes for which keep returns false.
+func (e *Estimator) Keep(keep func(Class) bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	maps.DeleteFunc(e.classes, func(c Class, _ *responses) bool { return !keep(c.Route) })
+	maps.DeleteFunc(e.classes, func(c Class, _ *responses) bool { return !keep(c) })
 }
 
 // Allowed reports whether a request may be sent to a second upstream while the first has not
--- a/core/overdue/overdue_test.go
+++ b/core/overdue/overdue_test.go
@@ -65,11 +65,26 @@
 	}
 }
 
+// Guards against waits that a short timeout cut off and that decide after operators have raised it:
+// all requests were overdue after the time of the earlier timeout.
+func TestRaisedTimeoutBeginsWithoutWaitsInVain(t *testing.T) {
+	var e overdue.Estimator
+	short, long := warm, warm
+	short.Timeout, long.Timeout = 200*time.Millisecond, 2*time.Second
+	for range 100 {
+		e.Observe(start, short, short.Timeout)
+	}
+	req := overdue.Request{Class: long, Idempotent: true, Attempts: 2, Deadline: start.Add(2 * time.Second)}
+	if at, ok := e.Due(start, req); ok {
+		t.Errorf("overdue after %v by waits under a timeout of %v", at.Sub(start), short.Timeout)
+	}
+}
+
 // Guards against state of routes that are gone: it used memory for each name, and counted again
 // when a route came back.
 func TestRemovedRouteIsForgotten(t *testing.T) {
 	e := observed()
-	e.KeepRoutes(func(route string) bool { return route != "r" })
+	e.Keep(func(c overdue.Class) bool { return c.Route != "r" })
 	if at, ok := e.Due(start, overdue.Request{Class: warm, Idempotent: true, Attempts: 2, Deadline: start.Add(time.Hour)}); ok {
 		t.Errorf("overdue after %v by responses of a route that was removed", at.Sub(start))
 	}
--- a/io/entry/copies.go
+++ b/io/entry/copies.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"auburnlatch/core/overdue"
 	"auburnlatch/core/replica"
 	"auburnlatch/core/route"
 	"auburnlatch/core/target"
@@ -360,14 +361,17 @@
 // forgetRoutes forgets what was learned about routes that a configuration does not have. They may
 // come back as others under the same name, and names must not use memory forever.
 func (v *VM) forgetRoutes(cfg *route.Config) {
-	names := make(map[string]bool, len(cfg.Routes))
+	routes := make(map[string]*route.Route, len(cfg.Routes))
 	for _, r := range cfg.Routes {
-		names[r.Name] = true
+		routes[r.Name] = r
 	}
-	keep := func(name string) bool { return names[name] }
+	keep := func(name string) bool { return routes[name] != nil }
 	v.balancer.KeepRoutes(keep)
-	v.seconds.estimator.KeepRoutes(keep)
 	v.appointments.keepRoutes(keep)
+	v.seconds.estimator.Keep(func(c overdue.Class) bool {
+		r := routes[c.Route]
+		return r != nil && r.Timeout == c.Timeout
+	})
 }
 
 func (v *VM) applyTargets(now time.Time, ev target.Evacuations) (soon bool) {
--- a/io/entry/overdue.go
+++ b/io/entry/overdue.go
@@ -222,11 +222,17 @@
 // overdueRequest returns what the decision about a second send depends on.
 func (v *VM) overdueRequest(now time.Time, req *request, sent int) overdue.Request {
 	return overdue.Request{
-		Class: overdue.Class{Route: req.route.Name, Service: req.service}, Idempotent: req.idempotent(), Suspected: v.guard.Ledger().Knows(req.identity.Head()),
+		Class: classOf(req, false), Idempotent: req.idempotent(), Suspected: v.guard.Ledger().Knows(req.identity.Head()),
 		Sent: sent, Attempts: req.attempts(), Deadline: req.deadline, Utilization: v.balancer.Utilization(now, req.service),
 	}
 }
 
+// classOf returns the class of a request. warm reports whether its upstream is believed to have the
+// object cached.
+func classOf(req *request, warm bool) overdue.Class {
+	return overdue.Class{Route: req.route.Name, Service: req.service, Timeout: req.route.Timeout, Warm: warm}
+}
+
 // secondLease chooses the upstream for a second send, and charges it to the retry budget and the
 // team's limit.
 func (v *VM) secondLease(ctx context.Context, req *request, tried []string, sent int) (balance.Lease, bool) {
@@ -263,7 +269,7 @@
 // observe records how long an upstream took to respond, or did not.
 func (s *secondSends) observe(now, began time.Time, req *request, lease balance.Lease) {
 	if req.idempotent() {
-		s.estimator.Observe(now, overdue.Class{Route: req.route.Name, Service: req.service, Warm: lease.Warm}, now.Sub(began))
+		s.estimator.Observe(now, classOf(req, lease.Warm), now.Sub(began))
 	}
 }
 
