--- a/tools/soak/chaos.go
+++ b/tools/soak/chaos.go
@@ -264,6 +264,10 @@
 	if home {
 		path = standin.HomePath
 	}
+	split := c.fleet.splits && !once && c.rnd.IntN(3) > 0
+	if split {
+		path = standin.SplitPath
+	}
 	v := c.fleet.vms[c.rnd.IntN(len(c.fleet.vms))]
 	// The body cannot be rewound, so net/http does not retry the request.
 	req, err := http.NewRequest(method, "http://"+v.front+path, struct{ io.Reader }{strings.NewReader(body)})
@@ -285,6 +289,9 @@
 	if home {
 		c.fleet.ledger.recordHome(id)
 	}
+	if split {
+		c.fleet.ledger.recordSplit(id)
+	}
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return 0
@@ -355,8 +362,17 @@
 		cuts.runLast()
 		<-time.After(observeTime)
 	}
+	if cmd.Weights {
+		ch.recordError("weights", f.changeWeights(false))
+	}
 	calm := time.Now().Add(settleTime)
 	<-time.After(time.Until(calm))
+	var changed time.Time
+	if cmd.Weights {
+		ch.recordError("weights", f.changeWeights(true))
+		<-time.After(calmRulesDelay)
+		changed = time.Now()
+	}
 	wait.Add(1)
 	go (&lastPoison{f, &wait}).run()
 	<-time.After(observeTime)
@@ -369,6 +385,9 @@
 	f.ledger.judge(r, calm)
 	r.broken = append(r.broken, f.ledger.judgeNotices(&f.exemptions)...)
 	r.broken = append(r.broken, judgeRules(pr.probes, versions)...)
+	if cmd.Weights {
+		r.broken = append(r.broken, f.ledger.judgeSplits(versions, changed)...)
+	}
 	if cmd.Restores {
 		r.restores = stores.count
 		r.broken = append(r.broken, f.judgeStore()...)
--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -104,6 +104,7 @@
 	objects      bool         // Requests concern an object of their caller.
 	homes        bool         // Some requests go to a route with a home.
 	kills        bool         // Callers send at a constant rate, mostly requests that may be retried.
+	splits       bool         // Some requests go to a route that is split between two services.
 	links        links
 
 	mu       sync.Mutex
@@ -134,7 +135,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, ledger: newLedger(), acceptAlways: c.Taking, returns: c.Returns, objects: c.Restores || c.Cuts, homes: c.Cuts, kills: c.Kills, evacuated: make(map[string]bool)}
+	f := &fleet{dir: dir, ledger: newLedger(), acceptAlways: c.Taking, returns: c.Returns, objects: c.Restores || c.Cuts, homes: c.Cuts, kills: c.Kills, splits: c.Weights, evacuated: make(map[string]bool)}
 	if f.storeAddr, err = freeport.Addr(); err != nil {
 		return nil, err
 	}
@@ -146,10 +147,18 @@
 		return nil, err
 	}
 	for i := range c.Upstreams {
-		if err := f.addUpstream(i); err != nil {
+		if err := f.addUpstream(i, "s"); err != nil {
 			return nil, err
 		}
 	}
+	if f.splits {
+		f.ledger.otherFrom = c.Upstreams
+		for i := range otherUpstreams {
+			if err := f.addUpstream(c.Upstreams+i, "t"); err != nil {
+				return nil, err
+			}
+		}
+	}
 	for i := range c.VMs {
 		if err := f.addVM(i, c.Daemon); err != nil {
 			return nil, err
@@ -171,7 +180,7 @@
 	}
 }
 
-func (f *fleet) addUpstream(i int) error {
+func (f *fleet) addUpstream(i int, service string) error {
 	listen, err := freeport.Addr()
 	if err != nil {
 		return err
@@ -185,7 +194,7 @@
 	u.process = &process{name: fmt.Sprint("upstream-", i), out: &lineWriter{take: f.ledger.parseLine}, args: func() []string {
 		u.incarnation++
 		return []string{
-			os.Args[0], "upstream", "--id", fmt.Sprintf("i-%d-%d", i, u.incarnation), "--service", "s", "--zone", zone, "--addr", path.addr(),
+			os.Args[0], "upstream", "--id", fmt.Sprintf("i-%d-%d", i, u.incarnation), "--service", service, "--zone", zone, "--addr", path.addr(),
 			"--listen", listen, "--store", f.storeAddr, "--cut-share", "0.01", "--fail-share", "0.01",
 		}
 	}}
@@ -247,7 +256,13 @@
 // writeConfig writes the newest version of the rules.
 func (f *fleet) writeConfig() error {
 	newest := len(f.versionsSoFar())
-	err := f.operate(func(o standin.Operator) error { return o.Configure(newest) })
+	err := f.operate(func(o standin.Operator) error {
+		if f.splits {
+			w := weightsOf(newest)
+			return o.ConfigureSplit(newest, w[0], w[1])
+		}
+		return o.Configure(newest)
+	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.versions[newest-1].finished = time.Now()
--- a/tools/soak/ledger.go
+++ b/tools/soak/ledger.go
@@ -15,6 +15,8 @@
 	probe      bool // Probes the rules in force; 404 is a valid response.
 	poison     bool // Crashes each upstream that runs it.
 	home       bool // May run only in region n.
+	split      bool // Goes to one of two services by weights.
+	other      bool // The upstream that it arrived at first is of the second service.
 	status     int  // 0 if no complete response was received.
 	intact     bool // The response is complete and belongs to the request.
 	arrivals   int  // Arrivals at upstreams, including refused ones.
@@ -35,6 +37,8 @@
 	// unexpected is the other output of upstreams, such as the error of an unexpected exit.
 	unexpected []string
 	upstreams  map[string]*incarnationLog // By incarnation.
+	// otherFrom is the number of the first upstream of the second service; 0: there is none.
+	otherFrom int
 }
 
 func newLedger() *ledger {
@@ -82,6 +86,13 @@
 	l.entry(id).home = true
 }
 
+// recordSplit records that a request goes to the split route.
+func (l *ledger) recordSplit(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entry(id).split = true
+}
+
 // poisonRuns returns how often upstreams have started to run a poison request.
 func (l *ledger) poisonRuns() (n int) {
 	l.mu.Lock()
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -48,6 +48,7 @@
 	Cuts      bool          `help:"VMs are cut off from all upstreams, one, those of a zone or most, also when all other faults are over."`
 	Kills     bool          `help:"Most responses of upstreams are lost, and most VMs are killed at once and in series meanwhile."`
 	Returns   bool          `help:"Refused callers get appointments, and come back when they are told."`
+	Weights   bool          `help:"A route is split between two services, and each version of the rules changes its weights."`
 	Plots     string        `help:"Directory for a timeline of each seed." type:"path"`
 	Logs      string        `help:"Directory for the VMs' logs of seeds that fail." type:"path"`
 }
--- a/tools/soak/notices.go
+++ b/tools/soak/notices.go
@@ -177,6 +177,9 @@
 		l.unexpected = append(l.unexpected, line)
 		return
 	}
+	if e := l.entry(id); e.arrivals == 0 {
+		e.other = l.otherFrom > 0 && number >= l.otherFrom
+	}
 	if _, region := zoneOf(number); l.entry(id).home && region != standin.HomeRegion {
 		l.unexpected = append(l.unexpected, "a request outside of its home: "+line)
 	}
