--- a/core/balance/pace.go
+++ b/core/balance/pace.go
@@ -44,8 +44,8 @@
 )
 
 // workTimes are the mean times that a route's requests take at one service, at the usual pace without
-// the wait for a slot. They are kept apart for objects that are warm at the target and for others: a mean over
-// both says nothing of either.
+// the wait for a slot. They are kept apart for objects that are warm at the target and for others: a
+// mean over both says nothing of either.
 type workTimes struct{ warm, fresh, all workTime }
 
 type workTime struct {
--- a/core/route/split_fleet_test.go
+++ b/core/route/split_fleet_test.go
@@ -24,7 +24,7 @@
 	wideAllowed                   = 0.01
 )
 
-// splitVM chooses parts as one VM does.
+// splitVM chooses parts as one VM does, whatever the object.
 type splitVM struct{ rng *rand.Rand }
 
 func newSplitVM(seed uint64) splitVM { return splitVM{rand.New(rand.NewPCG(seed, 1))} }
--- a/io/entry/splits.go
+++ b/io/entry/splits.go
@@ -47,11 +47,13 @@
 	uses map[partKey]*partUse
 }
 
-// use returns the counts of a request's part, or nil if its route is not split.
+// isSplit reports whether a part of a split route was chosen for a request.
+func isSplit(req *request) bool {
+	return req.route != nil && len(req.route.Parts) > 1 && req.service != ""
+}
+
+// use returns the counts of a request's part.
 func (l *splitLog) use(req *request) *partUse {
-	if req.route == nil || len(req.route.Parts) < 2 || req.service == "" {
-		return nil
-	}
 	k := partKey{req.route.Name, req.rules, req.service}
 	u := l.uses[k]
 	if u == nil {
@@ -66,12 +68,12 @@
 
 // picked counts a request whose part was chosen.
 func (l *splitLog) picked(req *request) {
+	if !isSplit(req) {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	u := l.use(req)
-	if u == nil {
-		return
-	}
 	u.picked++
 	if req.relayed != "" {
 		u.relayed++
@@ -80,11 +82,13 @@
 
 // done counts the outcome of a request.
 func (l *splitLog) done(res result) {
+	if !isSplit(res.request) {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	u := l.use(res.request)
 	switch {
-	case u == nil:
 	case res.err == nil:
 		u.answered++
 		if res.response.through != "" {
@@ -97,14 +101,14 @@
 	}
 }
 
-// weightOf returns the weight of a route's part.
-func weightOf(r *route.Route, service string) float64 {
+// weightOf returns the weight of a service in a route's split.
+func weightOf(r *route.Route, service string) (weight float64) {
 	for _, p := range r.Parts {
 		if p.Service == service {
-			return p.Weight
+			weight += p.Weight
 		}
 	}
-	return 0
+	return weight
 }
 
 // splitLogLoop logs until ctx ends.
