review: pipelined look-ups lose their answers behind a long one

A VM sends pipelined look-ups to targets before their turn, but leaves an answer of more than 256 KiB unread there until its turn. The target cuts it off, and the VM closes the connection with the answers behind it, which it has.

--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -16,8 +16,9 @@
 
 // cases are the cases by name.
 var cases = map[string]func(w *world) error{
-	"early": playEarly,
-	"slow":  playSlow,
+	"early":    playEarly,
+	"pipeline": playPipeline,
+	"slow":     playSlow,
 }
 
 func main() {
