review: a stopping VM resets connections before their last answer is through

After a SIGTERM the VM closes a connection right after its answer. If the caller has pipelined a look-up behind a request with a body, that closing is a reset, and what was not sent yet of the answer is lost, of a request that must not be repeated.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/auburnlatch-entry ] && [ -x bin/review-2/rig-2 ] || exit 2
-exec timeout -k 5 110 bin/review-2/rig-2 slow review/5
+exec timeout -k 5 110 bin/review-2/rig-2 stop review/5
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -19,6 +19,7 @@
 	"early":    playEarly,
 	"pipeline": playPipeline,
 	"slow":     playSlow,
+	"stop":     playStop,
 }
 
 func main() {
