--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -16,10 +16,9 @@
 
 // cases are the cases by name.
 var cases = map[string]func(w *world) error{
-	"early":    playEarly,
-	"pipeline": playPipeline,
-	"slow":     playSlow,
-	"stop":     playStop,
+	"early": playEarly,
+	"slow":  playSlow,
+	"stop":  playStop,
 }
 
 func main() {
