--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -12,6 +12,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // cases are the cases by name.
@@ -36,6 +38,13 @@
 		return 2
 	}
 	defer w.end()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		w.end()
+		os.Exit(2)
+	}()
 	if err := cases[args[0]](w); err != nil {
 		w.note("could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
