--- a/review/rig-2/early.go
+++ b/review/rig-2/early.go
@@ -7,20 +7,26 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const (
-	earlyUploads = 6
-	// earlyShort and earlyLong are the sizes of uploads, sent by turns in chunks of earlyChunk, one
-	// each earlyPause.
-	earlyShort = 1280 << 10
-	earlyLong  = 6 << 20
-	earlyChunk = 32 << 10
-	earlyPause = 4 * time.Millisecond
+	earlyClients = 12
+	// earlyFor is how long the clients upload, one body after the other.
+	earlyFor = 20 * time.Second
+	// earlyShort and earlyLong are the sizes of uploads, of which one in earlyLongEvery is long. They
+	// are sent in chunks of earlyChunk, one each earlyPause.
+	earlyShort     = 1280 << 10
+	earlyLong      = 6 << 20
+	earlyLongEvery = 10
+	earlyChunk     = 32 << 10
+	earlyPause     = time.Millisecond
 	// earlyAnswer is the size of the answer.
 	earlyAnswer  = 400_000
-	earlyTimeout = 20 * time.Second
+	earlyTimeout = 5 * time.Second
+	// Every second target answers one upload in earlyEvery early, which is 2%.
+	earlyEvery = 50
 )
 
 // bodyByte is the byte at an offset of an upload: a position can be told by a few bytes in a row.
@@ -35,32 +41,49 @@
 	}
 }
 
-// playEarly has clients upload long bodies in chunks. The target answers before it has read the
-// body, keeps the connection and reads on.
+// earlyCounts counts what happened to the uploads.
+type earlyCounts struct{ sent, whole, brokenOff, early, other atomic.Int64 }
+
+// playEarly has clients upload long bodies in chunks. Half of the targets answer some uploads before
+// they have read the body, keep the connection and read on.
 func playEarly(w *world) error {
 	w.configure(7, route{"/atelier/", "upload", earlyTimeout})
-	for _, t := range w.targets {
-		t.serve = w.serveEarly
+	var counts earlyCounts
+	for i, t := range w.targets {
+		var uploads atomic.Int64
+		t.serve = func(t *target, c net.Conn, _ *bufio.Reader, req *http.Request) bool {
+			early := trouble() && i%2 == 0 && uploads.Add(1)%earlyEvery == earlyEvery/2
+			return w.serveEarly(t, c, req, early, &counts)
+		}
 	}
 	if err := w.start(); err != nil {
 		return err
 	}
+	end := time.Now().Add(earlyFor)
 	var group sync.WaitGroup
-	for i := range earlyUploads {
-		group.Go(func() { w.uploadEarly(i) })
-		time.Sleep(200 * time.Millisecond)
+	for i := range earlyClients {
+		group.Go(func() {
+			for n := i; time.Now().Before(end); n++ {
+				w.uploadEarly(w.vms[i%len(w.vms)], n, &counts)
+			}
+		})
 	}
 	group.Wait()
 	time.Sleep(500 * time.Millisecond)
+	w.note("%d uploads sent; targets read %d bodies whole, %d broke off; %d were answered early, of which %d got other bytes",
+		counts.sent.Load(), counts.whole.Load(), counts.brokenOff.Load(), counts.early.Load(), counts.other.Load())
+	if counts.sent.Load() < 6*earlyEvery {
+		return fmt.Errorf("only %d uploads were sent", counts.sent.Load())
+	}
 	return nil
 }
 
 // earlyPath returns the path of an upload, which tells its size.
-func earlyPath(i int) string {
-	if i%2 == 0 {
-		return "/atelier/short"
+func earlyPath(n int) string {
+	if n%earlyLongEvery == 0 {
+		return "/atelier/long"
 	}
-	return "/atelier/long"
+	return "/atelier/short"
 }
 
 // earlySize returns the size of the body of an upload.
@@ -72,16 +95,13 @@
 }
 
 // serveEarly answers an upload and compares its body with what the client sent.
-func (w *world) serveEarly(t *target, c net.Conn, _ *bufio.Reader, req *http.Request) bool {
+func (w *world) serveEarly(t *target, c net.Conn, req *http.Request, early bool, counts *earlyCounts) bool {
 	id := req.Header.Get("X-Attempt-Id")
-	w.note("target %s: runs %s", t.id, id)
 	answered := make(chan bool, 1)
-	answer := func() {
-		ok := t.respond(c, http.StatusOK, id, true, "", make([]byte, earlyAnswer))
-		w.note("target %s: has answered %s (written: %v)", t.id, id, ok)
-		answered <- ok
-	}
-	if trouble() {
+	answer := func() { answered <- t.respond(c, http.StatusOK, id, true, "", make([]byte, earlyAnswer)) }
+	if early {
+		counts.early.Add(1)
+		w.note("target %s: answers %s early", t.id, id)
 		go answer()
 	}
 	sent := earlySize(req.URL.Path)
@@ -97,22 +117,30 @@
 		n += m
 	}
 	whole := err == io.EOF
-	w.note("target %s: has read %d of %d bytes of %s, end of the body seen: %v (%v)", t.id, n, sent, id, whole, err)
+	if whole {
+		counts.whole.Add(1)
+	} else {
+		counts.brokenOff.Add(1)
+	}
+	if early || !whole {
+		w.note("target %s: has read %d of %d bytes of %s, end of the body seen: %v (%v)", t.id, n, sent, id, whole, err)
+	}
 	switch {
 	case wrong >= 0:
-		w.fail("target %s got other bytes from offset %d of the body of %s on; it read %d bytes, end seen: %v", t.id, wrong, id, n, whole)
+		counts.other.Add(1)
+		w.fail("target %s got other bytes from offset %d of the body of %s on; it read %d of %d bytes, end seen: %v", t.id, wrong, id, n, sent, whole)
 	case whole && n != sent:
+		counts.other.Add(1)
 		w.fail("target %s got a body of %d bytes for %s as whole, %d were sent", t.id, n, id, sent)
 	}
-	if !trouble() {
+	if !early {
 		answer()
 	}
 	return <-answered && whole
 }
 
-// uploadEarly uploads a body in chunks and reads the answer meanwhile.
-func (w *world) uploadEarly(i int) {
-	v := w.vms[i%len(w.vms)]
+// uploadEarly uploads a body in chunks on a new connection and reads the answer meanwhile.
+func (w *world) uploadEarly(v *vm, n int, counts *earlyCounts) {
 	id := attemptID()
 	c, err := dial(v.front())
 	if err != nil {
@@ -120,36 +148,38 @@
 		return
 	}
 	defer c.Close()
-	path := earlyPath(i)
-	size := earlySize(path)
-	w.note("client: sends %s to %s, %d bytes in chunks", id, v.name, size)
+	counts.sent.Add(1)
 	answered := make(chan struct{})
 	go func() {
 		defer close(answered)
+		_ = c.SetReadDeadline(time.Now().Add(earlyTimeout))
 		resp, err := http.ReadResponse(c.r, nil)
 		var n int64
 		if err == nil {
 			n, err = io.Copy(io.Discard, resp.Body)
 		}
-		w.note("client: %s is answered with %s", id, outcome(resp, n, err))
+		w.note("client: %s to %s is answered with %s", id, v.name, outcome(resp, n, err))
 	}()
-	if _, err := io.WriteString(c, head("POST", path, id, earlyTimeout)+"Transfer-Encoding: chunked\r\n\r\n"); err != nil {
+	path := earlyPath(n)
+	if err := sendChunks(c, head("POST", path, id, earlyTimeout), earlySize(path)); err != nil {
 		w.note("client: %s: %v", id, err)
-		return
+	}
+	<-answered
+}
+
+// sendChunks sends a request with a body in chunks.
+func sendChunks(c io.Writer, head string, size int) error {
+	if _, err := io.WriteString(c, head+"Transfer-Encoding: chunked\r\n\r\n"); err != nil {
+		return err
 	}
 	chunk := make([]byte, earlyChunk)
 	for sent := 0; sent < size; sent += len(chunk) {
 		fillBody(chunk, sent)
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(chunk), chunk); err != nil {
-			w.note("client: %s: after %d bytes: %v", id, sent, err)
-			<-answered
-			return
+			return fmt.Errorf("after %d of %d bytes: %w", sent, size, err)
 		}
 		time.Sleep(earlyPause)
 	}
-	if _, err := io.WriteString(c, "0\r\n\r\n"); err != nil {
-		w.note("client: %s: at the end of the body: %v", id, err)
-	}
-	w.note("client: has sent %s", id)
-	<-answered
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err
 }
