--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"auburnlatch/io/keepalive"
+	"auburnlatch/io/tcp"
 )
 
 // headerEnd terminates a request's header.
@@ -297,6 +298,9 @@
 	}
 	c.pipeline = nil
 	c.cond.Broadcast()
+	if q, ok := tcp.QueuesOf(c.Conn); ok && q != (tcp.Queues{}) {
+		c.starter.closing(c.RemoteAddr(), q, c.reading)
+	}
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !c.reading || !ok || c.err != nil || half.CloseWrite() != nil {
 		return c.Conn.Close()
--- a/io/entry/idle_test.go
+++ b/io/entry/idle_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"auburnlatch/io/keepalive"
+	"auburnlatch/io/tcp"
 	"auburnlatch/standin/pipe"
 )
 
@@ -19,6 +20,8 @@
 
 func (noStarter) start(context.Context, *http.Request) *pipelined { return nil }
 
+func (noStarter) closing(net.Addr, tcp.Queues, bool) {}
+
 // idleServer serves one connection of a caller and calls its hooks at fixed points.
 type idleServer struct {
 	conns keepalive.Conns
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"auburnlatch/core/verdict"
 	"auburnlatch/io/forward"
 	"auburnlatch/io/lifecycle"
+	"auburnlatch/io/tcp"
 	"auburnlatch/io/upstream"
 )
 
@@ -148,6 +150,16 @@
 	l.log.WithFields(f).Info("RequestGivenUp")
 }
 
+// closing implements starter.
+func (v *VM) closing(caller net.Addr, q tcp.Queues, readAhead bool) {
+	if !v.requests.failures.take() {
+		return
+	}
+	v.log.WithFields(logrus.Fields{
+		"Caller": caller, "UnreadBytes": q.Unread, "UnackedBytes": q.Unacked, "ReadAhead": readAhead, "Leaving": v.leaving.Load(),
+	}).Info("CallerConnClosing")
+}
+
 // attemptFailed logs that one upstream did not serve a request.
 func (l *requestLog) attemptFailed(v *VM, req *request, lease balance.Lease, code int, e *verdict.Error) {
 	if !l.failures.take() {
--- a/io/entry/readahead.go
+++ b/io/entry/readahead.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"os"
+
+	"auburnlatch/io/tcp"
 )
 
 // Bounds on a caller's connection with pipelined requests.
@@ -22,6 +25,8 @@
 	// start starts to process a request, or returns nil if the request has to wait
 	// for its turn.
 	start(ctx context.Context, r *http.Request) *pipelined
+	// closing is called before a connection is closed whose socket still holds bytes.
+	closing(caller net.Addr, q tcp.Queues, readAhead bool)
 }
 
 // watch starts readLoop once bytes arrive behind a request that is being served.
