io/tcp: whoever closes a connection has its last response received, or its time is up

Cause: the connection was closed as soon as the response was written. The same by other ways: bytes that arrive after the close, bodies that are not read, headers beyond the limit; the half close of net/http was hidden by the wrappers of connections, the wait of 0.5 s held only where requests were read ahead, and the end of the process did not wait for it. Change: tcp.Closer owns a connection from its close on: it ends the stream, discards what arrives and closes when the peer's host has confirmed all and the peer has closed, or the deadline of the last request has passed; the process waits for it within grace. Callers, look-ups, readiness, metrics, both servers of auburnlatchd and the operators' interface use it.

--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -15,6 +15,11 @@
 	"auburnlatch/io/tcp"
 )
 
+// minClosing is the least time that a connection has to be closed, as its caller may not know
+// yet that it is: several round trips between the regions that are furthest apart, and the
+// retransmission of a packet.
+const minClosing = time.Second
+
 // headerEnd terminates a request's header.
 var headerEnd = []byte("\r\n\r\n")
 
@@ -22,6 +27,7 @@
 type callerListener struct {
 	net.Listener
 	starter starter
+	closer  *tcp.Closer
 }
 
 // Accept implements net.Listener.
@@ -30,11 +36,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return newCallerConn(raw, l.starter), nil
+	return newCallerConn(raw, l.starter, l.closer), nil
 }
 
 // callerConn is a caller's connection, between the socket and the http.Server.
-// It guards against two failures.
+// It guards against three failures.
 //
 // If an idle connection is closed while a request arrives on it, the request is
 // lost: the process has read it, and the caller gets no response and cannot tell
@@ -48,9 +54,14 @@
 // each request is processed as it is read. The server still reads the same bytes in
 // the same order, and finds the request in flight when it reaches it. The framing of
 // requests and responses is left to net/http.
+//
+// If a connection is closed while bytes of its caller lie unread or are still arriving, it is
+// reset, and the caller loses what it has not received of the last response. So Close
+// leaves it to a tcp.Closer.
 type callerConn struct {
 	net.Conn
 	starter starter
+	closer  *tcp.Closer
 	ctx     context.Context
 	cancel  context.CancelFunc
 
@@ -79,13 +90,18 @@
 	err         error // Of readLoop's last read.
 	deadlineSeq int   // Counts changes of the deadline, to ignore the timeout of an old one.
 	last        connTrace
+	// readErr is the error with which reading the socket ended; nil or a timeout: it did not.
+	readErr error
+	// answerBy is the latest time until which a caller of a request that was served waits for
+	// its response.
+	answerBy time.Time
 	// pipeline is the requests that were read and not yet served, in order; nil for a
 	// request that waits for its turn.
 	pipeline []*pipelined
 }
 
-func newCallerConn(raw net.Conn, s starter) *callerConn {
-	c := &callerConn{Conn: raw, starter: s}
+func newCallerConn(raw net.Conn, s starter, closer *tcp.Closer) *callerConn {
+	c := &callerConn{Conn: raw, starter: s, closer: closer}
 	c.cond.L = &c.mu
 	return c
 }
@@ -138,7 +154,7 @@
 	c.mu.Lock()
 	c.returned(n > 0)
 	if n == 0 {
-		c.last.Err = err
+		c.last.Err, c.readErr = err, err
 		return 0, err
 	}
 	if end := c.headerLen(p[:n]); end < n {
@@ -265,6 +281,37 @@
 	return true
 }
 
+// awaited records until when the caller of a request that is served waits for its response.
+func (c *callerConn) awaited(until time.Time) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if until.After(c.answerBy) {
+		c.answerBy = until
+	}
+}
+
+// closeBy returns until when the caller may be receiving its last response.
+func (c *callerConn) closeBy(now time.Time) time.Time {
+	by := c.answerBy
+	if q, ok := tcp.QueuesOf(c.Conn); ok && q == (tcp.Queues{}) && c.state.IsIdle() {
+		by = time.Time{} // The caller's host has the last response.
+	}
+	if c.after > 0 && !c.serving {
+		// The response is to a header that was not understood.
+		by = c.last.Handed.Add(readHeaderTimeout)
+	}
+	if least := now.Add(minClosing); by.Before(least) {
+		return least
+	}
+	if most := now.Add(defaultDeadline); by.After(most) {
+		return most
+	}
+	return by
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -274,6 +321,9 @@
 }
 
 func (c *callerConn) setDeadline(t time.Time) error {
+	if c.closed {
+		return net.ErrClosed
+	}
 	c.deadlineSeq++
 	if errors.Is(c.err, os.ErrDeadlineExceeded) {
 		c.err = nil
@@ -298,13 +348,6 @@
 	}
 	c.pipeline = nil
 	c.cond.Broadcast()
-	if q, ok := tcp.QueuesOf(c.Conn); ok && q != (tcp.Queues{}) {
-		c.starter.closing(c.RemoteAddr(), q, c.reading)
-	}
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !c.reading || !ok || c.err != nil || half.CloseWrite() != nil {
-		return c.Conn.Close()
-	}
-	l := &linger{conn: c.Conn}
-	return l.start()
+	now := time.Now()
+	return c.closer.Close(c.Conn, c.readErr, now, c.closeBy(now))
 }
--- a/io/entry/conn_test.go
+++ b/io/entry/conn_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"testing"
 	"testing/synctest"
+
+	"auburnlatch/io/tcp"
 )
 
 // Guards against a read of a pipelined connection that does not return when it is closed.
@@ -12,7 +14,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		client, server := net.Pipe()
 		defer client.Close()
-		c := newCallerConn(server, nil)
+		c := newCallerConn(server, nil, &tcp.Closer{})
 		c.reading = true
 		go c.readLoop()
 		read := make(chan error)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -24,6 +24,7 @@
 	"auburnlatch/io/peer"
 	"auburnlatch/io/quarantine"
 	"auburnlatch/io/settings"
+	"auburnlatch/io/tcp"
 	"auburnlatch/io/upstream"
 )
 
@@ -89,6 +90,7 @@
 	inFlight       atomic.Int64
 	pipelinedCount atomic.Int64    // Pipelined requests that are processed before their turn.
 	idle           keepalive.Conns // The connections of callers.
+	closer         *tcp.Closer     // Closes the connections of callers.
 	loaded         chan struct{}   // Closed when rules and upstreams are known.
 	changed        chan struct{}
 	toPush         chan struct{}
@@ -140,6 +142,7 @@
 	}
 	v.guard = quarantine.New(cfg.Name, fleet{v}, countedBanStore{v}, v.upstreams, log, guardOpts...)
 	v.requests.log = log
+	v.closer = tcp.NewCloser(tcp.WithEnded(v.connClosed))
 	v.workCtx, v.cancelWork = context.WithCancel(context.Background())
 	v.Configure(cfg)
 	return v
@@ -165,19 +168,19 @@
 	front := &http.Server{
 		Handler: v, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeader, ConnState: v.idle.ConnState, ConnContext: connContext, ErrorLog: nil,
 	}
-	var servers []*http.Server
+	var servers []*keepalive.Server
 	serving := lifecycle.NewServing(len(further) + 2)
 	listener, err := net.Listen("tcp", cfg.FrontAddr)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	go serving.Run(front.Serve, callerListener{listener, v})
+	go serving.Run(front.Serve, callerListener{listener, v, v.closer})
 	for addr, h := range further {
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: time.Minute}
+		srv := &keepalive.Server{HTTP: &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: time.Minute}}
 		servers = append(servers, srv)
 		go serving.Run(srv.Serve, l)
 	}
--- a/io/entry/idle_test.go
+++ b/io/entry/idle_test.go
@@ -20,8 +20,6 @@
 
 func (noStarter) start(context.Context, *http.Request) *pipelined { return nil }
 
-func (noStarter) closing(net.Addr, tcp.Queues, bool) {}
-
 // idleServer serves one connection of a caller and calls its hooks at fixed points.
 type idleServer struct {
 	conns keepalive.Conns
@@ -64,7 +62,7 @@
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
-		_ = srv.Serve(callerListener{l, noStarter{}})
+		_ = srv.Serve(callerListener{l, noStarter{}, &tcp.Closer{}})
 	}()
 	client := l.Dial(func() { s.read() })
 	t.Cleanup(func() {
--- a/io/entry/leave.go
+++ b/io/entry/leave.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net"
-	"net/http"
+	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"auburnlatch/io/keepalive"
 	"auburnlatch/io/lifecycle"
 )
 
@@ -36,7 +39,7 @@
 // leave serves callers that still know the VM, completes the requests in flight and
 // closes. It takes less than the grace time, after which the platform kills the
 // process and cuts the remaining connections.
-func (v *VM) leave(front net.Listener, servers []*http.Server) {
+func (v *VM) leave(front net.Listener, servers []*keepalive.Server) {
 	grace := v.cfg.Load().StopGrace
 	started := time.Now()
 	v.leaving.Store(true)
@@ -57,12 +60,15 @@
 	working := max(lifecycle.Share(grace, minWorkFraction), grace-margin-answerMargin)
 	last := time.AfterFunc(time.Until(started.Add(working)), v.cancelWork)
 	defer last.Stop()
-	for v.idle.Count() > 0 && lifecycle.Sleep(ctx, drainTick) {
+	for v.idle.Count()+v.closer.Count() > 0 && lifecycle.Sleep(ctx, drainTick) {
 	}
-	v.log.WithField("Connections", v.idle.Count()).Info("FrontClosed")
+	v.log.WithFields(logrus.Fields{"Connections": v.idle.Count(), "Closing": v.closer.Count()}).Info("FrontClosed")
+	v.closer.Stop()
+	var stops sync.WaitGroup
 	for _, srv := range servers {
-		srv.Close()
+		stops.Go(func() { _ = srv.Shutdown(ctx) })
 	}
+	stops.Wait()
 	<-withdrawn
 }
 
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -150,14 +149,17 @@
 	l.log.WithFields(f).Info("RequestGivenUp")
 }
 
-// closing implements starter.
-func (v *VM) closing(caller net.Addr, q tcp.Queues, readAhead bool) {
-	if !v.requests.failures.take() {
+// connClosed logs and counts a caller's connection that was not closed as usual, so that the caller
+// may not have received its last response.
+func (v *VM) connClosed(end tcp.End) {
+	v.counts.closed(end.Cause)
+	if end.Cause == tcp.Complete || end.Queues == (tcp.Queues{}) || !v.requests.failures.take() {
 		return
 	}
 	v.log.WithFields(logrus.Fields{
-		"Caller": caller, "UnreadBytes": q.Unread, "UnackedBytes": q.Unacked, "ReadAhead": readAhead, "Leaving": v.leaving.Load(),
-	}).Info("CallerConnClosing")
+		"Caller": end.Peer, "Cause": end.Cause, "UnreadBytes": end.Queues.Unread, "UnackedBytes": end.Queues.Unacked,
+		"DiscardedBytes": end.Discarded, "TookMs": end.Took.Milliseconds(), "Leaving": v.leaving.Load(),
+	}).Info("CallerConnCut")
 }
 
 // attemptFailed logs that one upstream did not serve a request.
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -20,6 +20,7 @@
 	"auburnlatch/io/clock"
 	"auburnlatch/io/lifecycle"
 	"auburnlatch/io/peer"
+	"auburnlatch/io/tcp"
 )
 
 // counters are a VM's counters. The zero value is ready to use.
@@ -34,6 +35,7 @@
 	loadsUnreadable atomic.Int64
 
 	mu      sync.Mutex
+	closes  map[tcp.Cause]int64
 	reasons map[verdict.Reason]int64
 	latency *hdrhistogram.Histogram
 }
@@ -73,6 +75,27 @@
 	c.reasons[e.Reason]++
 }
 
+// closed counts a caller's connection that was closed.
+func (c *counters) closed(cause tcp.Cause) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closes == nil {
+		c.closes = make(map[tcp.Cause]int64)
+	}
+	c.closes[cause]++
+}
+
+// callersClosed returns the connections that were closed, by the name of the cause.
+func (c *counters) callersClosed() map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := make(map[string]int64, len(c.closes))
+	for cause, n := range c.closes {
+		m[cause.String()] = n
+	}
+	return m
+}
+
 // Figures are a VM's metrics at one moment.
 type Figures struct {
 	Requests, Refused, Failed  int64
@@ -85,6 +108,10 @@
 	// HeadersTooLong counts the connections to upstreams that were closed as the header of a
 	// response was too long, by its form: Line, Fields, Interim or Stray.
 	HeadersTooLong map[string]int64
+	// CallersClosed counts the callers' connections that the VM closed while their callers might
+	// still have sent or received, by what ended that: Complete, PeerReset, TooMuch, TimeUp,
+	// Displaced or Stopped.
+	CallersClosed map[string]int64
 	// CutOff means that the VM reaches no upstream, and ReachChecks counts how often it checked.
 	CutOff      bool
 	ReachChecks int64
@@ -162,6 +189,7 @@
 		f.CopyGaps, f.CopiesDiffering = f.CopyGaps+m.Gaps, f.CopiesDiffering+m.Differing
 	}
 	f.HeadersTooLong = v.upstreams.HeadersTooLong()
+	f.CallersClosed = c.callersClosed()
 	f.ConnectionsOpened, f.ConnectionsFailed, f.ConnectionsReused = conns.Opened, conns.Failed, conns.Reused
 	loads := v.balancer.LoadStats()
 	f.LoadsUnreadable, f.LoadAgeMs, f.OwnersLate = c.loadsUnreadable.Load(), loads.Age.Milliseconds(), loads.OwnersLate
--- a/io/entry/readahead.go
+++ b/io/entry/readahead.go
@@ -4,11 +4,8 @@
 	"bytes"
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"os"
-
-	"auburnlatch/io/tcp"
 )
 
 // Bounds on a caller's connection with pipelined requests.
@@ -25,8 +22,6 @@
 	// start starts to process a request, or returns nil if the request has to wait
 	// for its turn.
 	start(ctx context.Context, r *http.Request) *pipelined
-	// closing is called before a connection is closed whose socket still holds bytes.
-	closing(caller net.Addr, q tcp.Queues, readAhead bool)
 }
 
 // watch starts readLoop once bytes arrive behind a request that is being served.
@@ -88,7 +83,7 @@
 	case err == nil:
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		// The caller has closed the connection: cancel all its requests.
-		c.err = err
+		c.err, c.readErr = err, err
 		c.cancel()
 		return false
 	case seq == c.deadlineSeq:
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -102,6 +102,14 @@
 	return max(1, r.route.Attempts)
 }
 
+// awaitedUntil returns until when the caller waits for the response.
+func (r *request) awaitedUntil() time.Time {
+	if !r.callerDeadline.IsZero() {
+		return r.callerDeadline
+	}
+	return r.started.Add(defaultDeadline)
+}
+
 // ServeHTTP serves one request of a caller.
 func (v *VM) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	v.inFlight.Add(1)
@@ -117,6 +125,7 @@
 		res = v.serve(r.Context(), r)
 		defer res.stop()
 	}
+	conn.awaited(res.request.awaitedUntil())
 	if res.request.relayed == "" {
 		v.traffic.Add(res.bytes())
 	} else {
@@ -162,6 +171,7 @@
 // admit finds a request's route and reads its body.
 func (v *VM) admit(r *http.Request) (*request, *verdict.Error) {
 	req := &request{started: time.Now(), http: r, id: r.Header.Get(v.protocol.RequestID)}
+	req.callerDeadline = v.callerDeadline(req)
 	v.awaitCopies(r.Context(), req.started)
 	if req.relayed = parseRelay(r.Header); req.relayed != "" {
 		if e := v.admitRelayed(r.Context(), req); e != nil {
@@ -226,12 +236,20 @@
 	}
 }
 
+// callerDeadline returns the caller's own deadline, or zero if it names none.
+func (v *VM) callerDeadline(req *request) time.Time {
+	ms, err := strconv.ParseFloat(req.http.Header.Get(v.protocol.DeadlineMillis), 64)
+	if err != nil || ms <= 0 || ms >= math.MaxInt32 {
+		return time.Time{}
+	}
+	return req.started.Add(time.Duration(ms * float64(time.Millisecond)))
+}
+
 // deadline returns the earlier of the caller's deadline and the route's.
 func (v *VM) deadline(req *request) time.Time {
 	left := defaultDeadline
-	if ms, err := strconv.ParseFloat(req.http.Header.Get(v.protocol.DeadlineMillis), 64); err == nil && ms > 0 && ms < math.MaxInt32 {
-		left = time.Duration(ms * float64(time.Millisecond))
-		req.callerDeadline = req.started.Add(left)
+	if !req.callerDeadline.IsZero() {
+		left = req.callerDeadline.Sub(req.started)
 	}
 	if t := req.route.Timeout; t > 0 {
 		left = min(left, t)
--- a/io/keepalive/keepalive.go
+++ b/io/keepalive/keepalive.go
@@ -8,7 +8,9 @@
 // connection decide under the lock of the connection, by its State. A connection that is
 // not waiting ends when it waits next, and a request that was handed over is served.
 //
-// A connection is ended by a timeout of its blocked read; the server then closes it.
+// A connection is ended by a timeout of its blocked read; the server then closes it. A Server's
+// connections are closed by a tcp.Closer, so that a client which still sends is not reset while
+// it receives the last response.
 //
 // # Usage
 //
@@ -30,6 +32,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"os"
@@ -39,6 +42,7 @@
 	"github.com/cockroachdb/errors"
 
 	"auburnlatch/io/lifecycle"
+	"auburnlatch/io/tcp"
 )
 
 // Ended is a read deadline in the past. It makes a blocked read time out.
@@ -56,10 +60,13 @@
 // Idle records that the server has no request.
 func (s *State) Idle(now time.Time) { s.since = now }
 
+// IsIdle reports whether the server has no request.
+func (s *State) IsIdle() bool { return !s.since.IsZero() }
+
 // Waits records that a read of the server blocks. It returns false if the connection is
 // to be ended instead.
 func (s *State) Waits() bool {
-	s.waiting = !s.since.IsZero()
+	s.waiting = s.IsIdle()
 	s.ended = s.ended || s.waiting && s.closing
 	return !s.waiting || !s.closing
 }
@@ -118,6 +125,9 @@
 
 // ConnState implements the ConnState hook of http.Server.
 func (c *Conns) ConnState(conn net.Conn, state http.ConnState) {
+	if t, ok := conn.(*tls.Conn); ok {
+		conn = t.NetConn()
+	}
 	e, ok := conn.(Ender)
 	if !ok {
 		return
@@ -192,8 +202,15 @@
 	return len(c.open)
 }
 
-// shutdownTick is how often Shutdown counts the open connections.
-const shutdownTick = 20 * time.Millisecond
+const (
+	// shutdownTick is how often Shutdown counts the open connections.
+	shutdownTick = 20 * time.Millisecond
+	// closeTimeout is how long a client may take to receive the last response on a connection.
+	closeTimeout = 10 * time.Second
+	// idleCloseTimeout is how long a client may take to close a connection that was ended
+	// while it was idle.
+	idleCloseTimeout = time.Second
+)
 
 // Server is an HTTP server whose Shutdown loses no request that a handler was given. That of
 // http.Server closes a connection which has just become active. HTTP is set before Serve and
@@ -202,18 +219,26 @@
 	HTTP *http.Server
 
 	conns    Conns
+	closer   tcp.Closer
 	mu       sync.Mutex
 	listener net.Listener
 	stopping bool
 }
 
 // Serve accepts connections until Shutdown or Close, and returns http.ErrServerClosed then.
-func (s *Server) Serve(l net.Listener) error {
+func (s *Server) Serve(l net.Listener) error { return s.serve(l, s.HTTP.Serve) }
+
+// ServeTLS is Serve with the TLSConfig of HTTP.
+func (s *Server) ServeTLS(l net.Listener) error {
+	return s.serve(l, func(l net.Listener) error { return s.HTTP.ServeTLS(l, "", "") })
+}
+
+func (s *Server) serve(l net.Listener, accept func(net.Listener) error) error {
 	if !s.begin(l) {
 		return http.ErrServerClosed
 	}
 	s.HTTP.ConnState = s.conns.ConnState
-	err := s.HTTP.Serve(listener{l})
+	err := accept(&listener{l, &s.closer})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopping {
@@ -235,18 +260,21 @@
 }
 
 // Shutdown accepts no further connections and waits until those that are open have served
-// their requests and ended, or until ctx ends. It closes what is left then.
+// their requests, and their clients have the responses, or until ctx ends. It closes what is left
+// then.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stop()
 	s.conns.CloseAll(time.Now())
-	for s.conns.Count() > 0 && lifecycle.Sleep(ctx, shutdownTick) {
+	for s.conns.Count()+s.closer.Count() > 0 && lifecycle.Sleep(ctx, shutdownTick) {
 	}
+	s.closer.Stop()
 	return errors.CombineErrors(ctx.Err(), s.HTTP.Close())
 }
 
 // Close closes the server at once, with all its connections.
 func (s *Server) Close() error {
 	s.stop()
+	s.closer.Stop()
 	return s.HTTP.Close()
 }
 
@@ -260,23 +288,29 @@
 }
 
 // listener accepts connections that implement Ender.
-type listener struct{ net.Listener }
+type listener struct {
+	net.Listener
+	closer *tcp.Closer
+}
 
 // Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
+func (l *listener) Accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw}, nil
+	return &conn{Conn: raw, closer: l.closer}, nil
 }
 
 // conn is an accepted connection.
 type conn struct {
 	net.Conn
+	closer   *tcp.Closer
 	mu       sync.Mutex
 	state    State
 	deadline time.Time // Of reads, set by the server.
+	readErr  error     // Of the last read.
+	closed   bool
 }
 
 // Read implements net.Conn.
@@ -289,17 +323,37 @@
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
-	if c.state.Returned(n > 0) {
+	c.readErr = err
+	if c.state.Returned(n > 0) && !c.closed {
 		_ = c.Conn.SetReadDeadline(c.deadline)
 	}
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil
+	}
+	c.closed = true
+	now := time.Now()
+	within := closeTimeout
+	if q, ok := tcp.QueuesOf(c.Conn); ok && q == (tcp.Queues{}) && c.state.IsIdle() {
+		within = idleCloseTimeout // The client's host has the last response.
+	}
+	return c.closer.Close(c.Conn, c.readErr, now, now.Add(within))
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = t
+	if c.closed {
+		return net.ErrClosed
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -322,7 +376,7 @@
 func (c *conn) EndOlder(now time.Time, than time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state.EndOlder(now, than) {
+	if c.state.EndOlder(now, than) && !c.closed {
 		_ = c.Conn.SetReadDeadline(Ended)
 	}
 }
@@ -331,7 +385,7 @@
 func (c *conn) EndWhenIdle(time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state.EndWhenIdle() {
+	if c.state.EndWhenIdle() && !c.closed {
 		_ = c.Conn.SetReadDeadline(Ended)
 	}
 }
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -20,6 +20,7 @@
 	"auburnlatch/core/claim"
 	"auburnlatch/core/inventory"
 	"auburnlatch/core/verdict"
+	"auburnlatch/io/keepalive"
 	"auburnlatch/io/platform"
 	"auburnlatch/io/settings"
 	"auburnlatch/io/wire"
@@ -60,7 +61,7 @@
 // Server serves the operators' interface.
 type Server struct {
 	vm   VM
-	http *http.Server
+	http *keepalive.Server
 	tls  bool
 }
 
@@ -76,12 +77,12 @@
 	e.GET("/claims", s.claims)
 	e.POST("/claims/resolve", s.resolve)
 	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
-	s.http = &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout}
+	s.http = &keepalive.Server{HTTP: &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout}}
 	if t == nil {
 		return s, nil
 	}
 	cfg, err := tlsConfig(t)
-	s.http.TLSConfig = cfg
+	s.http.HTTP.TLSConfig = cfg
 	return s, err
 }
 
@@ -104,16 +105,17 @@
 	}, nil
 }
 
-// Serve accepts connections on l until Close.
+// Serve accepts connections on l until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
 	if s.tls {
-		return s.http.ServeTLS(l, "", "")
+		return s.http.ServeTLS(l)
 	}
 	return s.http.Serve(l)
 }
 
-// Close stops the server at once and closes all its connections.
-func (s *Server) Close() error { return s.http.Close() }
+// Shutdown waits until operators have the replies to their requests, or until ctx ends. It closes
+// what is left then.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
 func (s *Server) inventory(c echo.Context) error {
 	return reply(c, http.StatusOK, wire.FromInventory(s.vm.Inventory()))
--- a/io/operator/tls_test.go
+++ b/io/operator/tls_test.go
@@ -124,7 +124,7 @@
 		t.Fatal(err)
 	}
 	go func() { _ = s.Serve(l) }()
-	defer s.Close()
+	defer s.Shutdown(t.Context())
 	for _, tc := range []struct {
 		name string
 		tls  *settings.TLS
--- a/io/vm/leave.go
+++ b/io/vm/leave.go
@@ -15,6 +15,8 @@
 	drainPollInterval = 20 * time.Millisecond
 	// lastExchangeTimeout bounds the last exchanges with the zone peers.
 	lastExchangeTimeout = 2 * time.Second
+	// lastReplyTimeout bounds the replies to operators that are still on their way.
+	lastReplyTimeout = 2 * time.Second
 )
 
 // errStopGrace is returned if requests are still in flight at the end of the stop's
--- a/io/vm/vm.go
+++ b/io/vm/vm.go
@@ -205,12 +205,19 @@
 	}
 	err = v.leave(callerSrv, forwardSrv)
 	serving.Stop()
-	_ = operators.Close()
+	v.stopOperators(operators)
 	stop()
 	v.background.Wait()
 	return err
 }
 
+// stopOperators stops the operators' interface, once they have the replies to their requests.
+func (v *VM) stopOperators(s *operator.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), lastReplyTimeout)
+	defer cancel()
+	_ = s.Shutdown(ctx)
+}
+
 func (v *VM) httpServer(h http.Handler) *keepalive.Server {
 	return &keepalive.Server{HTTP: &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: v.cfg.Limits.MaxHeaderBytes,
