io/forward: the body of a request has one reader, also behind an early response

Cause: a body beyond the buffer is sent on by a goroutine of the connection to the upstream. With the first byte of a response the http.Server reads and discards up to 256 KiB of what is left of the body, by turns with that goroutine, which sends on what comes behind. Change: forward.Body has one reader at a time; the server gets the body when who sends it on has ended, or if nobody has begun. A connection whose body was not read to its end is closed behind the response. A body that ends before its end (caller gone, no chunk, beyond the limit) ends towards the upstream at once, by a half close; the caller is told 413 or 400 in place of 503 or of a wait for the timeout. auburnlatchd had the same fault with both its servers.

--- a/io/caller/parse.go
+++ b/io/caller/parse.go
@@ -22,7 +22,8 @@
 	headerKey = "Idempotency-Key"
 	// maxKeyBytes bounds the idempotency key and the caller's name.
 	maxKeyBytes = 255
-	// readTimeout bounds each read of a request's body.
+	// readTimeout bounds each read of a request's body: the sender may be slow, but a sender
+	// that stops would otherwise hold a slot until the deadline.
 	readTimeout = 30 * time.Second
 )
 
@@ -76,7 +77,7 @@
 	forward.StripReserved(hr.Header)
 	hr.Header.Del("Expect")
 	if r.Body != nil && r.Body != http.NoBody {
-		hr.Body = &timeoutBody{ReadCloser: http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes), rc: http.NewResponseController(w)}
+		hr.Body = http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes)
 	}
 	req.HTTP = hr
 	body, err := route.ReadBody(hr)
@@ -90,23 +91,6 @@
 	return nil
 }
 
-// timeoutBody is a request's body with a timeout for each read: the sender may be
-// slow, but a sender that stops would otherwise hold a slot until the deadline.
-type timeoutBody struct {
-	io.ReadCloser
-	rc *http.ResponseController
-}
-
-// Read implements io.Reader.
-func (b *timeoutBody) Read(p []byte) (int, error) {
-	_ = b.rc.SetReadDeadline(time.Now().Add(readTimeout))
-	n, err := b.ReadCloser.Read(p)
-	if err != nil {
-		_ = b.rc.SetReadDeadline(time.Time{})
-	}
-	return n, err
-}
-
 // requestTimeout returns the timeout that the caller asks for, at most limit.
 func requestTimeout(r *http.Request, limit time.Duration) (time.Duration, error) {
 	h := r.Header.Get(forward.HeaderTimeout)
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -127,7 +127,8 @@
 
 // request serves one request to a service.
 func (s *Server) request(c echo.Context) error {
-	w, r := c.Response(), c.Request()
+	w, r, body := forward.OwnBody(c.Response(), c.Request(), readTimeout)
+	defer body.End()
 	if n := s.inFlight.Add(1); n > int64(s.cfg.MaxInFlight) {
 		s.inFlight.Add(-1)
 		s.refuse(w, r, verdict.New(verdict.NotRun, verdict.ReasonBusy, retryAfter))
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -225,8 +225,9 @@
 		e, overtaken := attemptError(ctx, err)
 		outcome := balance.Outcome{
 			Failed: e.Reason == verdict.ReasonUnreachable || e.Reason == verdict.ReasonBroken || e.Reason == verdict.ReasonOverdue, Unreachable: e.Reason == verdict.ReasonUnreachable,
-			// An attempt that another one overtook did not take its caller's time.
-			Unanswered: e.Verdict == verdict.MaybeRan && !overtaken,
+			// An attempt that another one overtook did not take its caller's time, and a body that
+			// cannot be read is its caller's fault.
+			Unanswered: e.Verdict == verdict.MaybeRan && !overtaken && e.Reason != verdict.ReasonTooLarge && e.Reason != verdict.ReasonBadRequest,
 			NotSent:    e.Reason == verdict.ReasonWithheld || overtaken && e.Verdict == verdict.NotRun,
 		}
 		if v.links.Disturbed(began) {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -6,10 +6,13 @@
 	"io"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"auburnlatch/core/admission"
 	"auburnlatch/core/poison"
 	"auburnlatch/core/route"
@@ -117,6 +120,8 @@
 	conn := connOf(r)
 	early := conn.beginServing(r)
 	defer conn.endServing()
+	w, r, body := forward.OwnBody(w, r, 0)
+	defer body.End()
 	var res result
 	if early != nil {
 		defer early.release()
@@ -202,7 +207,7 @@
 		req.returned = v.appointments.recognize(req)
 	}
 	if err := req.read(limits.MaxBodyBytes); err != nil {
-		return req, verdict.Wrap(err, verdict.NotRun, verdict.ReasonCanceled, 0)
+		return req, verdict.Wrap(err, verdict.NotRun, bodyReason(r.Context(), err), 0)
 	}
 	req.identity = v.identity(req)
 	if req.relayed == "" && v.cutOff() {
@@ -285,6 +290,20 @@
 	return nil
 }
 
+// bodyReason returns the reason for which a request is refused whose body could not be read.
+func bodyReason(ctx context.Context, err error) verdict.Reason {
+	var tooLarge *http.MaxBytesError
+	var broken net.Error
+	switch {
+	case errors.As(err, &tooLarge):
+		return verdict.ReasonTooLarge
+	case ctx.Err() != nil, errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &broken):
+		return verdict.ReasonCanceled
+	default:
+		return verdict.ReasonBadRequest
+	}
+}
+
 // status returns the status code for an error. 503 guarantees that the request has not
 // run; 502 and 504 guarantee nothing.
 func status(e *verdict.Error) int {
@@ -297,6 +316,8 @@
 		return http.StatusTooManyRequests
 	case e.Reason == verdict.ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case e.Reason == verdict.ReasonBadRequest:
+		return http.StatusBadRequest
 	case e.Verdict == verdict.NotRun:
 		return http.StatusServiceUnavailable
 	case e.Reason == verdict.ReasonDeadline:
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -28,6 +28,8 @@
 			Refuse(w, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, 0))
 			return
 		}
+		w, r, body := OwnBody(w, r, 0)
+		defer body.End()
 		ctx, cancel := context.WithDeadline(r.Context(), meta.Deadline)
 		defer cancel()
 		req := r.WithContext(ctx)
--- a/io/upstream/call.go
+++ b/io/upstream/call.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -78,48 +79,83 @@
 // buffered reports whether the whole body is in memory.
 func (c *Call) buffered() bool { return c.Rest == nil }
 
-// writeTo writes the request and returns the number of bytes written. A read
-// error of the caller's body and a write error of the connection can be told
-// apart only by n.
-func (c *Call) writeTo(w io.Writer) (n int64, err error) {
+// bodyError is the error of a read of the rest of a body.
+type bodyError struct{ err error }
+
+// Error implements error.
+func (e *bodyError) Error() string { return "read the request's body: " + e.err.Error() }
+
+// Unwrap returns the error of the reader.
+func (e *bodyError) Unwrap() error { return e.err }
+
+// writeTo writes the request. It returns a *bodyError if its body could not be read. begun reports
+// whether the rest of the body was read from.
+func (c *Call) writeTo(w io.Writer) (begun bool, err error) {
 	head := c.head()
 	if c.buffered() {
-		m, err := w.Write(append(head, c.Body...))
-		return int64(m), err
+		_, err := w.Write(append(head, c.Body...))
+		return false, err
+	}
+	if _, err := w.Write(head); err != nil {
+		return false, err
 	}
-	m, err := w.Write(head)
-	n = int64(m)
-	if err != nil {
-		return n, err
+	if c.Length < 0 {
+		for p := range slices.Chunk(c.Body, readSize) {
+			if err := writeChunk(w, p); err != nil {
+				return false, err
+			}
+		}
+		return true, c.writeChunks(w)
 	}
-	body := io.MultiReader(bytes.NewReader(c.Body), c.Rest)
-	if c.Length >= 0 {
-		m, err := io.CopyN(w, body, c.Length)
-		return n + m, err
+	if _, err := w.Write(c.Body); err != nil {
+		return false, err
 	}
-	return c.writeChunks(w, body, n)
+	return true, c.writeRest(w)
 }
 
-const chunkSize = 16 << 10
+// readSize is how much of a body is read at a time or sent in a chunk, in bytes.
+const readSize = 16 << 10
 
-func (c *Call) writeChunks(w io.Writer, body io.Reader, n int64) (int64, error) {
-	buf := make([]byte, chunkSize)
+// writeRest writes the rest of a body of known length.
+func (c *Call) writeRest(w io.Writer) error {
+	buf := make([]byte, readSize)
+	for left := c.Length - int64(len(c.Body)); left > 0; {
+		n, err := c.Rest.Read(buf[:min(left, readSize)])
+		if _, werr := w.Write(buf[:n]); werr != nil {
+			return werr
+		}
+		if left -= int64(n); left > 0 && err != nil {
+			return &bodyError{err}
+		}
+	}
+	return nil
+}
+
+// writeChunks writes the rest of a body of unknown length.
+func (c *Call) writeChunks(w io.Writer) error {
+	buf := make([]byte, readSize)
 	for {
-		m, err := body.Read(buf)
-		if m > 0 {
-			chunk := append([]byte(strconv.FormatInt(int64(m), 16)+"\r\n"), buf[:m]...)
-			k, werr := w.Write(append(chunk, "\r\n"...))
-			n += int64(k)
-			if werr != nil {
-				return n, werr
-			}
+		n, err := c.Rest.Read(buf)
+		if werr := writeChunk(w, buf[:n]); werr != nil {
+			return werr
 		}
 		if err == io.EOF {
-			k, werr := io.WriteString(w, "0\r\n\r\n")
-			return n + int64(k), werr
+			_, werr := io.WriteString(w, "0\r\n\r\n")
+			return werr
 		}
 		if err != nil {
-			return n, err
+			return &bodyError{err}
 		}
 	}
 }
+
+// writeChunk writes a part of a body. An empty one would end it and is not written.
+func writeChunk(w io.Writer, p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
+	b := make([]byte, 0, len(p)+len("ffffffff\r\n\r\n"))
+	b = append(strconv.AppendInt(b, int64(len(p)), 16), "\r\n"...)
+	_, err := w.Write(append(append(b, p...), "\r\n"...))
+	return err
+}
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -68,6 +68,15 @@
 	return c.Conn.Write(p)
 }
 
+// endRequest ends the stream to the upstream within a request, so that the upstream sees that it
+// is not whole. A response can still be read.
+func (c *conn) endRequest() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		c.Close()
+	}
+}
+
 // canReuse reports whether an idle connection can be reused: its keep-alive time
 // has not passed, and the upstream has neither closed it nor sent anything since
 // its last response. Only a read shows that the upstream closed the connection.
@@ -105,10 +114,32 @@
 	writeErr error
 }
 
-// run writes the request and closes wrote.
+// run writes the request and closes wrote. It is the only reader of the rest of the body.
 func (e *exchange) run() {
-	defer close(e.wrote)
-	_, e.writeErr = e.call.writeTo(e.conn)
+	var begun bool
+	begun, e.writeErr = e.call.writeTo(e.conn)
+	var body *bodyError
+	unread := errors.As(e.writeErr, &body)
+	if unread {
+		e.conn.endRequest()
+	}
+	close(e.wrote)
+	if begun && e.writeErr != nil && !unread {
+		// The caller may read the response only when it has sent the whole body.
+		_, _ = io.Copy(io.Discard, e.call.Rest)
+	}
+}
+
+// bodyErr returns the error with which the body of the request ended before its end, or nil.
+func (e *exchange) bodyErr() *bodyError {
+	select {
+	case <-e.wrote:
+		var body *bodyError
+		errors.As(e.writeErr, &body)
+		return body
+	default:
+		return nil
+	}
 }
 
 // sent reports whether the whole request has been written.
@@ -178,9 +209,21 @@
 	if e.conn.written.Load() == before {
 		return verdict.Wrap(err, verdict.NotRun, reason, defaultRetryAfter)
 	}
+	if body := e.bodyErr(); body != nil && ctx.Err() == nil {
+		return verdict.Wrap(body, verdict.MaybeRan, bodyReason(body), 0)
+	}
 	return verdict.Wrap(err, verdict.MaybeRan, reason, 0)
 }
 
+// bodyReason returns the reason for which a request failed whose body could not be read.
+func bodyReason(err error) verdict.Reason {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return verdict.ReasonTooLarge
+	}
+	return verdict.ReasonBadRequest
+}
+
 // keepAliveFor returns how long the connection may be reused, by the Keep-Alive
 // field of a response header.
 func keepAliveFor(h http.Header) time.Duration {
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -136,6 +136,9 @@
 	before := c.written.Load()
 	e.start()
 	resp, err := e.readResponse(int(p.maxHeader.Load()))
+	if body := e.bodyErr(); err == nil && body != nil {
+		err = body // The response is to a request that was not whole.
+	}
 	if err != nil {
 		p.countHeader(err)
 		stop()
