io/entry: a response that was broken off is reset for callers of HTTP/1.0

A response of unknown length ends with its connection for HTTP/1.0, and one that its upstream broke off ended in the same way: the caller took 400,000 bytes of a longer response for all of it. Such a connection is reset now.

--- a/io/entry/body_test.go
+++ b/io/entry/body_test.go
@@ -224,3 +224,32 @@
 		t.Errorf("%d bytes, %v", n, err)
 	}
 }
+
+// Guards against callers of HTTP/1.0 that take a response which was broken off for a whole one, as
+// both end with the connection.
+func TestBrokenResponseIsResetForHTTP10(t *testing.T) {
+	for name, breaks := range map[string]bool{"whole": false, "broken off": true} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlatform()
+			p.set(entry.TableRules, "config", config(1))
+			register(p, "i-1", startUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write(make([]byte, earlyBytes)) // In chunks.
+				if breaks {
+					panic(http.ErrAbortHandler)
+				}
+			}).addr())
+			v := startVM(t, "a", p, nil)
+			ready(t, v)
+			c := dialPipeline(t, v)
+			c.send(t, "GET /get/1 HTTP/1.0\r\nHost: h\r\nRequest-Id: 1\r\n\r\n")
+			resp, err := http.ReadResponse(c.r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			n, err := io.Copy(io.Discard, resp.Body)
+			if whole := err == nil; whole == breaks || whole && n != earlyBytes {
+				t.Errorf("the caller got %d bytes, %v", n, err)
+			}
+		})
+	}
+}
--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -92,6 +92,8 @@
 	last        connTrace
 	// readErr is the error with which reading the socket ended; nil or a timeout: it did not.
 	readErr error
+	// cut says that the last response is not whole, and that only a reset shows that.
+	cut bool
 	// answerBy is the latest time until which a caller of a request that was served waits for
 	// its response.
 	answerBy time.Time
@@ -293,6 +295,23 @@
 	}
 }
 
+// responding is called before the response to r is written, and the function that it returns
+// once the response is whole. For HTTP/1.0 the end of the connection may be the end of a response, so
+// that one which is not whole has to be cut by a reset.
+func (c *callerConn) responding(r *http.Request) (whole func()) {
+	if c == nil || r.ProtoAtLeast(1, 1) {
+		return func() {}
+	}
+	c.setCut(true)
+	return func() { c.setCut(false) }
+}
+
+func (c *callerConn) setCut(cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = cut
+}
+
 // closeBy returns until when the caller may be receiving its last response.
 func (c *callerConn) closeBy(now time.Time) time.Time {
 	by := c.answerBy
@@ -348,6 +367,10 @@
 	}
 	c.pipeline = nil
 	c.cond.Broadcast()
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && c.cut {
+		_ = l.SetLinger(0)
+		return c.Conn.Close()
+	}
 	now := time.Now()
 	return c.closer.Close(c.Conn, c.readErr, now, c.closeBy(now))
 }
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -146,7 +146,9 @@
 	}
 	v.counts.served(time.Since(res.request.started))
 	v.requests.answered(v, res)
+	whole := conn.responding(r)
 	res.response.relay(w)
+	whole()
 }
 
 // serve processes a request and returns its outcome.
