io/tcp: an upstream that reads slowly is told from one that is gone

Cause: TCP_USER_TIMEOUT of 1.5 s counts from the first probe of a closed window although its host answers the probes, and goes on to count while little is read (TCP_INFO of a second stall: broken off 0.25 s after it began, probes answered). Change: tcp.SlowPeer takes its place while a request with a body is under way: gone is whose host has not acknowledged the last bytes or the last probe for 1.5 s. Ruled out: extending the kernel's timeout from outside (tried: clock unknown, hosts answer two probes a second). Where the kernel names no times, its timeout holds. A connection whose host has not taken a whole request is not used again; a test found a request lost behind such a body (MaybeRan after 1.74 s). A caller that does not read is bounded by its deadline, at least 30 s.

--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -312,6 +312,21 @@
 	c.cut = cut
 }
 
+// boundWrite bounds the writing of the response to a request that began at a time, for a caller that
+// does not read it. The server takes the bound back after each response.
+func (c *callerConn) boundWrite(began time.Time) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	by := began.Add(defaultDeadline)
+	if c.answerBy.After(by) {
+		by = c.answerBy
+	}
+	_ = c.Conn.SetWriteDeadline(by)
+}
+
 // closeBy returns until when the caller may be receiving its last response.
 func (c *callerConn) closeBy(now time.Time) time.Time {
 	by := c.answerBy
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -131,6 +131,7 @@
 		defer res.stop()
 	}
 	conn.awaited(res.request.awaitedUntil())
+	conn.boundWrite(res.request.started)
 	if res.request.relayed == "" {
 		v.traffic.Add(res.bytes())
 	} else {
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"auburnlatch/core/verdict"
+	"auburnlatch/io/tcp"
 )
 
 // Limits of a connection.
@@ -112,6 +113,8 @@
 	// failed; writeErr is set before.
 	wrote    chan struct{}
 	writeErr error
+	// slow watches the connection while it has a body to send; nil: it has none.
+	slow *tcp.SlowPeer
 }
 
 // run writes the request and closes wrote. It is the only reader of the rest of the body.
@@ -196,10 +199,20 @@
 
 // reusable reports whether the connection may carry another request after the
 // response. An upstream that responded before it had read the whole request still
-// expects the rest of the body, and would read the next request as part of it.
+// expects the rest of the body, and would read the next request as part of it. One whose host
+// has not taken all of it would read the next request late, if at all.
 func (e *exchange) reusable(resp *http.Response) bool {
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	return framed && !resp.Close && e.sent()
+	return framed && !resp.Close && e.sent() && e.taken()
+}
+
+// taken reports whether the upstream's host has all of the request, as far as that is known.
+func (e *exchange) taken() bool {
+	if e.slow == nil {
+		return true
+	}
+	q, ok := tcp.QueuesOf(e.conn.Conn)
+	return !ok || q.Unacked == 0
 }
 
 // verdict returns the error of a request that got no response. before is the
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -16,6 +16,7 @@
 
 	"auburnlatch/core/verdict"
 	"auburnlatch/io/lifecycle"
+	"auburnlatch/io/tcp"
 )
 
 const (
@@ -24,12 +25,14 @@
 	readBuffer = 4 << 10
 	// tcpUserTimeout is how long sent bytes may stay unacknowledged. A host that
 	// lost power or is partitioned sends no reset, so that without this timeout a
-	// connection would hang until the request's deadline.
+	// connection would hang until the request's deadline. An upstream that only reads slowly
+	// has until then, see tcp.SlowPeer.
 	tcpUserTimeout = 1500 * time.Millisecond
 	// withheldRetryAfter is the retry-after time of a request that Admit withheld.
 	withheldRetryAfter = 250 * time.Millisecond
-	// optTCPUserTimeout is TCP_USER_TIMEOUT, which package syscall does not name.
-	optTCPUserTimeout = 18
+	// minWatched is how long a body is, in bytes, that may not fit into what an upstream's host
+	// takes before it is read.
+	minWatched = 1 << 10
 )
 
 // Pool sends requests to upstreams and keeps idle connections for reuse. Unlike
@@ -105,13 +108,7 @@
 func (p *Pool) AbortDials() { p.abortDials.Signal() }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var err error
-	if cerr := raw.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, optTCPUserTimeout, int(tcpUserTimeout/time.Millisecond))
-	}); cerr != nil {
-		return cerr
-	}
-	return err
+	return tcp.SetUserTimeout(raw, tcpUserTimeout)
 }
 
 // Send sends a request once and returns the response, whose body the caller
@@ -134,6 +131,9 @@
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	e := &exchange{conn: c, call: call, wrote: make(chan struct{})}
 	before := c.written.Load()
+	if !call.buffered() || len(call.Body) >= minWatched {
+		e.slow = tcp.WatchSlow(c.Conn, tcpUserTimeout)
+	}
 	e.start()
 	resp, err := e.readResponse(int(p.maxHeader.Load()))
 	if body := e.bodyErr(); err == nil && body != nil {
@@ -142,6 +142,8 @@
 	if err != nil {
 		p.countHeader(err)
 		stop()
+		e.slow.Stop()
+		err = e.slow.Err(err)
 		c.Close()
 		return nil, e.verdict(ctx, before, err)
 	}
@@ -309,6 +311,7 @@
 		return nil
 	}
 	b.closed = true
+	b.exchange.slow.Stop()
 	c := b.exchange.conn
 	// A cancellation that has already begun may close the connection at any moment.
 	if !b.stop() || !b.complete || !b.exchange.reusable(b.resp) || c.r.Buffered() > 0 {
