io/entry: a long response with requests in flight behind it is buffered, so that these are answered

Cause: beyond the buffer a response is passed on as it comes and cannot be replaced by an error. Change: if requests behind it are in flight, more of it is buffered, within 16 MiB for the VM; and from the moment at which a response is passed on as it comes, no further request is begun before its turn. Weighed: only the second part does not help those that were read before; a larger buffer for all responses costs memory where nobody pipelines. What pipelining callers lose: the first byte of a long response comes with its last.

--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -266,6 +267,23 @@
 	c.serving = false
 }
 
+// holdBack has requests that are read from now on wait for their turn, until the next one is
+// served. It reports whether later requests are in flight.
+func (c *callerConn) holdBack() (behind bool) {
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inSync = false
+	return c.anyStarted()
+}
+
+// anyStarted reports whether a request is processed before its turn.
+func (c *callerConn) anyStarted() bool {
+	return slices.ContainsFunc(c.pipeline, func(p *pipelined) bool { return p != nil })
+}
+
 // mayClose reports whether the response to be written may be the connection's last,
 // as no later request is in flight. If so, none is started from then on.
 func (c *callerConn) mayClose() bool {
@@ -274,10 +292,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, p := range c.pipeline {
-		if p != nil {
-			return false
-		}
+	if c.anyStarted() {
+		return false
 	}
 	c.sealed = true
 	return true
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -91,7 +91,8 @@
 	pipelinedCount atomic.Int64    // Pipelined requests that are processed before their turn.
 	idle           keepalive.Conns // The connections of callers.
 	closer         *tcp.Closer     // Closes the connections of callers.
-	loaded         chan struct{}   // Closed when rules and upstreams are known.
+	ahead          aheadBuffer
+	loaded         chan struct{} // Closed when rules and upstreams are known.
 	changed        chan struct{}
 	toPush         chan struct{}
 	newPlacements  chan struct{} // Signals new placements of this VM.
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -130,6 +130,11 @@
 		res = v.serve(r.Context(), r)
 		defer res.stop()
 	}
+	if res.err == nil && res.response.rest != nil && conn.holdBack() {
+		free, e := v.ahead.fill(r.Context(), res.response)
+		defer free()
+		res.err = e
+	}
 	conn.awaited(res.request.awaitedUntil())
 	conn.boundWrite(res.request.started)
 	if res.request.relayed == "" {
--- a/tools/soak/chaos.go
+++ b/tools/soak/chaos.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -159,8 +160,12 @@
 
 // run injects faults until end and returns when the last one is over.
 func (c *chaos) run(end time.Time) {
+	kinds := faults
+	if c.fleet.shapes {
+		kinds = slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !slices.Contains(planned, f.name) })
+	}
 	for time.Now().Before(end) {
-		f := faults[c.rnd.IntN(len(faults))]
+		f := kinds[c.rnd.IntN(len(kinds))]
 		which, lasts := c.rnd.IntN(1000), time.Duration(c.rnd.Int64N(int64(maxFaultDuration)))
 		pause := time.Duration(c.rnd.ExpFloat64() * float64(faultInterval))
 		c.names = append(c.names, f.name)
@@ -329,6 +334,13 @@
 		}
 		go c.run(ctx)
 	}
+	var shaping []*shaper
+	for i := range shapersOf(cmd) {
+		wait.Add(1)
+		sh := &shaper{fleet: f, number: i, rnd: rand.New(rand.NewPCG(seed, uint64(8000+i))), wait: &wait}
+		shaping = append(shaping, sh)
+		go sh.run(ctx)
+	}
 	for i := range pipeliners {
 		wait.Add(1)
 		go (&pipeliner{fleet: f, number: i, rnd: rand.New(rand.NewPCG(seed, uint64(3000+i))), wait: &wait}).run(ctx)
@@ -382,6 +394,9 @@
 	versions := f.versionsSoFar()
 	r := &result{seed: seed, faults: ch.names, began: began, injected: ch.faults, probed: len(pr.probes), versions: len(versions)}
 	r.kills = kills.count
+	for _, sh := range shaping {
+		r.broken = append(r.broken, sh.broken...)
+	}
 	f.ledger.judge(r, calm)
 	r.broken = append(r.broken, f.ledger.judgeNotices(&f.exemptions)...)
 	r.broken = append(r.broken, judgeRules(pr.probes, versions)...)
--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -105,6 +105,7 @@
 	homes        bool         // Some requests go to a route with a home.
 	kills        bool         // Callers send at a constant rate, mostly requests that may be retried.
 	splits       bool         // Some requests go to a route that is split between two services.
+	shapes       bool         // Only planned work happens.
 	links        links
 
 	mu       sync.Mutex
@@ -135,7 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, ledger: newLedger(), acceptAlways: c.Taking, returns: c.Returns, objects: c.Restores || c.Cuts, homes: c.Cuts, kills: c.Kills, splits: c.Weights, evacuated: make(map[string]bool)}
+	f := &fleet{dir: dir, ledger: newLedger(), acceptAlways: c.Taking, returns: c.Returns, objects: c.Restores || c.Cuts, homes: c.Cuts, kills: c.Kills, splits: c.Weights, shapes: c.Shapes, evacuated: make(map[string]bool)}
 	if f.storeAddr, err = freeport.Addr(); err != nil {
 		return nil, err
 	}
--- a/tools/soak/ledger.go
+++ b/tools/soak/ledger.go
@@ -22,6 +22,7 @@
 	arrivals   int  // Arrivals at upstreams, including refused ones.
 	ran        int
 	late       bool
+	unanswered bool // The connection ended without a response before anything but the VM could end it.
 	canceled   bool // The caller left, or the request followed a response that closed the connection.
 	at         time.Time
 	// vm is the VM that received the request, and process its process at that time.
@@ -114,6 +115,13 @@
 	}
 }
 
+// recordUnanswered records a request whose connection ended without a response.
+func (l *ledger) recordUnanswered(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entry(id).unanswered = true
+}
+
 // recordResponse records the response that the caller received.
 func (l *ledger) recordResponse(id string, status int, intact bool) {
 	l.mu.Lock()
@@ -209,6 +217,9 @@
 		if e.status == 404 {
 			broke("404 for a route that all versions have", id)
 		}
+		if e.unanswered && e.ran > 0 {
+			broke("an upstream ran it and its connection ended without a response", id)
+		}
 		if e.late {
 			broke("reached an upstream long after it had registered as draining", id)
 		}
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -49,6 +49,7 @@
 	Kills     bool          `help:"Most responses of upstreams are lost, and most VMs are killed at once and in series meanwhile."`
 	Returns   bool          `help:"Refused callers get appointments, and come back when they are told."`
 	Weights   bool          `help:"A route is split between two services, and each version of the rules changes its weights."`
+	Shapes    bool          `help:"Callers with small windows send requests of all kinds behind one another, with bodies and responses of drawn sizes; only planned work happens."`
 	Plots     string        `help:"Directory for a timeline of each seed." type:"path"`
 	Logs      string        `help:"Directory for the VMs' logs of seeds that fail." type:"path"`
 }
