io/entry: a body that arrives slowly is bounded by the deadline of its request

What callers saw: nothing. Cause: reading a body had no bound in time; the request's deadline began to count behind it. Change: what is buffered of a body has to be there by the request's deadline; the caller is told 503, not run. A body that no handler has read is discarded for 10 s at most. TestSlowBodyIsBoundedByTheDeadline fails before (no response within 20 s).

--- a/io/entry/body_test.go
+++ b/io/entry/body_test.go
@@ -253,3 +253,26 @@
 		})
 	}
 }
+
+// Guards against callers that hold a buffer for as long as they like, as they send a body slowly.
+func TestSlowBodyIsBoundedByTheDeadline(t *testing.T) {
+	p := newPlatform()
+	cfg := config(1)
+	for _, r := range cfg.Routes {
+		r.Timeout = time.Minute
+	}
+	p.set(entry.TableRules, "config", cfg)
+	u := startUpstream(t, func(http.ResponseWriter, *http.Request) {})
+	register(p, "i-1", u.addr())
+	v := startVM(t, "a", p, nil)
+	ready(t, v)
+	c := dialPipeline(t, v)
+	c.send(t, "POST /post/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nDeadline-Ms: 300\r\nContent-Length: 1000\r\n\r\npart")
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if status, _, closes := c.response(t); status != http.StatusServiceUnavailable || !closes {
+		t.Errorf("status %d, closes: %v", status, closes)
+	}
+	if n := u.runs("1"); n != 0 {
+		t.Errorf("sent %d times", n)
+	}
+}
--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -328,6 +328,13 @@
 	c.cut = cut
 }
 
+// boundRead bounds the reading of a request's body; zero: there is no bound.
+func (c *callerConn) boundRead(by time.Time) {
+	if c != nil {
+		_ = c.SetReadDeadline(by)
+	}
+}
+
 // boundWrite bounds the writing of the response to a request that began at a time, for a caller that
 // does not read it. The server takes the bound back after each response.
 func (c *callerConn) boundWrite(began time.Time) {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -214,7 +215,12 @@
 	if req.appointing {
 		req.returned = v.appointments.recognize(req)
 	}
-	if err := req.read(limits.MaxBodyBytes); err != nil {
+	// What comes after the deadline can't be sent on any more.
+	conn := connOf(r)
+	conn.boundRead(req.deadline)
+	err := req.read(limits.MaxBodyBytes)
+	conn.boundRead(time.Time{})
+	if err != nil {
 		return req, verdict.Wrap(err, verdict.NotRun, bodyReason(r.Context(), err), 0)
 	}
 	req.identity = v.identity(req)
@@ -305,6 +311,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return verdict.ReasonTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return verdict.ReasonDeadline
 	case ctx.Err() != nil, errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &broken):
 		return verdict.ReasonCanceled
 	default:
@@ -340,7 +348,7 @@
 	code := status(e)
 	v.counts.failed(e)
 	v.requests.refused(v, req, e, code, connOf(r).trace())
-	if r.Context().Err() != nil {
+	if r.Context().Err() != nil && e.Reason != verdict.ReasonDeadline {
 		panic(http.ErrAbortHandler) // The caller has disconnected.
 	}
 	h := w.Header()
--- a/io/forward/body.go
+++ b/io/forward/body.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// unreadTimeout bounds how long the server reads a body that no handler has read, before it responds.
+const unreadTimeout = 10 * time.Second
+
 // errBodyEnded is the error of a read of a body whose request has been responded to.
 var errBodyEnded = errors.New("the request has been responded to")
 
@@ -112,6 +115,7 @@
 	switch {
 	case !b.begun:
 		b.ended = true // The server reads it now.
+		_ = b.rc.SetReadDeadline(time.Now().Add(unreadTimeout))
 	case !b.complete:
 		_ = b.rc.EnableFullDuplex() // The server leaves it alone.
 		h.Set("Connection", "close")
--- a/tools/soak/shapes.go
+++ b/tools/soak/shapes.go
@@ -128,20 +128,20 @@
 		s.fleet.ledger.recordRequest(q.id, v, q.once)
 		s.fleet.ledger.recordCanceled([]string{q.id}) // Until its response is there.
 	}
-	w := &shapeWriter{conn: conn, list: list, rnd: rand.New(rand.NewPCG(s.rnd.Uint64(), 0)), done: make(chan struct{})}
+	w := &shapeWriter{conn: conn, list: list, rnd: rand.New(rand.NewPCG(s.rnd.Uint64(), 0)), leaves: s.rnd.IntN(8) == 0, done: make(chan struct{})}
 	go w.run()
-	s.receive(conn, list, began)
+	s.receive(conn, list, began, w.leaves)
 	conn.Close()
 	<-w.done
 }
 
-// receive reads the responses and checks them.
-func (s *shaper) receive(conn net.Conn, list []shaped, began time.Time) {
+// receive reads the responses and checks them. A caller that leaves may get none.
+func (s *shaper) receive(conn net.Conn, list []shaped, began time.Time, leaves bool) {
 	r := bufio.NewReader(conn)
 	for _, q := range list {
 		resp, err := http.ReadResponse(r, nil)
 		if err != nil {
-			if time.Since(began) < certainTime {
+			if time.Since(began) < certainTime && !leaves {
 				s.fleet.ledger.recordUnanswered(q.id)
 			}
 			return
@@ -149,7 +149,7 @@
 		got, err := s.read(resp.Body)
 		resp.Body.Close()
 		if err != nil {
-			if took := time.Since(began); took < certainTime {
+			if took := time.Since(began); took < certainTime && !leaves {
 				s.broken = append(s.broken, fmt.Sprintf("a response was cut after %v and %d bytes: request %s, %+v, %v", took, len(got), q.id, q, err))
 			}
 			return
@@ -182,14 +182,25 @@
 	conn net.Conn
 	list []shaped
 	rnd  *rand.Rand
-	done chan struct{}
+	// leaves says that the caller leaves within its last request.
+	leaves bool
+	done   chan struct{}
 }
 
 // run writes the requests with pauses in between.
 func (w *shapeWriter) run() {
 	defer close(w.done)
-	for _, q := range w.list {
-		if w.write(q) != nil {
+	for i, q := range w.list {
+		last := i == len(w.list)-1
+		text := w.text(q)
+		if last && w.leaves {
+			text = text[:w.rnd.IntN(len(text))]
+		}
+		if _, err := w.conn.Write(text); err != nil {
+			return
+		}
+		if last && w.leaves {
+			w.conn.Close()
 			return
 		}
 		if w.rnd.IntN(2) == 0 {
@@ -198,8 +209,8 @@
 	}
 }
 
-// write writes one request.
-func (w *shapeWriter) write(q shaped) error {
+// text returns a request as it is sent.
+func (w *shapeWriter) text(q shaped) []byte {
 	p := platform.Protocol()
 	method, path := http.MethodGet, "/get/1"
 	if q.once {
@@ -223,6 +234,5 @@
 		}
 		b.WriteString("0\r\n\r\n")
 	}
-	_, err := w.conn.Write(b.Bytes())
-	return err
+	return b.Bytes()
 }
