io/entry, io/tcp: reading the changes as a newcomer

Bounds of a caller's response and of a body that is read are one call each; deadlines of reads are set for requests with a body only. Package comment of io/tcp.

--- a/io/entry/ahead.go
+++ b/io/entry/ahead.go
@@ -22,8 +22,18 @@
 // responses. The zero value is ready to use.
 type aheadBuffer struct{ used atomic.Int64 }
 
+// hold buffers a long response if it has requests in flight behind it on its connection. From then on
+// further requests wait for their turn. free is to be called once the response has been passed on.
+func (a *aheadBuffer) hold(ctx context.Context, conn *callerConn, res *result) (free func()) {
+	if res.err != nil || res.response.rest == nil || !conn.holdBack() {
+		return func() {}
+	}
+	free, res.err = a.fill(ctx, res.response)
+	return free
+}
+
 // fill reads a response to its end, or as far as there is room. It returns an error if the response
-// is broken off. free is to be called once the response has been passed on.
+// is broken off.
 func (a *aheadBuffer) fill(ctx context.Context, r *response) (free func(), e *verdict.Error) {
 	taken := int64(0)
 	free = func() { a.used.Add(-taken) }
--- a/io/entry/close_test.go
+++ b/io/entry/close_test.go
@@ -27,7 +27,7 @@
 	c := connOf(r)
 	c.beginServing(r)
 	defer c.endServing()
-	c.awaited(time.Now().Add(time.Minute))
+	c.respondBy(time.Now(), time.Now().Add(time.Minute))
 	if r.URL.Path != "/unread" {
 		_, _ = io.Copy(io.Discard, r.Body)
 		close(s.serving)
--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -299,16 +299,26 @@
 	return true
 }
 
-// awaited records until when the caller of a request that is served waits for its response.
-func (c *callerConn) awaited(until time.Time) {
+// respondBy is called before the response to a request that began at a time, and whose caller waits
+// until then. It bounds the writing of the response, for a caller that does not read it, and the
+// closing of the connection behind it.
+func (c *callerConn) respondBy(began, until time.Time) {
 	if c == nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if until.After(c.answerBy) {
-		c.answerBy = until
+	c.answerBy = later(c.answerBy, until)
+	// The server takes it back after the response.
+	_ = c.Conn.SetWriteDeadline(later(c.answerBy, began.Add(defaultDeadline)))
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
 	}
+	return a
 }
 
 // responding is called before the response to r is written, and the function that it returns
@@ -328,41 +338,17 @@
 	c.cut = cut
 }
 
-// boundRead bounds the reading of a request's body; zero: there is no bound.
-func (c *callerConn) boundRead(by time.Time) {
-	if c != nil {
-		_ = c.SetReadDeadline(by)
-	}
-}
-
-// boundWrite bounds the writing of the response to a request that began at a time, for a caller that
-// does not read it. The server takes the bound back after each response.
-func (c *callerConn) boundWrite(began time.Time) {
-	if c == nil {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	by := began.Add(defaultDeadline)
-	if c.answerBy.After(by) {
-		by = c.answerBy
-	}
-	_ = c.Conn.SetWriteDeadline(by)
-}
-
 // closeBy returns until when the caller may be receiving its last response.
 func (c *callerConn) closeBy(now time.Time) time.Time {
 	by := c.answerBy
 	if q, ok := tcp.QueuesOf(c.Conn); ok && q == (tcp.Queues{}) && c.state.IsIdle() {
 		by = time.Time{} // The caller's host has the last response.
 	}
-	if c.after > 0 && !c.serving {
-		// The response is to a header that was not understood.
+	if c.after > 0 && by.Before(now) {
+		// The response may be to a header that was not understood.
 		by = c.last.Handed.Add(readHeaderTimeout)
 	}
-	if least := now.Add(minClosing); by.Before(least) {
-		return least
-	}
+	by = later(by, now.Add(minClosing))
 	if most := now.Add(defaultDeadline); by.After(most) {
 		return most
 	}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -131,13 +131,8 @@
 		res = v.serve(r.Context(), r)
 		defer res.stop()
 	}
-	if res.err == nil && res.response.rest != nil && conn.holdBack() {
-		free, e := v.ahead.fill(r.Context(), res.response)
-		defer free()
-		res.err = e
-	}
-	conn.awaited(res.request.awaitedUntil())
-	conn.boundWrite(res.request.started)
+	defer v.ahead.hold(r.Context(), conn, &res)()
+	conn.respondBy(res.request.started, res.request.awaitedUntil())
 	if res.request.relayed == "" {
 		v.traffic.Add(res.bytes())
 	} else {
@@ -215,12 +210,7 @@
 	if req.appointing {
 		req.returned = v.appointments.recognize(req)
 	}
-	// What comes after the deadline can't be sent on any more.
-	conn := connOf(r)
-	conn.boundRead(req.deadline)
-	err := req.read(limits.MaxBodyBytes)
-	conn.boundRead(time.Time{})
-	if err != nil {
+	if err := req.readWithin(connOf(r), limits.MaxBodyBytes); err != nil {
 		return req, verdict.Wrap(err, verdict.NotRun, bodyReason(r.Context(), err), 0)
 	}
 	req.identity = v.identity(req)
@@ -276,6 +266,16 @@
 	return req.started.Add(left)
 }
 
+// readWithin reads the body until the deadline. What comes later can't be sent on any more.
+func (r *request) readWithin(conn *callerConn, limit int64) error {
+	if conn == nil || r.http.ContentLength == 0 {
+		return r.read(limit)
+	}
+	_ = conn.SetReadDeadline(r.deadline)
+	defer func() { _ = conn.SetReadDeadline(time.Time{}) }()
+	return r.read(limit)
+}
+
 // read reads the body, up to the size of the buffer.
 func (r *request) read(limit int64) error {
 	r.length = r.http.ContentLength
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -1,8 +1,23 @@
-// Package tcp tells what a TCP connection still holds.
+// Package tcp closes TCP connections without losing what was written to them, and tells a peer that
+// is slow from one whose host is gone.
+//
+// If a socket is closed while bytes lie unread in it, or if bytes arrive afterwards, its host
+// resets the connection and drops what the peer has not received. So a Closer ends the stream, discards
+// what still arrives, and closes the connection when the peer has everything or its time is up.
+//
+// A peer that does not read is no reason to give a connection up, as long as its host acknowledges
+// what it is sent. A SlowPeer asks the kernel for that.
 //
 // # Usage
 //
-//	q, ok := tcp.QueuesOf(conn)
+//	c := tcp.NewCloser(tcp.WithEnded(func(e tcp.End) { log(e) }))
+//	err := c.Close(conn, readErr, now, now.Add(10*time.Second)) // Returns at once.
+//	c.Wait(ctx)                                                 // Before the process ends.
+//
+//	slow := tcp.WatchSlow(conn, timeout)
+//	defer slow.Stop()
+//	_, err := conn.Write(body)
+//	err = slow.Err(err)
 package tcp
 
 import (
