io/entry: the order of an overdue request's attempts is that of their sending

TestOverdueRequestIsSentToASecondUpstream failed once in the check, at a load of 28 on eight processors. Traced by its log lines: RequestSentTwice Target=i-2 Second=i-1 SecondWon=false TookMs=2, and i-2 answered. The stand-in took the attempt that it received first for the first one; on a busy machine that was at times the second, which then hung while the first was answered. The product was right. Change: the stand-in goes by the order in which the VM writes the attempts. The check is as strict: the upstream of the first attempt hangs, and all assertions are as before.

--- a/io/entry/overdue_test.go
+++ b/io/entry/overdue_test.go
@@ -1,7 +1,10 @@
 package entry_test
 
 import (
+	"bytes"
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -14,10 +17,12 @@
 )
 
 // overdueUpstreams are upstreams that answer usual requests at once. Of a request whose path ends in
-// "special", the first upstream to receive it runs first, and any other second.
+// "special", the upstream that it was sent to first runs first, and any other second. On a busy
+// machine they may receive it in another order.
 type overdueUpstreams struct {
 	first, second http.HandlerFunc
 	received      atomic.Int64
+	sentFirst     atomic.Pointer[string] // The address of that upstream.
 	// sentTwice is closed when a second upstream has received the special request.
 	sentTwice chan struct{}
 	list      []*upstreamServer
@@ -32,15 +37,34 @@
 		_, _ = w.Write([]byte("usual"))
 		return
 	}
-	switch u.received.Add(1) {
-	case 1:
-		u.first(w, r)
-	case 2:
+	if u.received.Add(1) == 2 {
 		close(u.sentTwice)
-		u.second(w, r)
-	default:
-		u.second(w, r)
 	}
+	if addr := r.Context().Value(http.LocalAddrContextKey).(net.Addr); addr.String() == *u.sentFirst.Load() {
+		u.first(w, r)
+		return
+	}
+	u.second(w, r)
+}
+
+// dial opens a connection of the VM that records where the special request is sent first.
+func (u *overdueUpstreams) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+	return &orderedConn{c, u}, err
+}
+
+type orderedConn struct {
+	net.Conn
+	upstreams *overdueUpstreams
+}
+
+// Write implements net.Conn.
+func (c *orderedConn) Write(p []byte) (int, error) {
+	if head, _, _ := bytes.Cut(p, []byte("\r\n")); bytes.Contains(head, []byte("special ")) {
+		addr := c.RemoteAddr().String()
+		c.upstreams.sentFirst.CompareAndSwap(nil, &addr)
+	}
+	return c.Conn.Write(p)
 }
 
 // onceSentTwice has h handle the request when a second upstream has received it too.
@@ -81,7 +105,7 @@
 		u.list = append(u.list, s)
 		register(p, fmt.Sprint("i-", i), s.addr())
 	}
-	v := startVM(t, "a", p, func(cfg *settings.Entry) { cfg.Load.SecondSends = settings.Off })
+	v := startVM(t, "a", p, func(cfg *settings.Entry) { cfg.Load.SecondSends = settings.Off }, entry.WithUpstreamDial(u.dial))
 	ready(t, v)
 	for i := range 60 {
 		if r := v.request(t, http.MethodGet, path+"usual", fmt.Sprint("usual", i), ""); r.status != http.StatusOK {
