--- a/tools/soak/shapes.go
+++ b/tools/soak/shapes.go
@@ -4,18 +4,17 @@
 	"bufio"
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"auburnlatch/platform"
 	"auburnlatch/platform/standin"
+	"auburnlatch/standin/window"
 )
 
 const (
@@ -76,14 +75,13 @@
 	return s.rnd.IntN(limit)
 }
 
-// draw draws the requests of a connection. window is the receive buffer of the caller, 0 for the
-// host's.
-func (s *shaper) draw(name string, window int) []shaped {
+// draw draws the requests of a connection. receiveBuffer is that of the caller, 0 for the host's.
+func (s *shaper) draw(name string, receiveBuffer int) []shaped {
 	list := make([]shaped, 1+s.rnd.IntN(4))
 	for i := range list {
 		q := shaped{id: fmt.Sprint(name, "-", i), once: s.rnd.IntN(2) == 0, chunks: s.rnd.IntN(2) == 0}
 		q.Size = s.size(1 << 20)
-		if window != 0 {
+		if receiveBuffer != 0 {
 			q.Size = s.size(64 << 10)
 		}
 		if q.once {
@@ -98,26 +96,17 @@
 }
 
 // dial connects with a receive buffer; 0: that of the host.
-func (s *shaper) dial(v *vm, window int) (net.Conn, error) {
-	d := net.Dialer{Timeout: time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
-		var err error
-		if window == 0 {
-			return nil
-		}
-		cerr := raw.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, window)
-		})
-		return errors.Join(cerr, err)
-	}}
+func (s *shaper) dial(v *vm, receiveBuffer int) (net.Conn, error) {
+	d := net.Dialer{Timeout: time.Second, Control: window.Control(receiveBuffer)}
 	return d.Dial("tcp", v.front)
 }
 
 // ask sends the requests of one connection and reads the responses.
 func (s *shaper) ask(name string) {
-	window := []int{0, 4 << 10, 16 << 10}[s.rnd.IntN(3)]
+	receiveBuffer := []int{0, 4 << 10, 16 << 10}[s.rnd.IntN(3)]
 	v := s.fleet.vms[s.rnd.IntN(len(s.fleet.vms))]
-	list := s.draw(name, window)
-	conn, err := s.dial(v, window)
+	list := s.draw(name, receiveBuffer)
+	conn, err := s.dial(v, receiveBuffer)
 	if err != nil {
 		return
 	}
