--- a/io/entry/body_test.go
+++ b/io/entry/body_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"auburnlatch/core/route"
 	"auburnlatch/io/entry"
 	"auburnlatch/io/forward"
 )
@@ -56,6 +57,26 @@
 	}
 }
 
+// startServing starts a VM with one upstream, and routes that have a minute. change changes the rules;
+// nil: they stay.
+func startServing(t testing.TB, h http.HandlerFunc, change func(*route.Config)) (*runningVM, *upstreamServer) {
+	t.Helper()
+	p := newPlatform()
+	cfg := config(1)
+	for _, r := range cfg.Routes {
+		r.Timeout = time.Minute
+	}
+	if change != nil {
+		change(cfg)
+	}
+	p.set(entry.TableRules, "config", cfg)
+	u := startUpstream(t, h)
+	register(p, "i-1", u.addr())
+	v := startVM(t, "a", p, nil)
+	ready(t, v)
+	return v, u
+}
+
 // sendBody writes the head of an upload and its body, with a length or in chunks.
 func sendBody(c net.Conn, body []byte, chunked bool) {
 	const head = "POST /post/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n"
@@ -82,16 +103,8 @@
 	for _, chunked := range []bool{false, true} {
 		for _, early := range []bool{false, true} {
 			t.Run(fmt.Sprintf("chunked %v, response ends first %v", chunked, early), func(t *testing.T) {
-				p := newPlatform()
-				cfg := config(1)
-				for _, r := range cfg.Routes {
-					r.Timeout = 30 * time.Second
-				}
-				p.set(entry.TableRules, "config", cfg)
 				u := &earlyUpstream{begun: make(chan struct{}), early: early, received: make(chan receivedBody, 1)}
-				register(p, "i-1", startUpstream(t, u.ServeHTTP).addr())
-				v := startVM(t, "a", p, nil)
-				ready(t, v)
+				v, _ := startServing(t, u.ServeHTTP, nil)
 				c, err := net.Dial("tcp", v.cfg.FrontAddr)
 				if err != nil {
 					t.Fatal(err)
@@ -150,20 +163,11 @@
 		{"the caller leaves between chunks", chunkedHead + chunk(long), true, 0, "", true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			p := newPlatform()
-			cfg := config(1)
-			cfg.Limits.MaxBodyBytes = limit
-			for _, r := range cfg.Routes {
-				r.Timeout = time.Minute
-			}
-			p.set(entry.TableRules, "config", cfg)
 			received := make(chan receivedBody, 1)
-			register(p, "i-1", startUpstream(t, func(_ http.ResponseWriter, r *http.Request) {
+			v, _ := startServing(t, func(_ http.ResponseWriter, r *http.Request) {
 				data, err := io.ReadAll(r.Body)
 				received <- receivedBody{data, err}
-			}).addr())
-			v := startVM(t, "a", p, nil)
-			ready(t, v)
+			}, func(cfg *route.Config) { cfg.Limits.MaxBodyBytes = limit })
 			c, err := net.Dial("tcp", v.cfg.FrontAddr)
 			if err != nil {
 				t.Fatal(err)
@@ -202,18 +206,10 @@
 // Guards against callers that send a whole body before they read, and wait for ever as their
 // upstream has responded and reads no more.
 func TestCallerThatReadsAfterSendingIsAnswered(t *testing.T) {
-	p := newPlatform()
-	cfg := config(1)
-	for _, r := range cfg.Routes {
-		r.Timeout = time.Minute
-	}
-	p.set(entry.TableRules, "config", cfg)
-	register(p, "i-1", startUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+	v, _ := startServing(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Connection", "close")
 		_, _ = w.Write(make([]byte, earlyBytes))
-	}).addr())
-	v := startVM(t, "a", p, nil)
-	ready(t, v)
+	}, nil)
 	c := dialSmallWindow(t, v.cfg.FrontAddr)
 	sendBody(c, make([]byte, 2*longBody), false)
 	resp, err := http.ReadResponse(c.r, nil)
@@ -230,16 +226,12 @@
 func TestBrokenResponseIsResetForHTTP10(t *testing.T) {
 	for name, breaks := range map[string]bool{"whole": false, "broken off": true} {
 		t.Run(name, func(t *testing.T) {
-			p := newPlatform()
-			p.set(entry.TableRules, "config", config(1))
-			register(p, "i-1", startUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+			v, _ := startServing(t, func(w http.ResponseWriter, _ *http.Request) {
 				_, _ = w.Write(make([]byte, earlyBytes)) // In chunks.
 				if breaks {
 					panic(http.ErrAbortHandler)
 				}
-			}).addr())
-			v := startVM(t, "a", p, nil)
-			ready(t, v)
+			}, nil)
 			c := dialPipeline(t, v)
 			c.send(t, "GET /get/1 HTTP/1.0\r\nHost: h\r\nRequest-Id: 1\r\n\r\n")
 			resp, err := http.ReadResponse(c.r, nil)
@@ -256,16 +248,7 @@
 
 // Guards against callers that hold a buffer for as long as they like, as they send a body slowly.
 func TestSlowBodyIsBoundedByTheDeadline(t *testing.T) {
-	p := newPlatform()
-	cfg := config(1)
-	for _, r := range cfg.Routes {
-		r.Timeout = time.Minute
-	}
-	p.set(entry.TableRules, "config", cfg)
-	u := startUpstream(t, func(http.ResponseWriter, *http.Request) {})
-	register(p, "i-1", u.addr())
-	v := startVM(t, "a", p, nil)
-	ready(t, v)
+	v, u := startServing(t, func(http.ResponseWriter, *http.Request) {}, nil)
 	c := dialPipeline(t, v)
 	c.send(t, "POST /post/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nDeadline-Ms: 300\r\nContent-Length: 1000\r\n\r\npart")
 	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
--- a/io/entry/exchange_bench_test.go
+++ b/io/entry/exchange_bench_test.go
@@ -5,9 +5,6 @@
 	"io"
 	"net/http"
 	"testing"
-	"time"
-
-	"auburnlatch/io/entry"
 )
 
 // BenchmarkExchange measures requests on one kept connection through a VM to an upstream.
@@ -20,19 +17,11 @@
 		{"upload 360 kB", http.MethodPost, "/post/1", make([]byte, 360_000)},
 	} {
 		b.Run(bc.name, func(b *testing.B) {
-			p := newPlatform()
-			cfg := config(1)
-			for _, r := range cfg.Routes {
-				r.Timeout = 30 * time.Second
-			}
-			p.set(entry.TableRules, "config", cfg)
 			answer := make([]byte, 300)
-			register(p, "i-1", startUpstream(b, func(w http.ResponseWriter, r *http.Request) {
+			v, _ := startServing(b, func(w http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body)
 				_, _ = w.Write(answer)
-			}).addr())
-			v := startVM(b, "a", p, nil)
-			ready(b, v)
+			}, nil)
 			client := &http.Client{}
 			b.ReportAllocs()
 			for b.Loop() {
