io/entry: lines of requests say whether an upstream was taken for cold, and how old that is

The users saw cold upstreams flooded and had no logs; nor would ours have told a VM that went by an old registration from one that took a share too many, or from one that chose before the registration came. Now Cold, RegisteredMs, TargetsSureMs and UpMs are in RequestAnswered and UpstreamFailed. No decision changes.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -28,6 +28,9 @@
 	Owner bool
 	// Warm reports whether the target is believed to have handled the object recently.
 	Warm bool
+	// Cold reports whether the target was known to be cold when it was chosen, so that the request
+	// is one of the few that it gets meanwhile.
+	Cold bool
 	// Expected is the expected time to a response when the target was chosen, 0 if unknown, and
 	// Pace the pace that it was computed from.
 	Expected time.Duration
--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -81,7 +81,8 @@
 		return Lease{}, verdict.New(verdict.NotRun, verdict.ReasonNoCapacity, max(minRetryAfter, b.wait(now, p, req)))
 	}
 	s.ensureHistory()
-	if s.Cold(now) {
+	cold := s.Cold(now)
+	if cold {
 		s.lastCold = now
 	}
 	if s.restricted {
@@ -90,7 +91,7 @@
 	if s.inFlight == 0 {
 		s.silentSince = now
 	}
-	lease := Lease{Target: s.Target, state: s, route: route, placement: b.placementOf(req), sentAt: now, Ahead: s.outstanding(now), Owner: owner, RTT: b.rtt(s)}
+	lease := Lease{Target: s.Target, state: s, route: route, placement: b.placementOf(req), sentAt: now, Ahead: s.outstanding(now), Owner: owner, Cold: cold, RTT: b.rtt(s)}
 	lease.Warm, lease.first = lease.placement.warmAt(now, s), req.Single || lease.placement.markSent(s)
 	lease.Expected, lease.Pace = b.expected(now, s, route, lease.Warm), s.pace(now)
 	if !s.reportedAt.IsZero() {
--- a/core/target/target.go
+++ b/core/target/target.go
@@ -61,6 +61,8 @@
 	Usable bool
 	// ColdUntil is the time from which the target is no longer cold.
 	ColdUntil time.Time
+	// ReadAt is when this VM received the registration. It may have been written long before.
+	ReadAt time.Time
 }
 
 // Incarnation returns a name for this run of the upstream. State of another
@@ -198,7 +200,7 @@
 	}
 	t := &Target{
 		ID: reg.ID, Born: reg.Born, Service: r.name(reg.Service), Addr: reg.Addr, Zone: r.name(reg.Zone), Region: region, Slots: max(1, reg.Slots),
-		Draining: draining, Usable: !draining && !ev.Zones[reg.Zone], ColdUntil: cold,
+		Draining: draining, Usable: !draining && !ev.Zones[reg.Zone], ColdUntil: cold, ReadAt: reg.ReadAt,
 	}
 	if old != nil && old.Born != t.Born {
 		c.Gone = append(c.Gone, old)
--- a/io/entry/log.go
+++ b/io/entry/log.go
@@ -11,6 +11,7 @@
 
 	"auburnlatch/core/balance"
 	"auburnlatch/core/verdict"
+	"auburnlatch/io/clock"
 	"auburnlatch/io/forward"
 	"auburnlatch/io/lifecycle"
 	"auburnlatch/io/tcp"
@@ -73,6 +74,7 @@
 		f["Target"], f["TargetZone"] = resp.lease.Target.ID, resp.lease.Target.Zone
 		f["Owner"], f["Ahead"], f["Slots"] = resp.lease.Owner, int(resp.lease.Ahead), resp.lease.Target.Slots
 		f["Warm"] = resp.lease.Warm
+		v.addColdFields(f, now, resp.lease)
 		if resp.lease.Expected > 0 {
 			f["ExpectedMs"] = resp.lease.Expected.Milliseconds()
 		}
@@ -175,6 +177,7 @@
 		f["Print"] = req.identity.Print()
 	}
 	f["LeftMs"] = req.deadline.Sub(now).Milliseconds()
+	v.addColdFields(f, now, lease)
 	var header *upstream.HeaderTooLongError
 	if errors.As(e.Err, &header) {
 		f["HeaderForm"], f["HeaderBytes"] = header.Form, header.Bytes
@@ -185,6 +188,14 @@
 	l.log.WithFields(f).Info("UpstreamFailed")
 }
 
+// addColdFields adds the fields that say whether an upstream was taken for cold, and how old the
+// knowledge of that is.
+func (v *VM) addColdFields(f logrus.Fields, now time.Time, lease balance.Lease) {
+	asOf, _ := v.replicas[TableTargets].VerifiedAsOf()
+	f["Cold"], f["RegisteredMs"] = lease.Cold, now.Sub(lease.Target.ReadAt).Milliseconds()
+	f["TargetsSureMs"], f["UpMs"] = asOf.Age(clock.SinceBoot()).Milliseconds(), now.Sub(v.started).Milliseconds()
+}
+
 // requestFields returns the fields that identify a request, and the age of the state the
 // VM used for its decision.
 func (v *VM) requestFields(now time.Time, req *request) logrus.Fields {
