core/warmth, io/upstream, io/entry: requests go to processes that are known to be warm

Callers of a cold upstream, and of all that shared it, saw it crash: 26 to 66 requests a second where 20 may arrive. Cause: a registration, which says what was true when the upstream last wrote it, decided as if it were current - while the platform was away, after its return, between a start and the registration of it, and after a VM's own start. An upstream that starts again under its ID cannot be told by the ID.

A connection leads to one process as long as it is open. So a request is sent on a connection only if its process is known: the registrations were verified to be the newest as of the time that an upstream takes to register after the connection was opened, or a health check on it said that the process is not cold. New connections are trusted without a check only while the registrations are current, and no connection to the upstream was lost since. While they are not, what is known also grows old. What is found cold is left alone by this VM but for its part of the allowance, and a request that was chosen before is not written after.

--- a/core/balance/signals.go
+++ b/core/balance/signals.go
@@ -157,6 +157,17 @@
 	return changed
 }
 
+// MarkCold records that a lease's target is cold until a time, by its response to a health check.
+func (b *Balancer) MarkCold(l Lease, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.current(l.state)
+	s.ensureHistory()
+	if until.After(s.coldUntil) {
+		s.coldUntil = until
+	}
+}
+
 // current returns the registered state of a state's incarnation, or s if there is none. The
 // registration may have lapsed and come back while a request was in flight.
 func (b *Balancer) current(s *state) *state {
@@ -224,13 +235,13 @@
 }
 
 // Admit reports whether a lease's request may be sent now. Between the choice and the moment at
-// which a connection is open, the target may have reported that it is leaving, asked for a
+// which a connection is open, the target may have reported that it is leaving or cold, asked for a
 // pause, or named a rate limit.
 func (b *Balancer) Admit(now time.Time, l Lease) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.current(l.state)
-	if s.signals.leaving || now.Before(s.signals.pausedUntil) {
+	if s.signals.leaving || now.Before(s.signals.pausedUntil) || s.Cold(now) && !l.Cold {
 		return false
 	}
 	return l.limited || s.signals.limit.Take(now, b.senderRank(s))
--- a/core/balance/state.go
+++ b/core/balance/state.go
@@ -62,6 +62,8 @@
 	ejections    int
 	lastTrial    time.Time
 	lastCold     time.Time
+	// coldUntil is until when it is cold by its response to a health check.
+	coldUntil time.Time
 }
 
 // emptyHistory is shared by the targets to which nothing was sent, which are most where there
@@ -75,6 +77,10 @@
 	}
 }
 
+// Cold reports whether the target can handle few requests only, by its registration or by its response
+// to a health check.
+func (s *state) Cold(now time.Time) bool { return s.Target.Cold(now) || now.Before(s.coldUntil) }
+
 // Parameters of the health and load estimates of an upstream.
 const (
 	// sampleWeight is the weight of the newest sample in the moving averages: about the last
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -151,10 +151,11 @@
 	newestRow   uint64 // Highest version of a row.
 	verified    lease.Lease
 	// restored has the rows with RestoredAt set.
-	restored map[string]restoredState
-	content  uint64 // See Head.
-	lost     uint64 // See LostContent.
-	observed bool
+	restored   map[string]restoredState
+	onVerified func(asOf lease.Moment) // nil: nobody follows.
+	content    uint64                  // See Head.
+	lost       uint64                  // See LostContent.
+	observed   bool
 
 	digest     uint64 // emptyDigest and the sum of the digests of the present rows.
 	wantsWhole bool
@@ -172,6 +173,10 @@
 	return func(t *Table) { t.meaning, t.digest = meaning, emptyDigest }
 }
 
+// WithVerified has f called, with the Table locked, whenever the replica was verified to be the newest
+// as of a moment.
+func WithVerified(f func(asOf lease.Moment)) Option { return func(t *Table) { t.onVerified = f } }
+
 // NewTable returns an empty replica. equivalent reports whether two values of a row
 // have the same meaning, such as values that differ only in a heartbeat counter.
 // A change to an equivalent value is not stored and so not propagated.
@@ -206,6 +211,9 @@
 	defer t.mu.Unlock()
 	if !t.confirmed.IsZero() && t.era == h.Era && t.version >= h.Version {
 		t.verified.Renew(asOf)
+		if t.onVerified != nil {
+			t.onVerified(asOf)
+		}
 	}
 }
 
--- a/io/entry/doc.go
+++ b/io/entry/doc.go
@@ -95,6 +95,9 @@
 	// ExpectTarget names the incarnation for which a request is meant. Any other
 	// responds with 421 and does not run it.
 	ExpectTarget string
+	// Instance has the ID of the upstream in its responses to health checks, and ColdMillis how
+	// long it stays cold, if it is. Without Instance, registrations alone say who is cold.
+	Instance, ColdMillis string
 	// NotRun marks a response as an upstream's statement that it did not run the
 	// request.
 	NotRun string
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -19,6 +19,7 @@
 	"auburnlatch/core/replica"
 	"auburnlatch/core/route"
 	"auburnlatch/core/target"
+	"auburnlatch/core/warmth"
 	"auburnlatch/io/keepalive"
 	"auburnlatch/io/lifecycle"
 	"auburnlatch/io/peer"
@@ -59,6 +60,7 @@
 	// rttKnown is closed when rtt is set.
 	rttKnown chan struct{}
 
+	warmth       warmth.Tracker
 	registry     target.Registry // Used by applyLoop only.
 	decoded      decoded         // Used by applyLoop only.
 	balancer     *balance.Balancer
@@ -128,9 +130,11 @@
 		newPlacements: make(chan struct{}, 1),
 	}
 	for _, name := range []string{TableRules, TableTargets} {
-		v.replicas[name] = replica.NewTable(name,
-			func(key string, a, b []byte) bool { return p.Same(name, key, a, b) },
-			replica.WithMeaning(func(key string, value []byte) []byte { return p.Meaning(name, key, value) }))
+		opts := []replica.Option{replica.WithMeaning(func(key string, value []byte) []byte { return p.Meaning(name, key, value) })}
+		if name == TableTargets {
+			opts = append(opts, replica.WithVerified(v.warmth.Verified))
+		}
+		v.replicas[name] = replica.NewTable(name, func(key string, a, b []byte) bool { return p.Same(name, key, a, b) }, opts...)
 	}
 	v.links = upstream.NewLinks(linkObserver{v})
 	v.relaying.pool = upstream.NewPool()
@@ -158,6 +162,7 @@
 	v.limits.SetBounds(cfg.Limits)
 	v.collector.SetBounds(cfg.Limits)
 	v.balancer.SetPaceUse(paceUse(cfg.Load.Pace))
+	v.warmth.SetBounds(cfg.UpstreamHeartbeat+registerMargin, v.staleAge()+callTimeout)
 }
 
 // Run serves until ctx ends, then shuts down gracefully. further has the handlers for
--- a/io/entry/fake_test.go
+++ b/io/entry/fake_test.go
@@ -260,7 +260,7 @@
 func (u *upstreamServer) addr() string { return strings.TrimPrefix(u.URL, "http://") }
 
 var protocol = entry.Protocol{
-	RequestID: "Request-Id", DeadlineMillis: "Deadline-Ms", ExpectTarget: "Expect-Target", NotRun: "Not-Run", Load: "Load", ParseLoad: parseLoad, Limit: "Limit", Leaving: "Leaving", Team: "Team",
+	RequestID: "Request-Id", DeadlineMillis: "Deadline-Ms", ExpectTarget: "Expect-Target", Instance: "Instance-Id", ColdMillis: "Cold-Ms", NotRun: "Not-Run", Load: "Load", ParseLoad: parseLoad, Limit: "Limit", Leaving: "Leaving", Team: "Team",
 	Key:    func(r *http.Request) string { return r.Header.Get("Object") },
 	Caller: func(r *http.Request) string { return r.Header.Get("Caller") },
 }
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -44,6 +44,7 @@
 			copies.logChange(t.Head(now), t.Mismatches(), v.cfg.Load().LeaveWithin)
 		}
 		v.upstreams.Sweep(now, v.targets.has)
+		v.warmth.Keep(v.targets.has)
 		v.relaying.pool.Sweep(now, func(string) bool { return true })
 		v.relaying.traffic.Traffic(now)
 		v.idle.CloseOlder(now, v.idleTimeout())
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -33,6 +33,8 @@
 	discarded      atomic.Int64
 	// loadsUnreadable counts responses with a load that could not be read.
 	loadsUnreadable atomic.Int64
+	// checkedCold counts the checks that found an upstream cold.
+	checkedCold atomic.Int64
 
 	mu      sync.Mutex
 	closes  map[tcp.Cause]int64
@@ -105,6 +107,9 @@
 	ConnectionsOpened          int64
 	// ConnectionsFailed could not be opened. ConnectionsReused counts requests on open ones.
 	ConnectionsFailed, ConnectionsReused int64
+	// ProcessChecks counts the health checks that showed whether an upstream was warm before a
+	// request was sent to it, and FoundCold those after which it was not.
+	ProcessChecks, FoundCold int64
 	// HeadersTooLong counts the connections to upstreams that were closed as the header of a
 	// response was too long, by its form: Line, Fields, Interim or Stray.
 	HeadersTooLong map[string]int64
@@ -191,6 +196,7 @@
 	f.HeadersTooLong = v.upstreams.HeadersTooLong()
 	f.CallersClosed = c.callersClosed()
 	f.ConnectionsOpened, f.ConnectionsFailed, f.ConnectionsReused = conns.Opened, conns.Failed, conns.Reused
+	f.ProcessChecks, f.FoundCold = conns.Checked, c.checkedCold.Load()
 	loads := v.balancer.LoadStats()
 	f.LoadsUnreadable, f.LoadAgeMs, f.OwnersLate = c.loadsUnreadable.Load(), loads.Age.Milliseconds(), loads.OwnersLate
 	f.UpstreamsHeardMs = heardMillis(now, conns.Answered)
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -335,6 +335,7 @@
 		Method: req.http.Method, URI: req.http.RequestURI, Host: req.http.Host, Header: h,
 		Body: req.body, Rest: req.rest, Length: req.length,
 		Admit:      func(now time.Time) bool { return v.balancer.Admit(now, lease) },
+		Process:    v.processOf(lease),
 		EchoHeader: v.protocol.RequestID, EchoID: req.id,
 	}
 }
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -14,7 +14,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"auburnlatch/core/lease"
 	"auburnlatch/core/verdict"
+	"auburnlatch/io/clock"
 	"auburnlatch/io/tcp"
 )
 
@@ -47,6 +49,7 @@
 // conn is a connection to an upstream. It carries one request at a time.
 type conn struct {
 	net.Conn
+	opened    lease.Moment
 	header    headerReader
 	r         *bufio.Reader
 	written   atomic.Int64
@@ -56,7 +59,7 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	c := &conn{Conn: raw}
+	c := &conn{Conn: raw, opened: clock.SinceBoot()}
 	c.header.r = raw
 	c.r = bufio.NewReaderSize(&c.header, readBuffer)
 	return c
@@ -78,13 +81,15 @@
 	}
 }
 
-// canReuse reports whether an idle connection can be reused: its keep-alive time
-// has not passed, and the upstream has neither closed it nor sent anything since
+// expired reports whether the keep-alive time of an idle connection has passed.
+func (c *conn) expired(now time.Time) bool { return now.Sub(c.usedAt) > c.keepAlive }
+
+// quiet reports whether the upstream has neither closed an idle connection nor sent anything since
 // its last response. Only a read shows that the upstream closed the connection.
 // Without it, a request that must not be repeated could be written to a closed
 // connection and lost.
-func (c *conn) canReuse(now time.Time) bool {
-	if now.Sub(c.usedAt) > c.keepAlive || c.r.Buffered() > 0 {
+func (c *conn) quiet() bool {
+	if c.r.Buffered() > 0 {
 		return false
 	}
 	sc, ok := c.Conn.(syscall.Conn)
--- a/io/upstream/contact.go
+++ b/io/upstream/contact.go
@@ -110,9 +110,14 @@
 	return resp, nil
 }
 
+// reusableAfter reports whether a connection may carry a request after a response that has been read.
+func reusableAfter(c *conn, resp *http.Response) bool {
+	return !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0) && c.r.Buffered() == 0
+}
+
 // keep keeps the connection of a response that has been read for reuse, if it may be reused.
 func (p *Pool) keep(target string, c *conn, resp *http.Response) {
-	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || c.r.Buffered() > 0 {
+	if !reusableAfter(c, resp) {
 		c.Close()
 		return
 	}
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"auburnlatch/core/verdict"
+	"auburnlatch/io/clock"
 	"auburnlatch/io/lifecycle"
 	"auburnlatch/io/tcp"
 )
@@ -44,6 +45,7 @@
 	opened   atomic.Int64
 	failed   atomic.Int64
 	reused   atomic.Int64
+	checked  atomic.Int64 // Checks of processes.
 	answered atomic.Int64 // When the last response arrived, in Unix nanoseconds; 0: never.
 	// maxHeader is as set by SetMaxHeader, and tooLong counts the headers beyond it.
 	maxHeader atomic.Int64
@@ -63,13 +65,15 @@
 	// Opened were opened, Failed could not be opened, and Reused are the requests that were
 	// sent on an open one.
 	Opened, Failed, Reused int64
+	// Checked counts the checks of the process of an upstream, see Process.
+	Checked int64
 	// Answered is when the last response of any upstream arrived; zero: never.
 	Answered time.Time
 }
 
 // Connections returns the counts so far.
 func (p *Pool) Connections() Connections {
-	c := Connections{Opened: p.opened.Load(), Failed: p.failed.Load(), Reused: p.reused.Load()}
+	c := Connections{Opened: p.opened.Load(), Failed: p.failed.Load(), Reused: p.reused.Load(), Checked: p.checked.Load()}
 	if at := p.answered.Load(); at != 0 {
 		c.Answered = time.Unix(0, at)
 	}
@@ -119,6 +123,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := p.checkProcess(ctx, call, c); err != nil {
+		return nil, err
+	}
 	if ctx.Err() != nil {
 		// The caller canceled the request or its deadline has passed, so nothing is written.
 		p.pushIdle(call.Target, c)
@@ -145,6 +152,9 @@
 		e.slow.Stop()
 		err = e.slow.Err(err)
 		c.Close()
+		if ctx.Err() == nil {
+			call.lost()
+		}
 		return nil, e.verdict(ctx, before, err)
 	}
 	p.answered.Store(time.Now().UnixNano())
@@ -156,12 +166,16 @@
 func (p *Pool) get(ctx context.Context, call *Call, dialWithin time.Duration) (*conn, error) {
 	now := time.Now()
 	for c := p.popIdle(call.Target); c != nil; c = p.popIdle(call.Target) {
-		if c.canReuse(now) {
+		expired, quiet := c.expired(now), c.quiet()
+		if !expired && quiet {
 			c.reused = true
 			p.reused.Add(1)
 			return c, nil
 		}
 		c.Close()
+		if !expired {
+			call.lost()
+		}
 	}
 	dctx, cancel := context.WithTimeout(ctx, dialWithin)
 	defer cancel()
@@ -171,6 +185,8 @@
 		reason := verdict.ReasonUnreachable
 		if ctx.Err() != nil {
 			reason = verdict.ReasonCanceled
+		} else {
+			call.lost()
 		}
 		p.failed.Add(1)
 		return nil, verdict.Wrap(err, verdict.NotRun, reason, defaultRetryAfter)
@@ -180,6 +196,46 @@
 	return newConn(raw), nil
 }
 
+// processCheckTimeout bounds the check of the process of an upstream: a response across regions.
+const processCheckTimeout = 450 * time.Millisecond
+
+// checkProcess checks which process is at the other end of a connection, if that has to be known
+// before the call's request is sent on it. It returns an error that proves that the request has not
+// run if the process must not run it now.
+func (p *Pool) checkProcess(ctx context.Context, call *Call, c *conn) error {
+	if call.Process == nil || !call.Process.CheckDue(clock.SinceBoot(), c.opened) {
+		return nil
+	}
+	checkCtx, cancel := context.WithTimeout(ctx, processCheckTimeout)
+	defer cancel()
+	stop := context.AfterFunc(checkCtx, func() { c.Close() })
+	asked := clock.SinceBoot()
+	p.checked.Add(1)
+	resp, err := c.check(call.Addr, call.Process.Check(), int(p.maxHeader.Load()))
+	inTime := stop()
+	switch {
+	case ctx.Err() != nil:
+		c.Close()
+		return verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.ReasonCanceled, 0)
+	case !inTime:
+		return verdict.Wrap(checkCtx.Err(), verdict.NotRun, verdict.ReasonWithheld, withheldRetryAfter)
+	case err != nil:
+		p.countHeader(err)
+		c.Close()
+		call.lost()
+		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonUnreachable, defaultRetryAfter)
+	}
+	if err := call.Process.Checked(time.Now(), asked, resp); err != nil {
+		p.keep(call.Target, c, resp)
+		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonWithheld, withheldRetryAfter)
+	}
+	if !reusableAfter(c, resp) {
+		c.Close()
+		return verdict.New(verdict.NotRun, verdict.ReasonWithheld, withheldRetryAfter)
+	}
+	return nil
+}
+
 // Listening states whether a process accepts connections at an address.
 type Listening int
 
