io/entry, core/balance: VMs with different views share one cold allowance

Of the VMs that know a cold upstream, each ranks itself among those that it believes to be active.

A VM takes a share only once it has been active for so long that those that have not heard of it call it silent.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -77,6 +77,7 @@
 	stats           map[string]*serviceStats // By service.
 	regionLoads     map[regionLoadKey]*regionLoad
 	vms             []VM
+	reach           float64                  // See SetReach.
 	rtts            map[string]time.Duration // By the target's zone.
 	regions         map[string]string        // By zone.
 	remoteRTT       time.Duration            // Mean over the zones of other regions.
@@ -134,7 +135,7 @@
 // New returns a Balancer without targets for the VM self.
 func New(self, region, zone string, opts ...Option) *Balancer {
 	b := &Balancer{
-		self: self, region: region, zone: zone,
+		self: self, region: region, zone: zone, reach: 1,
 		states: make(map[string]*state), services: make(map[string]*pool), stats: make(map[string]*serviceStats), regionLoads: make(map[regionLoadKey]*regionLoad),
 		rtts: make(map[string]time.Duration), regions: make(map[string]string), routes: make(map[string]*routeStats),
 		routePlacements: make(map[placementsKey]*placements), retained: make(map[string]retainedSignals),
--- a/io/entry/cold_fleet_test.go
+++ b/io/entry/cold_fleet_test.go
@@ -149,26 +149,23 @@
 		f.upstreams = append(f.upstreams, u)
 	}
 	for range vms {
-		f.startVM(len(f.vms), nil)
+		f.startVM(len(f.vms))
 	}
 	f.awaitMembers()
 	return f
 }
 
-// startVM starts the VM of an index. old is its process before, nil: there was none.
-func (f *coldFleet) startVM(i int, old *runningVM) {
+// startVM starts the VM of an index, at an address of its own.
+func (f *coldFleet) startVM(i int) {
 	f.t.Helper()
 	v := startVM(f.t, fmt.Sprint("vm", i), f.platform, func(cfg *settings.Entry) {
-		if old != nil {
-			cfg.FrontAddr, cfg.PeerAddr = old.cfg.FrontAddr, old.cfg.PeerAddr
-		}
 		if i > 0 {
 			cfg.Seeds = []string{f.vms[0].cfg.PeerAddr}
 		}
 	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if old != nil {
+	if i < len(f.vms) {
 		f.vms[i] = v
 		return
 	}
@@ -183,7 +180,7 @@
 	}
 	for i, v := range f.vms {
 		<-v.done
-		f.startVM(i, v)
+		f.startVM(i)
 	}
 	for _, v := range f.vms {
 		ready(f.t, v)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -72,6 +72,7 @@
 	activeAddrs  atomic.Pointer[[]string] // See findActiveAddrs.
 	activeCache  atomic.Pointer[activeVMs]
 	activeInputs activeInputs // Used by heartbeatLoop only: the inputs of activeCache.
+	activity     activity     // Used by heartbeatLoop only.
 	// readerCache is used by cachedReaderAddrs.
 	readerCache   atomic.Pointer[cachedReaders]
 	peerAddrCache atomic.Pointer[peerAddrSet]
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -36,9 +36,7 @@
 		if v.targetsUnconfirmed(now) {
 			v.startExchanges(ctx, v.copyPartners(now), unconfirmedPartners, nil)
 		}
-		if now.Sub(v.started) >= joinHold {
-			v.updateActive(now)
-		}
+		v.updateActive(now)
 		v.peerClient.CloseIdle(now)
 		for _, t := range v.replicas {
 			copies.logChange(t.Head(now), t.Mismatches(), v.cfg.Load().LeaveWithin)
@@ -94,15 +92,24 @@
 // budget, if an input has changed. The computation iterates over all VMs.
 func (v *VM) updateActive(now time.Time) {
 	self := v.self(now)
-	inputs := activeInputs{ready: self.Dispatches, cutOff: self.CutOff, traffic: self.Traffic, peers: v.peersHash(now)}
+	inputs := activeInputs{
+		ready: self.Dispatches, cutOff: self.CutOff, traffic: self.Traffic, peers: v.peersHash(now),
+		joined: now.Sub(v.started) >= joinHold, known: v.activity.isKnown(now),
+	}
 	if v.activeCache.Load() != nil && v.activeInputs == inputs {
 		return
 	}
 	v.activeInputs = inputs
 	s := v.findActive(now)
 	v.activeCache.Store(&s)
+	v.activity.set(now, s.self)
+	if !inputs.joined {
+		return
+	}
+	known := balance.CountSharers(slices.Collect(maps.Keys(v.cfg.Load().Regions)), v.knownByZone(now))
+	v.balancer.SetReach(v.reach(now, known))
 	v.balancer.SetVMs(s.vms)
-	v.retries.SetVMs(balance.CountSharers(slices.Collect(maps.Keys(v.cfg.Load().Regions)), v.knownByZone(now)))
+	v.retries.SetVMs(known)
 }
 
 // activeInputs is what the active VMs depend on.
@@ -111,6 +118,43 @@
 	cutOff  bool
 	traffic member.Traffic
 	peers   uint64
+	joined  bool // The VM has started longer than joinHold ago.
+	known   bool // See activity.
+}
+
+// activity is since when a VM has been active without a pause. The zero value is of a VM that is not.
+type activity struct{ since time.Time }
+
+// set records whether the VM is active.
+func (a *activity) set(now time.Time, active bool) {
+	switch {
+	case !active:
+		a.since = time.Time{}
+	case a.since.IsZero():
+		a.since = now
+	}
+}
+
+// isKnown reports whether the VM has been active for so long that the others know.
+func (a *activity) isKnown(now time.Time) bool {
+	return !a.since.IsZero() && now.Sub(a.since) >= activeHold
+}
+
+// reach returns the fraction of the VMs that may be running with which this one is in touch. known is
+// their number by zone. It is 0 for a VM of which the others may not know yet that it is active: it
+// would take a share on top of theirs.
+func (v *VM) reach(now time.Time, known int) float64 {
+	if !v.activity.isKnown(now) {
+		return 0
+	}
+	live := 1
+	for _, m := range v.members.Peers(now) {
+		if m.State == member.Live || m.State == member.Leaving {
+			live++
+		}
+	}
+	_, others := v.knownAddrs(now)
+	return float64(live) / float64(max(known, live+len(others)))
 }
 
 // peersHash returns a hash of the published states of the other VMs, and of whether each was
@@ -130,8 +174,8 @@
 // findActive returns the VMs that share the capacity of a cold upstream: those that may
 // be running and have callers or are returned to them. If the others were included, an
 // upstream whose shares fall to them would get no requests for as long as it is cold.
-// This VM is always included. If it has new callers, the others may not know of it for
-// two heartbeats, and it takes a share on top of theirs in that time.
+// This VM is always included, but takes no share before the others know that it is active, see
+// activity.
 func (v *VM) findActive(now time.Time) activeVMs {
 	cfg := v.cfg.Load()
 	s := activeVMs{self: v.traffic.Traffic(now).Requests > 0}
@@ -207,6 +251,10 @@
 // heartbeats, which is also the time after which a silent VM is no longer live.
 const joinHold = 3 * time.Second
 
+// activeHold is how long a VM that has become active takes no share of the capacity of cold upstreams:
+// after failAfter, those that have not heard of it consider it silent, and take less themselves.
+const activeHold = failAfter + 2*heartbeat
+
 // silentRetention is how long a silent VM keeps its share of common budgets. After a longer
 // cut, a zone that is not heard of is counted by the size of the others, see
 // balance.CountSharers.
