--- a/tools/soak/chaos.go
+++ b/tools/soak/chaos.go
@@ -164,12 +164,14 @@
 	if c.fleet.shapes {
 		kinds = slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !slices.Contains(planned, f.name) })
 	}
+	if c.fleet.colds {
+		kinds = slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !slices.Contains(besideColds, f.name) })
+	}
 	for time.Now().Before(end) {
 		f := kinds[c.rnd.IntN(len(kinds))]
 		which, lasts := c.rnd.IntN(1000), time.Duration(c.rnd.Int64N(int64(maxFaultDuration)))
 		pause := time.Duration(c.rnd.ExpFloat64() * float64(faultInterval))
-		c.names = append(c.names, f.name)
-		c.faults = append(c.faults, injectedFault{f.name, time.Now()})
+		c.recordFault(f.name)
 		c.wait.Add(1)
 		go (&injection{c, f, which, lasts}).run()
 		<-time.After(pause)
@@ -194,6 +196,14 @@
 	i.chaos.recordError(i.fault.name, i.fault.run(i.chaos.fleet, i.which, i.lasts))
 }
 
+// recordFault records the begin of a fault.
+func (c *chaos) recordFault(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.names = append(c.names, name)
+	c.faults = append(c.faults, injectedFault{name, time.Now()})
+}
+
 // recordError records that a fault could not be injected.
 func (c *chaos) recordError(name string, err error) {
 	if err == nil {
@@ -274,6 +284,9 @@
 		path = standin.SplitPath
 	}
 	v := c.fleet.vms[c.rnd.IntN(len(c.fleet.vms))]
+	if called := c.fleet.called.Load(); called != nil {
+		v = c.fleet.vms[(*called)[c.rnd.IntN(len(*called))]]
+	}
 	// The body cannot be rewound, so net/http does not retry the request.
 	req, err := http.NewRequest(method, "http://"+v.front+path, struct{ io.Reader }{strings.NewReader(body)})
 	if err != nil {
@@ -367,6 +380,10 @@
 	if cmd.Kills {
 		injecting.Go(func() { kills.run(ctx, end) })
 	}
+	colds := &cooler{fleet: f, chaos: ch, rnd: rand.New(rand.NewPCG(seed, 9000))}
+	if cmd.Colds {
+		injecting.Go(func() { colds.run(ctx, end) })
+	}
 	ch.run(end)
 	injecting.Wait()
 	if cmd.Cuts {
@@ -393,7 +410,7 @@
 	<-time.After(time.Second) // Upstreams may still run requests and report them.
 	versions := f.versionsSoFar()
 	r := &result{seed: seed, faults: ch.names, began: began, injected: ch.faults, probed: len(pr.probes), versions: len(versions)}
-	r.kills = kills.count
+	r.kills, r.colds = kills.count, colds.count
 	for _, sh := range shaping {
 		r.broken = append(r.broken, sh.broken...)
 	}
@@ -403,6 +420,9 @@
 	if cmd.Weights {
 		r.broken = append(r.broken, f.ledger.judgeSplits(versions, changed)...)
 	}
+	if cmd.Colds {
+		r.broken = append(r.broken, f.ledger.judgeColds(r, f)...)
+	}
 	if cmd.Restores {
 		r.restores = stores.count
 		r.broken = append(r.broken, f.judgeStore()...)
--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -28,8 +28,9 @@
 
 	starts atomic.Int32
 
-	mu  sync.Mutex
-	cmd *exec.Cmd
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	started []time.Time // By start.
 }
 
 func (p *process) start() error {
@@ -39,6 +40,7 @@
 	cmd := exec.Command(args[0], args[1:]...)
 	cmd.Stdout, cmd.Stderr = p.out, p.out
 	p.cmd = cmd
+	p.started = append(p.started, time.Now())
 	p.starts.Add(1)
 	return startIgnoringHangup(cmd)
 }
@@ -66,9 +68,13 @@
 }
 
 // restart sends a signal, waits for the process to exit and starts it again.
-func (p *process) restart(s os.Signal) error {
+func (p *process) restart(s os.Signal) error { return p.restartAfter(s, 0) }
+
+// restartAfter is restart with a pause before the start.
+func (p *process) restartAfter(s os.Signal, pause time.Duration) error {
 	p.signal(s)
 	p.wait()
+	<-time.After(pause)
 	return p.start()
 }
 
@@ -80,7 +86,8 @@
 	logs             *lockedBuffer
 }
 
-// upstreamProc is one upstream process. Each start is a new incarnation.
+// upstreamProc is one upstream process. Each start is a new incarnation, with an ID of its own
+// unless upstreams turn cold.
 type upstreamProc struct {
 	*process
 	path        *proxy
@@ -106,7 +113,9 @@
 	kills        bool         // Callers send at a constant rate, mostly requests that may be retried.
 	splits       bool         // Some requests go to a route that is split between two services.
 	shapes       bool         // Only planned work happens.
+	colds        bool         // Upstreams turn cold, and start again under their IDs.
 	links        links
+	called       atomic.Pointer[[]int] // The VMs that callers use; nil: all.
 
 	mu       sync.Mutex
 	versions []version
@@ -136,7 +145,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, ledger: newLedger(), acceptAlways: c.Taking, returns: c.Returns, objects: c.Restores || c.Cuts, homes: c.Cuts, kills: c.Kills, splits: c.Weights, shapes: c.Shapes, evacuated: make(map[string]bool)}
+	f := &fleet{dir: dir, ledger: newLedger(), acceptAlways: c.Taking, returns: c.Returns, objects: c.Restores || c.Cuts, homes: c.Cuts, kills: c.Kills, splits: c.Weights, shapes: c.Shapes, colds: c.Colds, evacuated: make(map[string]bool)}
 	if f.storeAddr, err = freeport.Addr(); err != nil {
 		return nil, err
 	}
@@ -194,10 +203,17 @@
 	zone, _ := zoneOf(i)
 	u.process = &process{name: fmt.Sprint("upstream-", i), out: &lineWriter{take: f.ledger.parseLine}, args: func() []string {
 		u.incarnation++
-		return []string{
-			os.Args[0], "upstream", "--id", fmt.Sprintf("i-%d-%d", i, u.incarnation), "--service", service, "--zone", zone, "--addr", path.addr(),
-			"--listen", listen, "--store", f.storeAddr, "--cut-share", "0.01", "--fail-share", "0.01",
+		id, starts := u.incarnation, []string(nil)
+		if f.colds {
+			if starts = []string{"--same-id"}; id > 1 {
+				starts = append(starts, "--cold", standin.ColdStart.String())
+			}
+			id = 1
 		}
+		return append([]string{
+			os.Args[0], "upstream", "--id", fmt.Sprintf("i-%d-%d", i, id), "--service", service, "--zone", zone, "--addr", path.addr(),
+			"--listen", listen, "--store", f.storeAddr, "--cut-share", "0.01", "--fail-share", "0.01",
+		}, starts...)
 	}}
 	f.upstreams = append(f.upstreams, u)
 	return u.start()
@@ -299,7 +315,7 @@
 
 const (
 	// operateTimeout bounds how long an order is repeated while the store is away.
-	operateTimeout  = 5 * time.Second
+	operateTimeout  = 15 * time.Second
 	operateInterval = 30 * time.Millisecond
 )
 
--- a/tools/soak/ledger.go
+++ b/tools/soak/ledger.go
@@ -40,10 +40,16 @@
 	upstreams  map[string]*incarnationLog // By incarnation.
 	// otherFrom is the number of the first upstream of the second service; 0: there is none.
 	otherFrom int
+	colds     map[coldKey][]coldArrival
+	checks    map[string][]time.Time // Health checks by upstream.
+	takenBack map[string][]time.Time // When the evacuations of an upstream's zone ended.
 }
 
 func newLedger() *ledger {
-	return &ledger{entries: make(map[string]*entry), upstreams: make(map[string]*incarnationLog)}
+	return &ledger{
+		entries: make(map[string]*entry), upstreams: make(map[string]*incarnationLog),
+		colds: make(map[coldKey][]coldArrival), checks: make(map[string][]time.Time), takenBack: make(map[string][]time.Time),
+	}
 }
 
 func (l *ledger) entry(id string) *entry {
@@ -143,6 +149,10 @@
 		if e.arrivals++; e.arrivals > 1 {
 			l.repeats = append(l.repeats, time.Now())
 		}
+	case "Cold":
+		l.recordCold(id)
+	case "Checked":
+		l.recordCheck(id)
 	case "Ran":
 		l.entry(id).ran++
 	case "Said":
@@ -166,6 +176,8 @@
 
 	probed, versions, repeats int
 	restores, cuts, kills     int
+	colds, mostCold           int // Turns to cold, and the most requests at a cold upstream in a second.
+	checks, mostChecks        int // Health checks, and the most at an upstream in a second.
 	poisoned                  int // Runs of poison requests.
 	began                     time.Time
 	injected                  []injectedFault
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -49,6 +49,7 @@
 	Kills     bool          `help:"Most responses of upstreams are lost, and most VMs are killed at once and in series meanwhile."`
 	Returns   bool          `help:"Refused callers get appointments, and come back when they are told."`
 	Weights   bool          `help:"A route is split between two services, and each version of the rules changes its weights."`
+	Colds     bool          `help:"Upstreams turn cold, and zones of them come back cold under their IDs, while VMs do not see the store or start."`
 	Shapes    bool          `help:"Callers with small windows send requests of all kinds behind one another, with bodies and responses of drawn sizes; only planned work happens."`
 	Plots     string        `help:"Directory for a timeline of each seed." type:"path"`
 	Logs      string        `help:"Directory for the VMs' logs of seeds that fail." type:"path"`
@@ -99,16 +100,22 @@
 type upstreamCmd struct {
 	ID, Service, Zone, Addr, Listen, Store string
 	CutShare, FailShare                    float64
+	Cold                                   time.Duration
+	SameID                                 bool `name:"same-id"`
 }
 
 // Run serves until SIGTERM, then drains. After a crash it starts the next incarnation.
 func (c *upstreamCmd) Run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
+	var born int64
+	if c.SameID {
+		born = time.Now().UnixMilli()
+	}
 	for incarnation := 0; ; incarnation++ {
 		err := standin.NewUpstream(standin.UpstreamConfig{
 			ID: fmt.Sprint(c.ID, "-", incarnation), Service: c.Service, Zone: c.Zone, Addr: c.Addr, Listen: c.Listen, Store: c.Store,
-			CutShare: c.CutShare, FailShare: c.FailShare, Report: os.Stdout,
+			CutShare: c.CutShare, FailShare: c.FailShare, ColdFor: c.Cold, Born: born, Report: os.Stdout,
 		}).Run(ctx)
 		if !errors.Is(err, standin.ErrCrashed) {
 			return err
--- a/tools/soak/probe.go
+++ b/tools/soak/probe.go
@@ -161,5 +161,6 @@
 	return strings.Join([]string{
 		fmt.Sprintf("%d rules probed", r.probed), fmt.Sprintf("%d versions", r.versions), fmt.Sprintf("%d sent again", r.repeats),
 		fmt.Sprintf("%d poison requests run", r.poisoned), fmt.Sprintf("%d restores, %d cuts, %d kills", r.restores, r.cuts, r.kills),
+		fmt.Sprintf("%d turns to cold with up to %d requests a second, %d health checks, up to %d a second", r.colds, r.mostCold, r.checks, r.mostChecks),
 	}, ", ")
 }
--- a/tools/soak/store.go
+++ b/tools/soak/store.go
@@ -42,6 +42,8 @@
 	switch r.URL.Path {
 	case "/soak/away":
 		c.store.SetAway(true)
+	case "/soak/back":
+		c.store.SetAway(false)
 	case "/soak/lose":
 		for i := range loseBy {
 			c.store.Put("other", strconv.Itoa(i), nil)
