core/dispatch, io/vm: an upstream of which nothing is known warms up

Callers saw: a VM that had just started sent its full share to an upstream that had just started too, and may not bear it yet.

Cause: the zero value of dispatch.Health was Up, and the silence of peers was reported as Up.

Change: the zero value is Unknown. The load of an unknown upstream is increased as that of a cold one, until a probe says what state it is in. A VM that is about to send to an unknown upstream probes it itself, once in a probe interval at most, and finds it within 100 ms, so that a service whose upstreams are up has all its slots at once. Peers who report nothing confirm nothing. A failed probe below the threshold is no report any more: it repeated Up.

Before the change TestUnknownUpstreamWarmsUp found 4 slots in use before any probe (want 1), and TestSilenceConfirmsNothing 4 (want 1).

--- a/core/dispatch/allocation.go
+++ b/core/dispatch/allocation.go
@@ -104,12 +104,22 @@
 func (a *allocation) held() int { return max(a.inForce, a.intent, a.inUse) }
 
 // limit returns how many slots may be in use now. It grows from 1 to all of
-// inForce while a cold upstream warms up.
+// inForce while a cold or unknown upstream warms up.
 func (a *allocation) limit(now time.Time) int {
-	if a.coldSince.IsZero() {
+	n := a.warmedUp(now, a.coldSince)
+	if a.state == Unknown {
+		n = min(n, a.warmedUp(now, a.stateAt))
+	}
+	return n
+}
+
+// warmedUp returns how many slots may be in use now if the upstream warms up since a time; zero:
+// it does not.
+func (a *allocation) warmedUp(now, since time.Time) int {
+	if since.IsZero() {
 		return a.inForce
 	}
-	warm := now.Sub(a.coldSince)
+	warm := now.Sub(since)
 	if warm >= WarmUp {
 		return a.inForce
 	}
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -9,9 +9,11 @@
 // Health is the health state of an upstream.
 type Health int
 
-// The zero value is Up, so that an upstream without any reports gets requests.
 const (
-	Up Health = iota
+	// Unknown upstreams may have just started, as far as this VM knows. They get requests, and
+	// their load is increased gradually until a probe says what state they are in.
+	Unknown Health = iota
+	Up
 	Down
 	// Leaving upstreams finish the requests they have and get no new ones.
 	Leaving
@@ -22,6 +24,8 @@
 // String returns the state's name.
 func (h Health) String() string {
 	switch h {
+	case Unknown:
+		return "Unknown"
 	case Down:
 		return "Down"
 	case Leaving:
@@ -33,7 +37,7 @@
 	}
 }
 
-// ParseHealth returns the state named s. An unknown name is Up.
+// ParseHealth returns the state named s, which is never Unknown. An unknown name is Up.
 func ParseHealth(s string) Health {
 	for _, h := range []Health{Down, Leaving, Cold} {
 		if s == h.String() {
@@ -44,7 +48,7 @@
 }
 
 const (
-	// WarmUp is how long a cold upstream takes to reach its full share.
+	// WarmUp is how long a cold or unknown upstream takes to reach its full share.
 	WarmUp = 20 * time.Second
 	// maxFailures is how many requests must fail in a row before the upstream
 	// is Down.
@@ -93,9 +97,13 @@
 	}
 }
 
-// reportHealth records a reported state. Only Leaving replaces a Down state
-// that failed requests have caused within the last downRetryInterval.
+// reportHealth records a reported state. Unknown means that nobody reports a state other than Up,
+// which does not confirm that the upstream is up. Only Leaving replaces a Down state that failed
+// requests have caused within the last downRetryInterval.
 func (a *allocation) reportHealth(now time.Time, state Health) {
+	if state == Unknown && a.state == Up {
+		return
+	}
 	if a.state == Down && state != Leaving && now.Sub(a.stateAt) < downRetryInterval && a.failures >= maxFailures {
 		return
 	}
@@ -105,13 +113,13 @@
 }
 
 // forgetHealth forgets what is known of the upstream: another one has its name.
-func (a *allocation) forgetHealth() {
-	a.state, a.stateAt, a.coldSince, a.failures, a.latency = Up, time.Time{}, time.Time{}, 0, 0
+func (a *allocation) forgetHealth(now time.Time) {
+	a.state, a.stateAt, a.coldSince, a.failures, a.latency = Unknown, now, time.Time{}, 0, 0
 	a.pausedUntil = time.Time{}
 }
 
 func (a *allocation) setState(now time.Time, state Health) {
-	if state == Cold || (a.state == Down && state == Up) {
+	if state == Cold || (a.state == Down && (state == Up || state == Unknown)) {
 		a.coldSince = now
 	}
 	if state != Down {
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -45,7 +45,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastTick = now
-	p.applyView(v)
+	p.applyView(now, v)
 	held := make(map[string]int)
 	for _, s := range p.services {
 		index := slices.Index(s.dispatchers, p.self)
@@ -74,7 +74,7 @@
 }
 
 // applyView updates targets and services to match the view.
-func (p *Pool) applyView(v View) {
+func (p *Pool) applyView(now time.Time, v View) {
 	slots := make(map[string]int)
 	seen := make(map[string]bool, len(v.Targets))
 	services := make(map[string]*service, len(v.Services))
@@ -93,11 +93,11 @@
 		}
 		a := p.allocations[t.Name]
 		if a == nil {
-			a = &allocation{}
+			a = &allocation{stateAt: now}
 			p.allocations[t.Name] = a
 		}
 		if a.target != nil && (a.target.Addr != t.Addr || a.target.Service != t.Service) {
-			a.forgetHealth()
+			a.forgetHealth(now)
 		}
 		a.target, a.drained = t, v.Drained[t.Name]
 		s.allocations = append(s.allocations, a)
@@ -218,6 +218,19 @@
 	}
 }
 
+// Unconfirmed returns the upstreams of which this VM may use slots and does not know the state.
+func (p *Pool) Unconfirmed() []*inventory.Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []*inventory.Target
+	for _, a := range p.allocations {
+		if a.state == Unknown && a.intent > 0 {
+			list = append(list, a.target)
+		}
+	}
+	return list
+}
+
 // ForgetFailures forgets what failed requests and probes have shown of the upstreams. It is called
 // when the VM's own links were at fault.
 func (p *Pool) ForgetFailures(now time.Time) {
--- a/io/vm/health.go
+++ b/io/vm/health.go
@@ -18,6 +18,9 @@
 const (
 	// probersPerUpstream is how many VMs of the zone probe an upstream.
 	probersPerUpstream = 2
+	// confirmInterval is the interval between searches for upstreams whose state the VM does not
+	// know. They get a part of their requests only, so they are probed soon.
+	confirmInterval = 100 * time.Millisecond
 	// downThreshold is how many consecutive failed probes make an upstream Down.
 	downThreshold = 2
 )
@@ -76,13 +79,13 @@
 	clear(r.failed)
 }
 
-// reports returns the states other than Up, which the VM publishes to its peers.
+// reports returns the states, other than Up, that the VM publishes to its peers.
 func (r *healthRecord) reports() map[string]string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := make(map[string]string)
 	for target, h := range r.states {
-		if h != dispatch.Up {
+		if h != dispatch.Up && h != dispatch.Unknown {
 			out[target] = h.String()
 		}
 	}
@@ -108,7 +111,7 @@
 			if slices.Contains(ranked[:min(probersPerUpstream, len(ranked))], v.cfg.Name) {
 				mine[t.Name] = true
 				wg.Add(1)
-				go (&probe{vm: v, target: t, wg: &wg}).run(ctx)
+				go (&probe{vm: v, target: t, done: wg.Done}).run(ctx)
 			}
 		}
 		wg.Wait()
@@ -116,28 +119,56 @@
 	})
 }
 
+// confirmLoop probes the upstreams that this VM sends requests to and whose state it does not
+// know, each of them once in a probe interval at most.
+func (v *VM) confirmLoop(ctx context.Context) {
+	probed := make(map[string]time.Time)
+	lifecycle.Every(ctx, confirmInterval, func(now time.Time) {
+		maps.DeleteFunc(probed, func(_ string, at time.Time) bool { return now.Sub(at) >= v.cfg.Timing.Probe })
+		for _, t := range v.pool.Unconfirmed() {
+			if _, ok := probed[t.Name]; !ok {
+				probed[t.Name] = now
+				v.background.Add(1)
+				go (&probe{vm: v, target: t, done: v.background.Done}).confirm(ctx)
+			}
+		}
+	})
+}
+
 // probe is one probe of one upstream.
 type probe struct {
 	vm     *VM
 	target *inventory.Target
-	wg     *sync.WaitGroup
+	done   func()
 }
 
 // run probes the upstream and records the outcome.
 func (p *probe) run(ctx context.Context) {
-	defer p.wg.Done()
+	defer p.done()
 	began := time.Now()
 	h, err := p.vm.upstreams.Probe(ctx, p.target)
 	if ctx.Err() != nil || p.vm.links.Disturbed(began) {
 		return
 	}
 	state, before := p.vm.health.record(p.target.Name, p.target.Addr, h, err)
+	if err != nil && state != dispatch.Down {
+		return
+	}
 	p.vm.pool.ReportHealth(time.Now(), p.target.Name, state)
-	if state != before {
+	if state != before && (state != dispatch.Up || before != dispatch.Unknown) {
 		p.vm.log.WithFields(logrus.Fields{"Target": p.target.Name, "Health": state, "Before": before, "Err": err}).Info("HealthChanged")
 	}
 }
 
+// confirm probes the upstream for this VM alone. A failed probe says nothing: the VMs that are
+// ranked for the upstream find out whether it is Down.
+func (p *probe) confirm(ctx context.Context) {
+	defer p.done()
+	if h, err := p.vm.upstreams.Probe(ctx, p.target); err == nil {
+		p.vm.pool.ReportHealth(time.Now(), p.target.Name, h)
+	}
+}
+
 // mergeHealth applies the states that peers published for the upstreams that this
 // VM does not probe itself.
 func (v *VM) mergeHealth(now time.Time, inv *inventory.Inventory) {
@@ -157,13 +188,13 @@
 	}
 }
 
-// worse returns the worse of two reported states. Leaving comes first, as the
-// upstream reports it itself, then Down, then Cold.
+// worse returns the worse of two reported states, or Unknown if none of them is a reason to send
+// less. Leaving comes first, as the upstream reports it itself, then Down, then Cold.
 func worse(a, b dispatch.Health) dispatch.Health {
 	for _, h := range []dispatch.Health{dispatch.Leaving, dispatch.Down, dispatch.Cold} {
 		if a == h || b == h {
 			return h
 		}
 	}
-	return dispatch.Up
+	return dispatch.Unknown
 }
--- a/io/vm/heartbeat.go
+++ b/io/vm/heartbeat.go
@@ -38,7 +38,7 @@
 
 // startLoops starts the background loops.
 func (v *VM) startLoops(ctx context.Context) {
-	for _, loop := range []func(context.Context){v.heartbeatLoop, v.configLoop, v.listLoop, v.steerLoop, v.probeLoop, v.links.Loop, v.sweepLoop} {
+	for _, loop := range []func(context.Context){v.heartbeatLoop, v.configLoop, v.listLoop, v.steerLoop, v.probeLoop, v.confirmLoop, v.links.Loop, v.sweepLoop} {
 		v.background.Start(ctx, loop)
 	}
 }
