core/dispatch: a broken connection makes an upstream unknown

Callers saw: an upstream that crashed and came back within fewer than three failures, or between two probes, got its full share at once though it was cold.

Cause: only three failures in a row, or two failed probes, changed what a VM held of an upstream. One failure says already that its process may be another one.

Failures in a row are forgotten with the end of Down only, as a probe that says Up in between would otherwise keep an upstream that breaks each connection from being Down.

Before the change TestBrokenConnectionMakesHealthUnknown found 4 slots in use after a broken and after a refused connection (want 1). The price, by the same rule: an upstream that breaks connections without having ended gets one request at a time of each VM, until it is probed.

--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -91,17 +91,37 @@
 		}
 	case s.Err != nil && verdict.As(s.Err).Reason != verdict.ReasonCanceled:
 		a.failures++
-		if a.failures >= maxFailures && a.state != Leaving {
+		switch {
+		case a.state == Leaving:
+		case a.failures >= maxFailures:
 			a.setState(now, Down)
+		case lostConnection(s.Err):
+			a.doubt(now)
 		}
 	}
 }
 
+// lostConnection reports whether an error is that a connection broke or could not be opened, as
+// when the upstream's process has ended.
+func lostConnection(err error) bool {
+	reason := verdict.As(err).Reason
+	return reason == verdict.ReasonBroken || reason == verdict.ReasonUnreachable
+}
+
+// doubt records that the upstream may have started again, so that what was known of it does not
+// apply any more.
+func (a *allocation) doubt(now time.Time) {
+	if a.state != Down && a.state != Leaving {
+		a.state, a.stateAt = Unknown, now
+	}
+}
+
 // reportHealth records a reported state. Unknown means that nobody reports a state other than Up,
-// which does not confirm that the upstream is up. Only Leaving replaces a Down state that failed
-// requests have caused within the last downRetryInterval.
-func (a *allocation) reportHealth(now time.Time, state Health) {
-	if state == Unknown && a.state == Up {
+// which does not confirm that the upstream is up. An unknown upstream is Up only as of a later time
+// than that of the doubt. Only Leaving replaces a Down state that failed requests have caused within
+// the last downRetryInterval.
+func (a *allocation) reportHealth(now, asOf time.Time, state Health) {
+	if a.state == Up && state == Unknown || a.state == Unknown && state == Up && asOf.Before(a.stateAt) {
 		return
 	}
 	if a.state == Down && state != Leaving && now.Sub(a.stateAt) < downRetryInterval && a.failures >= maxFailures {
@@ -122,7 +142,7 @@
 	if state == Cold || (a.state == Down && (state == Up || state == Unknown)) {
 		a.coldSince = now
 	}
-	if state != Down {
+	if a.state == Down && state != Down {
 		a.failures = 0
 	}
 	a.state, a.stateAt = state, now
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -208,13 +208,13 @@
 	}
 }
 
-// ReportHealth records the health of an upstream as reported by a probe, by the
+// ReportHealth records the health of an upstream, as of a time, as reported by a probe, by the
 // upstream itself or by a peer.
-func (p *Pool) ReportHealth(now time.Time, target string, state Health) {
+func (p *Pool) ReportHealth(now, asOf time.Time, target string, state Health) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if a := p.allocations[target]; a != nil {
-		a.reportHealth(now, state)
+		a.reportHealth(now, asOf, state)
 	}
 }
 
--- a/core/dispatch/pool_prop_test.go
+++ b/core/dispatch/pool_prop_test.go
@@ -104,7 +104,7 @@
 	}
 	held := vm.pool.Tick(now, view)
 	for _, t := range propTargets {
-		vm.pool.ReportHealth(now, t.Name, dispatch.Up) // So that all slots in force are used.
+		vm.pool.ReportHealth(now, now, t.Name, dispatch.Up) // So that all slots in force are used.
 	}
 	vm.table.Publish(now, member.VM{Name: vm.name, Zone: "z", Leaving: vm.leaving, Dispatches: synced, Held: held, Pending: vm.pool.Pending()})
 }
--- a/core/dispatch/pool_test.go
+++ b/core/dispatch/pool_test.go
@@ -32,7 +32,7 @@
 	p.Tick(at(0.5), alone(1, targets...))
 	p.Tick(at(1), alone(2, targets...))
 	for _, t := range targets {
-		p.ReportHealth(at(1), t.Name, Up)
+		p.ReportHealth(at(1), at(1), t.Name, Up)
 	}
 	return p
 }
@@ -98,7 +98,7 @@
 // flight go on.
 func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
 	p := newPool(four, three)
-	p.ReportHealth(at(1), "t4", Leaving)
+	p.ReportHealth(at(1), at(1), "t4", Leaving)
 	for _, name := range offers(p, at(1)) {
 		if name == "t4" {
 			t.Fatalf("a leaving upstream got a request")
@@ -111,13 +111,13 @@
 // it.
 func TestDownIsIgnoredWhenMostUpstreamsAreDown(t *testing.T) {
 	p := newPool(four, three)
-	p.ReportHealth(at(1), "t4", Down)
+	p.ReportHealth(at(1), at(1), "t4", Down)
 	if got := len(offers(p, at(1))); got != 3 {
 		t.Errorf("with one of two upstreams down: %d slots, want 3", got)
 	}
 	p = newPool(four, three)
-	p.ReportHealth(at(1), "t4", Down)
-	p.ReportHealth(at(1), "t3", Down)
+	p.ReportHealth(at(1), at(1), "t4", Down)
+	p.ReportHealth(at(1), at(1), "t3", Down)
 	if got := len(offers(p, at(1))); got != 7 {
 		t.Errorf("with both upstreams down: %d slots, want 7", got)
 	}
@@ -127,7 +127,7 @@
 // callers sent there would wait.
 func TestColdUpstreamWarmsUp(t *testing.T) {
 	p := newPool(four)
-	p.ReportHealth(at(1), "t4", Cold)
+	p.ReportHealth(at(1), at(1), "t4", Cold)
 	if got := len(offers(p, at(1.1))); got != 1 {
 		t.Errorf("cold: %d slots, want 1", got)
 	}
@@ -298,7 +298,7 @@
 	}
 	shed := verdict.New(verdict.NotRun, verdict.ReasonShed, time.Second)
 	p.Done(at(1.1), "t4", Sample{Err: shed, Shed: true, Pause: 3 * time.Second})
-	p.ReportHealth(at(2), "t4", Up)
+	p.ReportHealth(at(2), at(2), "t4", Up)
 	for _, seconds := range []float64{1.2, 2.5, 4} {
 		p.Tick(at(seconds), alone(3, four))
 		if got := offers(p, at(seconds)); len(got) > 0 {
--- a/core/dispatch/stale_test.go
+++ b/core/dispatch/stale_test.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "testing"
+import (
+	"testing"
+
+	"auburnlatch/core/verdict"
+)
 
 // Guards against a VM that has just started and sends its full share to an upstream of which
 // nobody has said that it is warm.
@@ -11,7 +15,7 @@
 	if got := len(offers(p, at(1))); got != 1 {
 		t.Errorf("%d slots before any probe, want 1", got)
 	}
-	p.ReportHealth(at(1.1), "t4", Up)
+	p.ReportHealth(at(1.1), at(1.1), "t4", Up)
 	if got := len(offers(p, at(1.1))); got != 3 {
 		t.Errorf("%d more slots once a probe has said Up, want 3", got)
 	}
@@ -33,8 +37,67 @@
 	p := NewPool("a")
 	p.Tick(at(0.5), alone(1, four))
 	p.Tick(at(1), alone(2, four))
-	p.ReportHealth(at(1), "t4", Unknown)
+	p.ReportHealth(at(1), at(1), "t4", Unknown)
 	if got := len(offers(p, at(1))); got != 1 {
 		t.Errorf("%d slots, want 1", got)
 	}
 }
+
+// broken is the outcome of a request whose connection to the upstream broke.
+var broken = Sample{Err: verdict.New(verdict.MaybeRan, verdict.ReasonBroken, 0)}
+
+// Guards against an upstream that ends and is back before a third request fails or a probe is due,
+// and that gets its full share though it has just started.
+func TestBrokenConnectionMakesHealthUnknown(t *testing.T) {
+	refused := Sample{Err: verdict.New(verdict.NotRun, verdict.ReasonUnreachable, 0)}
+	for name, sample := range map[string]Sample{"broken": broken, "refused": refused} {
+		p := newPool(four)
+		if _, ok := p.Offer(at(1.1), "istoric"); !ok {
+			t.Fatal("Offer found no free slot")
+		}
+		p.Done(at(1.2), "t4", sample)
+		if got := len(offers(p, at(1.2))); got != 1 {
+			t.Errorf("%s: %d slots, want 1", name, got)
+		}
+		p.ReportHealth(at(1.3), at(1.1), "t4", Up)
+		if got := len(offers(p, at(1.3))); got != 0 {
+			t.Errorf("%s: %d more slots by a probe from before, want 0", name, got)
+		}
+		p.ReportHealth(at(1.4), at(1.3), "t4", Up)
+		if got := len(offers(p, at(1.4))); got != 3 {
+			t.Errorf("%s: %d more slots once a probe has said Up, want 3", name, got)
+		}
+	}
+}
+
+// Guards against an upstream that breaks each connection and is never Down, because its probes
+// succeed in between.
+func TestUpstreamThatBreaksConnectionsIsDown(t *testing.T) {
+	p := newPool(four, three)
+	for i := range maxFailures {
+		now := at(1.1 + float64(i)/10)
+		p.allocations["t4"].inUse++
+		p.Done(now, "t4", broken)
+		p.ReportHealth(now.Add(1), now.Add(1), "t4", Up)
+	}
+	if got := p.allocations["t4"].state; got != Down {
+		t.Errorf("the upstream is %v after %d broken connections in a row", got, maxFailures)
+	}
+}
+
+// Guards against callers who go away or are too late, or an upstream that sheds, for which an
+// upstream would lose its share.
+func TestOtherFailuresSayNothingOfAStart(t *testing.T) {
+	for _, sample := range []Sample{
+		{Err: verdict.New(verdict.MaybeRan, verdict.ReasonCanceled, 0)},
+		{Err: verdict.New(verdict.MaybeRan, verdict.ReasonDeadline, 0)},
+		{Err: verdict.New(verdict.NotRun, verdict.ReasonShed, 0), Shed: true},
+	} {
+		p := newPool(four)
+		p.Offer(at(1.1), "istoric")
+		p.Done(at(1.2), "t4", sample)
+		if got := len(offers(p, at(1.2))); got != 4 {
+			t.Errorf("%v: %d slots, want 4", sample.Err, got)
+		}
+	}
+}
--- a/io/vm/health.go
+++ b/io/vm/health.go
@@ -154,7 +154,7 @@
 	if err != nil && state != dispatch.Down {
 		return
 	}
-	p.vm.pool.ReportHealth(time.Now(), p.target.Name, state)
+	p.vm.pool.ReportHealth(time.Now(), began, p.target.Name, state)
 	if state != before && (state != dispatch.Up || before != dispatch.Unknown) {
 		p.vm.log.WithFields(logrus.Fields{"Target": p.target.Name, "Health": state, "Before": before, "Err": err}).Info("HealthChanged")
 	}
@@ -164,8 +164,9 @@
 // ranked for the upstream find out whether it is Down.
 func (p *probe) confirm(ctx context.Context) {
 	defer p.done()
+	began := time.Now()
 	if h, err := p.vm.upstreams.Probe(ctx, p.target); err == nil {
-		p.vm.pool.ReportHealth(time.Now(), p.target.Name, h)
+		p.vm.pool.ReportHealth(time.Now(), began, p.target.Name, h)
 	}
 }
 
@@ -183,7 +184,7 @@
 	}
 	for _, t := range inv.ZoneTargets(v.cfg.Zone) {
 		if !v.health.probes(t.Name) {
-			v.pool.ReportHealth(now, t.Name, found[t.Name])
+			v.pool.ReportHealth(now, now, t.Name, found[t.Name])
 		}
 	}
 }
