core/dispatch: an upstream that has left and is back starts cold

Callers saw: an upstream that was restarted gracefully between two probes got its full share at once, under the name and address that it had.

Cause: leaving is final for a process, so one that was Leaving and is Up is another process. Only the end of Down began a warm-up.

Change: the end of Leaving begins one too.

Before the change TestUpstreamThatHasLeftStartsCold found 4 slots in use (want 1).

--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -139,7 +139,8 @@
 }
 
 func (a *allocation) setState(now time.Time, state Health) {
-	if state == Cold || (a.state == Down && (state == Up || state == Unknown)) {
+	ended := a.state == Down || a.state == Leaving
+	if state == Cold || ended && (state == Up || state == Unknown) {
 		a.coldSince = now
 	}
 	if a.state == Down && state != Down {
--- a/core/dispatch/stale_test.go
+++ b/core/dispatch/stale_test.go
@@ -101,3 +101,14 @@
 		}
 	}
 }
+
+// Guards against an upstream that has left and started again between two probes, and that gets its
+// full share though it has just started.
+func TestUpstreamThatHasLeftStartsCold(t *testing.T) {
+	p := newPool(four)
+	p.ReportHealth(at(1.1), at(1.1), "t4", Leaving)
+	p.ReportHealth(at(2), at(2), "t4", Up)
+	if got := len(offers(p, at(2))); got != 1 {
+		t.Errorf("%d slots, want 1", got)
+	}
+}
