core/dispatch: an upstream that is leaving outlives the reports of it

Callers saw: an upstream that was leaving got new requests, when the VMs that probe it were no longer heard from.

Cause: the silence of peers replaced Leaving, as it replaces Down and Cold.

Change: silence leaves an upstream Leaving. A VM that may send to it probes it itself, so that it is used again when it is back.

Before the change TestLeavingOutlivesItsReporters found a request sent to it (want none).

--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -117,11 +117,15 @@
 }
 
 // reportHealth records a reported state. Unknown means that nobody reports a state other than Up,
-// which does not confirm that the upstream is up. An unknown upstream is Up only as of a later time
-// than that of the doubt. Only Leaving replaces a Down state that failed requests have caused within
-// the last downRetryInterval.
+// which does not confirm that the upstream is up: those who reported that it is leaving may not be
+// heard from any more. An unknown upstream is Up only as of a later time than that of the doubt.
+// Only Leaving replaces a Down state that failed requests have caused within the last
+// downRetryInterval.
 func (a *allocation) reportHealth(now, asOf time.Time, state Health) {
-	if a.state == Up && state == Unknown || a.state == Unknown && state == Up && asOf.Before(a.stateAt) {
+	switch {
+	case state == Unknown && (a.state == Up || a.state == Leaving):
+		return
+	case state == Up && a.state == Unknown && asOf.Before(a.stateAt):
 		return
 	}
 	if a.state == Down && state != Leaving && now.Sub(a.stateAt) < downRetryInterval && a.failures >= maxFailures {
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -218,13 +218,14 @@
 	}
 }
 
-// Unconfirmed returns the upstreams of which this VM may use slots and does not know the state.
+// Unconfirmed returns the upstreams of which this VM may use slots and does not know the state, and
+// those that are leaving, which may be back as other processes.
 func (p *Pool) Unconfirmed() []*inventory.Target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []*inventory.Target
 	for _, a := range p.allocations {
-		if a.state == Unknown && a.intent > 0 {
+		if (a.state == Unknown || a.state == Leaving) && a.intent > 0 {
 			list = append(list, a.target)
 		}
 	}
--- a/core/dispatch/stale_test.go
+++ b/core/dispatch/stale_test.go
@@ -112,3 +112,21 @@
 		t.Errorf("%d slots, want 1", got)
 	}
 }
+
+// Guards against an upstream that is leaving and gets requests again, because the peers who have
+// reported it are not heard from any more.
+func TestLeavingOutlivesItsReporters(t *testing.T) {
+	p := newPool(four)
+	p.ReportHealth(at(1.1), at(1.1), "t4", Leaving)
+	p.ReportHealth(at(2), at(2), "t4", Unknown)
+	if got := len(offers(p, at(2))); got != 0 {
+		t.Errorf("%d slots, want 0", got)
+	}
+	if list := p.Unconfirmed(); len(list) != 1 {
+		t.Errorf("%d upstreams to be probed, want the one that was leaving", len(list))
+	}
+	p.ReportHealth(at(3), at(3), "t4", Up)
+	if got := len(offers(p, at(3))); got != 1 {
+		t.Errorf("%d slots once it is back, want 1", got)
+	}
+}
