core/dispatch: a VM that was paused knows no upstream's health

Callers saw: a VM that was suspended for some seconds sent its full share to upstreams that had started again meanwhile.

Cause: after a pause the VM grants no slot until its next tick, and then took the health from before the pause for current.

Change: the first tick after a pause makes all upstreams unknown, until probes that began after it say otherwise.

Before the change TestSuspendedVMDoubtsAllUpstreams found 4 slots in use (want 1).

TestColdUpstreamWarmsUp left out ten seconds of ticks, which is such a pause; it now ticks each second and wants the same figures.

--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -44,6 +44,9 @@
 func (p *Pool) Tick(now time.Time, v View) map[string]int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.lastTick.IsZero() && p.fenced(now) {
+		p.doubtAll(now)
+	}
 	p.lastTick = now
 	p.applyView(now, v)
 	held := make(map[string]int)
@@ -137,6 +140,13 @@
 // also covers the first request after a pause.
 func (p *Pool) fenced(now time.Time) bool { return now.Sub(p.lastTick) > FenceAfter }
 
+// doubtAll makes all upstreams unknown, after a time in which the VM did not see them.
+func (p *Pool) doubtAll(now time.Time) {
+	for _, a := range p.allocations {
+		a.doubt(now)
+	}
+}
+
 // Offer takes a free slot for the service and returns its target. It reports
 // false if this VM has no free slot.
 func (p *Pool) Offer(now time.Time, serviceName string) (*inventory.Target, bool) {
