core/dispatch: regained links leave upstreams unknown

Callers saw: upstreams that started again while a VM was cut off from them got its full share when its links were back.

Cause: ForgetFailures made Down upstreams Up, and left others as they were before the cut.

Change: it makes all of them unknown, without the warm-up of those that were Down, as the fault was the links'. A probe that says Up gives them their full share.

--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -243,16 +243,18 @@
 }
 
 // ForgetFailures forgets what failed requests and probes have shown of the upstreams. It is called
-// when the VM's own links were at fault.
+// when the VM's own links were at fault. What it knew before is old: until they are probed, the
+// upstreams may have started again meanwhile.
 func (p *Pool) ForgetFailures(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, a := range p.allocations {
 		a.failures = 0
 		if a.state == Down {
-			a.state, a.stateAt = Up, now // Not by setState: the upstream is not cold.
+			a.state = Unknown // Not by setState: the upstream need not be cold.
 		}
 	}
+	p.doubtAll(now)
 }
 
 // Dispatchers returns the names of the VMs that dispatch the service in this
--- a/core/dispatch/stale_test.go
+++ b/core/dispatch/stale_test.go
@@ -145,3 +145,22 @@
 		t.Errorf("%d more slots by a probe from before, want 0", got)
 	}
 }
+
+// Guards against upstreams that started again while the VM's own links were cut, and that get
+// their full share when the links are back.
+func TestRegainedLinksLeaveUpstreamsUnknown(t *testing.T) {
+	p := newPool(four, three)
+	for range maxFailures {
+		p.allocations["t4"].inUse++
+		p.Done(at(1.1), "t4", broken)
+	}
+	p.ForgetFailures(at(2))
+	if got := len(offers(p, at(2))); got != 2 {
+		t.Errorf("%d slots, want 1 of each of two upstreams", got)
+	}
+	p.ReportHealth(at(2.1), at(2.1), "t4", Up)
+	p.ReportHealth(at(2.1), at(2.1), "t3", Up)
+	if got := len(offers(p, at(2.1))); got != 5 {
+		t.Errorf("%d more slots once probes have said Up, want 5: the fault was the links'", got)
+	}
+}
