--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -9,9 +9,11 @@
 // Health is the health state of an upstream.
 type Health int
 
-// The zero value is Up, so that an upstream without any reports gets requests.
 const (
-	Up Health = iota
+	// Unknown upstreams may have just started, as far as this VM knows. They get requests, and
+	// their load is increased gradually until a probe says what state they are in.
+	Unknown Health = iota
+	Up
 	Down
 	// Leaving upstreams finish the requests they have and get no new ones.
 	Leaving
@@ -22,6 +24,8 @@
 // String returns the state's name.
 func (h Health) String() string {
 	switch h {
+	case Unknown:
+		return "Unknown"
 	case Down:
 		return "Down"
 	case Leaving:
@@ -33,7 +37,7 @@
 	}
 }
 
-// ParseHealth returns the state named s. An unknown name is Up.
+// ParseHealth returns the state named s, which is never Unknown. An unknown name is Up.
 func ParseHealth(s string) Health {
 	for _, h := range []Health{Down, Leaving, Cold} {
 		if s == h.String() {
@@ -44,7 +48,7 @@
 }
 
 const (
-	// WarmUp is how long a cold upstream takes to reach its full share.
+	// WarmUp is how long a cold or unknown upstream takes to reach its full share.
 	WarmUp = 20 * time.Second
 	// maxFailures is how many requests must fail in a row before the upstream
 	// is Down.
@@ -87,15 +91,43 @@
 		}
 	case s.Err != nil && verdict.As(s.Err).Reason != verdict.ReasonCanceled:
 		a.failures++
-		if a.failures >= maxFailures && a.state != Leaving {
+		switch {
+		case a.state == Leaving:
+		case a.failures >= maxFailures:
 			a.setState(now, Down)
+		case lostConnection(s.Err):
+			a.doubt(now)
 		}
 	}
 }
 
-// reportHealth records a reported state. Only Leaving replaces a Down state
-// that failed requests have caused within the last downRetryInterval.
-func (a *allocation) reportHealth(now time.Time, state Health) {
+// lostConnection reports whether an error is that a connection broke or could not be opened, as
+// when the upstream's process has ended.
+func lostConnection(err error) bool {
+	reason := verdict.As(err).Reason
+	return reason == verdict.ReasonBroken || reason == verdict.ReasonUnreachable
+}
+
+// doubt records that the upstream may have started again, so that what was known of it does not
+// apply any more.
+func (a *allocation) doubt(now time.Time) {
+	if a.state != Down && a.state != Leaving {
+		a.state, a.stateAt = Unknown, now
+	}
+}
+
+// reportHealth records a reported state. Unknown means that nobody reports a state other than Up,
+// which does not confirm that the upstream is up: those who reported that it is leaving may not be
+// heard from any more. An unknown upstream is Up only as of a later time than that of the doubt.
+// Only Leaving replaces a Down state that failed requests have caused within the last
+// downRetryInterval.
+func (a *allocation) reportHealth(now, asOf time.Time, state Health) {
+	switch {
+	case state == Unknown && (a.state == Up || a.state == Leaving):
+		return
+	case state == Up && a.state == Unknown && asOf.Before(a.stateAt):
+		return
+	}
 	if a.state == Down && state != Leaving && now.Sub(a.stateAt) < downRetryInterval && a.failures >= maxFailures {
 		return
 	}
@@ -105,16 +137,17 @@
 }
 
 // forgetHealth forgets what is known of the upstream: another one has its name.
-func (a *allocation) forgetHealth() {
-	a.state, a.stateAt, a.coldSince, a.failures, a.latency = Up, time.Time{}, time.Time{}, 0, 0
+func (a *allocation) forgetHealth(now time.Time) {
+	a.state, a.stateAt, a.coldSince, a.failures, a.latency = Unknown, now, time.Time{}, 0, 0
 	a.pausedUntil = time.Time{}
 }
 
 func (a *allocation) setState(now time.Time, state Health) {
-	if state == Cold || (a.state == Down && state == Up) {
+	ended := a.state == Down || a.state == Leaving
+	if state == Cold || ended && (state == Up || state == Unknown) {
 		a.coldSince = now
 	}
-	if state != Down {
+	if a.state == Down && state != Down {
 		a.failures = 0
 	}
 	a.state, a.stateAt = state, now
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -44,8 +44,11 @@
 func (p *Pool) Tick(now time.Time, v View) map[string]int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.lastTick.IsZero() && p.fenced(now) {
+		p.doubtAll(now)
+	}
 	p.lastTick = now
-	p.applyView(v)
+	p.applyView(now, v)
 	held := make(map[string]int)
 	for _, s := range p.services {
 		index := slices.Index(s.dispatchers, p.self)
@@ -74,7 +77,7 @@
 }
 
 // applyView updates targets and services to match the view.
-func (p *Pool) applyView(v View) {
+func (p *Pool) applyView(now time.Time, v View) {
 	slots := make(map[string]int)
 	seen := make(map[string]bool, len(v.Targets))
 	services := make(map[string]*service, len(v.Services))
@@ -93,11 +96,11 @@
 		}
 		a := p.allocations[t.Name]
 		if a == nil {
-			a = &allocation{}
+			a = &allocation{stateAt: now}
 			p.allocations[t.Name] = a
 		}
 		if a.target != nil && (a.target.Addr != t.Addr || a.target.Service != t.Service) {
-			a.forgetHealth()
+			a.forgetHealth(now)
 		}
 		a.target, a.drained = t, v.Drained[t.Name]
 		s.allocations = append(s.allocations, a)
@@ -137,6 +140,13 @@
 // also covers the first request after a pause.
 func (p *Pool) fenced(now time.Time) bool { return now.Sub(p.lastTick) > FenceAfter }
 
+// doubtAll makes all upstreams unknown, after a time in which the VM did not see them.
+func (p *Pool) doubtAll(now time.Time) {
+	for _, a := range p.allocations {
+		a.doubt(now)
+	}
+}
+
 // Offer takes a free slot for the service and returns its target. It reports
 // false if this VM has no free slot.
 func (p *Pool) Offer(now time.Time, serviceName string) (*inventory.Target, bool) {
@@ -208,27 +218,43 @@
 	}
 }
 
-// ReportHealth records the health of an upstream as reported by a probe, by the
+// ReportHealth records the health of an upstream, as of a time, as reported by a probe, by the
 // upstream itself or by a peer.
-func (p *Pool) ReportHealth(now time.Time, target string, state Health) {
+func (p *Pool) ReportHealth(now, asOf time.Time, target string, state Health) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if a := p.allocations[target]; a != nil {
-		a.reportHealth(now, state)
+		a.reportHealth(now, asOf, state)
 	}
 }
 
+// Unconfirmed returns the upstreams of which this VM may use slots and does not know the state, and
+// those that are leaving, which may be back as other processes.
+func (p *Pool) Unconfirmed() []*inventory.Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []*inventory.Target
+	for _, a := range p.allocations {
+		if (a.state == Unknown || a.state == Leaving) && a.intent > 0 {
+			list = append(list, a.target)
+		}
+	}
+	return list
+}
+
 // ForgetFailures forgets what failed requests and probes have shown of the upstreams. It is called
-// when the VM's own links were at fault.
+// when the VM's own links were at fault. What it knew before is old: until they are probed, the
+// upstreams may have started again meanwhile.
 func (p *Pool) ForgetFailures(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, a := range p.allocations {
 		a.failures = 0
 		if a.state == Down {
-			a.state, a.stateAt = Up, now // Not by setState: the upstream is not cold.
+			a.state = Unknown // Not by setState: the upstream need not be cold.
 		}
 	}
+	p.doubtAll(now)
 }
 
 // Dispatchers returns the names of the VMs that dispatch the service in this
