io/entry: follow upstreams and evacuations beside a configuration that cannot be read

Here: while the row op/config cannot be decoded, a VM follows no registration and no evacuation, keeps sending to upstreams that have left, and writes RulesNotDecoded at each change of any row.

A configuration that NewTable refuses was validated and logged again at each change. A line about a registration had its text in full, and there was one for each row.

Now rules that cannot be decoded have no configuration, as if there were none yet: the one in force stays, and evacuations and upstreams are applied. They are decoded once a change. A refused configuration is not tried again. Lines about rows are ten a second at most, with the number of those dropped, and have 200 bytes of a row. Keys stay bound to rules that were verified: a VM whose newest rules cannot be read doesn't know what they revoke, and with RevokeWithin admits no keys past it, as before.

--- a/io/entry/copies.go
+++ b/io/entry/copies.go
@@ -323,12 +323,8 @@
 	}
 	// Read the time first: the rows are as of that time or newer.
 	asOf, _ := v.replicas[TableRules].VerifiedAsOf()
-	rules, changes, pending, err := v.readRules(now)
-	if err != nil {
-		v.log.WithField("Err", err).Error("RulesNotDecoded")
-		return false
-	}
-	if v.applyConfig(rules.Config) {
+	rules, changes, pending := v.readRules(now)
+	if v.applyConfig(now, rules.Config) {
 		v.applied.Store(&appliedRules{changes: changes, asOf: asOf})
 	}
 	if !v.replicas[TableTargets].Loaded() {
@@ -338,9 +334,9 @@
 }
 
 // applyConfig applies a configuration, and reports whether it, or a later one, is in force.
-func (v *VM) applyConfig(cfg *route.Config) bool {
+func (v *VM) applyConfig(now time.Time, cfg *route.Config) bool {
 	old := v.table.Load()
-	if cfg == nil {
+	if cfg == nil || cfg == v.decoded.refused {
 		return false
 	}
 	if old != nil && cfg.Version <= old.Config.Version {
@@ -348,7 +344,8 @@
 	}
 	table, err := route.NewTable(cfg)
 	if err != nil {
-		v.log.WithFields(logrus.Fields{"Version": cfg.Version, "Err": err}).Error("ConfigRefused")
+		v.decoded.refused = cfg
+		v.decoded.errors.log(now, v.log.WithFields(logrus.Fields{"Version": cfg.Version, "Err": bounded(err.Error())}), logrus.ErrorLevel, "ConfigRefused")
 		return false
 	}
 	v.table.Store(table)
@@ -377,7 +374,7 @@
 func (v *VM) applyTargets(now time.Time, ev target.Evacuations) (soon bool) {
 	v.registry.Heartbeat = v.cfg.Load().UpstreamHeartbeat
 	before := v.registry.Len()
-	change, soon := v.registry.Update(now, v.readTargets(), ev)
+	change, soon := v.registry.Update(now, v.readTargets(now), ev)
 	v.balancer.ChangeTargets(change.Updated, change.Gone)
 	ended := slices.Concat(change.Gone, v.registry.AtAddresses(change.Added))
 	v.guard.RegistrationsChanged(v.workCtx, now, upstreamsOf(ended), upstreamsOf(change.Added))
--- a/io/entry/decoded.go
+++ b/io/entry/decoded.go
@@ -2,12 +2,14 @@
 
 import (
 	"maps"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"auburnlatch/core/replica"
+	"auburnlatch/core/route"
 	"auburnlatch/core/target"
 )
 
@@ -17,6 +19,9 @@
 	rules   Rules
 	changes uint64 // The copy's count of changes; 0 if nothing has been decoded yet.
 	pending bool   // The rules change with time alone.
+	// refused is the configuration that was refused last. It is not tried again.
+	refused *route.Config
+	errors  decodeErrors
 }
 
 // rewriteWithin is the time within which operators are expected to write again what a
@@ -25,25 +30,28 @@
 const rewriteWithin = 3 * time.Second
 
 // readRules returns the rules and the copy's count of changes. pending reports whether the
-// rules change with time alone.
-func (v *VM) readRules(now time.Time) (rules Rules, changes uint64, pending bool, err error) {
+// rules change with time alone. Rules that cannot be decoded are logged. They have no
+// configuration: the one in force stays.
+func (v *VM) readRules(now time.Time) (rules Rules, changes uint64, pending bool) {
 	rows, changes := v.replicas[TableRules].Rows()
-	if changes == v.decoded.changes && changes > 0 && !v.decoded.pending {
-		return v.decoded.rules, changes, false, nil
+	d := &v.decoded
+	if changes == d.changes && changes > 0 && !d.pending {
+		return d.rules, changes, false
 	}
 	rows, pending = replica.Settled(now, rows, rewriteWithin)
-	rules, err = v.platform.Rules(rows)
+	rules, err := v.platform.Rules(rows)
 	if err != nil {
-		return Rules{}, 0, false, err
+		rules.Config = nil
+		d.errors.log(now, v.log.WithField("Err", bounded(err.Error())), logrus.ErrorLevel, "RulesNotDecoded")
 	}
-	v.decoded = decoded{rules, changes, pending}
-	return rules, changes, pending, nil
+	d.rules, d.changes, d.pending = rules, changes, pending
+	return rules, changes, pending
 }
 
 // readTargets returns the registrations that changed since the last call, or all of them
 // if the mapping of zones to regions changed. A row that cannot be decoded is logged, and
 // an earlier registration of its key is removed.
-func (v *VM) readTargets() []target.Registration {
+func (v *VM) readTargets(now time.Time) []target.Registration {
 	rows, forgotten := v.replicas[TableTargets].Changed()
 	if regions := v.cfg.Load().Regions; !maps.Equal(regions, v.registry.Regions) {
 		v.registry.Regions = regions
@@ -51,7 +59,7 @@
 	}
 	list := make([]target.Registration, 0, len(rows)+len(forgotten))
 	for _, row := range rows {
-		list = append(list, v.decode(row))
+		list = append(list, v.decode(now, row))
 	}
 	for _, key := range forgotten {
 		list = append(list, target.Registration{ID: key, Removed: true})
@@ -59,13 +67,57 @@
 	return list
 }
 
-func (v *VM) decode(row replica.Row) target.Registration {
+func (v *VM) decode(now time.Time, row replica.Row) target.Registration {
 	reg, err := v.platform.Registration(row)
-	if err != nil {
-		v.log.WithFields(logrus.Fields{"Target": row.Key, "Version": row.Version, "Err": err}).Warn("RegistrationNotDecoded")
-		return target.Registration{ID: row.Key, Removed: true}
+	if err == nil {
+		return reg
+	}
+	if !row.Removed {
+		f := logrus.Fields{"Target": bounded(row.Key), "Version": row.Version, "Err": bounded(err.Error())}
+		v.decoded.errors.log(now, v.log.WithFields(f), logrus.WarnLevel, "RegistrationNotDecoded")
+	}
+	return target.Registration{ID: row.Key, Removed: true}
+}
+
+const (
+	// maxDecodeErrors is how many lines about rows that cannot be decoded a VM writes a second
+	// at most.
+	maxDecodeErrors = 10
+	// maxRowText is how many bytes of a row, or of its key, a line has at most.
+	maxRowText = 200
+)
+
+// decodeErrors bounds the lines about rows that cannot be decoded: another writer may write any
+// number of them, again and again. The zero value is ready to use.
+type decodeErrors struct {
+	since   time.Time // When the second began.
+	lines   int       // In that second.
+	dropped int       // Since the last line.
+}
+
+// log writes a line, with the number of those dropped before it, or drops it.
+func (e *decodeErrors) log(now time.Time, entry *logrus.Entry, level logrus.Level, event string) {
+	if now.Sub(e.since) >= time.Second {
+		e.since, e.lines = now, 0
+	}
+	if e.lines >= maxDecodeErrors {
+		e.dropped++
+		return
+	}
+	e.lines++
+	if e.dropped > 0 {
+		entry = entry.WithField("Dropped", e.dropped)
+		e.dropped = 0
+	}
+	entry.Log(level, event)
+}
+
+// bounded returns the beginning of text that comes from a row.
+func bounded(text string) string {
+	if len(text) <= maxRowText {
+		return text
 	}
-	return reg
+	return strings.ToValidUTF8(text[:maxRowText], "") + "..."
 }
 
 // registered is the set of registered incarnations. The zero value is ready to use: the
