core/target: distinct names of incarnations

An upstream "i@5" without a start time had the name of the incarnation of "i" that started at 5: connections, signals and quarantine are kept by that name, and when the row of another writer went, so did those of the upstream. TestIncarnationsAreDistinct failed before. Names of IDs without an @ are as before.

--- a/core/target/target.go
+++ b/core/target/target.go
@@ -17,6 +17,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -64,9 +65,9 @@
 }
 
 // Incarnation returns a name for this run of the upstream. State of another
-// incarnation, including connections, does not apply to it.
+// incarnation, including connections, does not apply to it. No other target has the name.
 func (t *Target) Incarnation() string {
-	if t.Born == 0 {
+	if t.Born == 0 && !strings.Contains(t.ID, "@") {
 		return t.ID
 	}
 	return t.ID + "@" + strconv.FormatInt(t.Born, 10)
--- a/core/target/target_test.go
+++ b/core/target/target_test.go
@@ -178,3 +178,19 @@
 		}
 	}
 }
+
+// Guards against an ID of another writer that passes for an incarnation of another upstream, with
+// its connections and what is known of it.
+func TestIncarnationsAreDistinct(t *testing.T) {
+	names := make(map[string]target.Target)
+	for _, id := range []string{"i", "i@", "i@5", "i@0", "i@5@5", "@5"} {
+		for _, born := range []int64{0, 5, 55} {
+			upstream := target.Target{ID: id, Born: born}
+			name := upstream.Incarnation()
+			if other, ok := names[name]; ok {
+				t.Errorf("%s of start %d and %s of start %d are both %q", id, born, other.ID, other.Born, name)
+			}
+			names[name] = upstream
+		}
+	}
+}
