io/platform: rows of another writer beside the changes of the inventory

By reading and by test, not seen by callers: one row of another writer under config/change/ that is no change, and no VM of auburnlatchd follows the inventory any more (InventoryNotPolled at each poll). A change that the head does not name was put into force; the next accepted one then has the same version and is skipped for good. A stored change that is based on a low version had the same page read again without end.

Cause: each row with the prefix was taken for the next change, and the position in the table for the version that the row names.

Rows whose key is that of no version are skipped, changes are read up to the version of the head, and one that is based on another version is an error.

Evidence: TestOddRowsBesideChanges and TestChangeOfAnotherVersion failed before ("cannot parse invalid wire-format data"; the odd change was returned).

--- a/io/platform/config.go
+++ b/io/platform/config.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -62,11 +64,13 @@
 // ErrRestored is returned if the platform was restored since the head was read.
 var ErrRestored = errors.New("the platform was restored from an older copy")
 
-// Changes reads the changes after a version, oldest first, in the era of the head.
+// Changes reads the changes after a version up to that of the head, oldest first, in the era of
+// the head. It skips rows whose key is not that of a version, which are another writer's.
 func (s *InventoryStore) Changes(ctx context.Context, head Head, after uint64) ([]inventory.Change, error) {
 	var changes []inventory.Change
+	from := changeKey(after)
 	for {
-		rows, err := s.client.Scan(ctx, changePrefix, changeKey(after), changePageSize)
+		rows, err := s.client.Scan(ctx, changePrefix, from, changePageSize)
 		if err != nil {
 			return nil, err
 		}
@@ -74,12 +78,22 @@
 			if row.Era != head.Era {
 				return nil, ErrRestored
 			}
+			from = row.Key
+			version, ok := changeVersion(row.Key)
+			if !ok {
+				continue
+			}
+			if version > head.Version {
+				return changes, nil // Committed after the head was read, or never.
+			}
 			c, err := decodeChange(row.Value)
 			if err != nil {
-				return nil, err
+				return nil, errors.Wrapf(err, "version %d", version)
+			}
+			if c.Based != version-1 {
+				return nil, errors.Newf("the change stored as version %d is based on version %d", version, c.Based)
 			}
 			changes = append(changes, c)
-			after = c.Based + 1
 		}
 		if len(rows) < changePageSize {
 			return changes, nil
@@ -115,9 +129,6 @@
 		return nil, err
 	}
 	for _, change := range changes {
-		if change.Based >= head.Version {
-			break // Committed after the head was read.
-		}
 		if inv, err = inv.ApplyUnchecked(change); err != nil {
 			return nil, err
 		}
@@ -226,3 +237,9 @@
 }
 
 func changeKey(version uint64) string { return fmt.Sprintf("%s%020d", changePrefix, version) }
+
+// changeVersion returns the version whose changeKey is key.
+func changeVersion(key string) (version uint64, ok bool) {
+	version, err := strconv.ParseUint(strings.TrimPrefix(key, changePrefix), 10, 64)
+	return version, err == nil && version > 0 && key == changeKey(version)
+}
