core/inventory: bounds on stored slots and shares

By fuzzing: accepted changes are applied unchecked, as a newer release may have other rules. One of another writer with negative slots takes away those of the sound targets in a service's sum, by which waits are estimated and dispatchers counted, and a share that is not a number made weights of NaN, by which a VM spreads the callers of all zones.

A target with an address that is none stays in the inventory, and is Down after three requests.

--- a/core/inventory/change.go
+++ b/core/inventory/change.go
@@ -78,7 +78,7 @@
 // Apply returns the version after c. If the result has faults, the error is a
 // *FaultsError with all of them. Apply does not modify inv.
 func (inv *Inventory) Apply(c Change) (*Inventory, error) {
-	next, err := inv.ApplyUnchecked(c)
+	next, err := inv.apply(c)
 	if err != nil {
 		return nil, err
 	}
@@ -90,8 +90,17 @@
 
 // ApplyUnchecked returns the version after c without validating the result. It
 // is for changes that have already been accepted: every VM must apply them, even
-// if a newer release of the program has different rules.
+// if a newer release of the program has different rules. Figures that cannot be
+// computed with are bounded, as by Bounded.
 func (inv *Inventory) ApplyUnchecked(c Change) (*Inventory, error) {
+	next, err := inv.apply(c)
+	if err != nil {
+		return nil, err
+	}
+	return next.Bounded(), nil
+}
+
+func (inv *Inventory) apply(c Change) (*Inventory, error) {
 	if c.Based != inv.Version {
 		return nil, errors.Wrapf(ErrVersion, "based on version %d, current version is %d", c.Based, inv.Version)
 	}
--- a/core/inventory/inventory_test.go
+++ b/core/inventory/inventory_test.go
@@ -1,6 +1,7 @@
 package inventory
 
 import (
+	"math"
 	"net/netip"
 	"reflect"
 	"strings"
@@ -123,3 +124,23 @@
 		}
 	}
 }
+
+// Guards against stored figures that cannot be computed with, and copies of all items for one.
+func TestBounded(t *testing.T) {
+	good := &Target{Name: "b", Slots: 4}
+	service := &Service{Name: "s", MaxShiftPerMinute: 0.1, HeadroomFloor: 0.2, RetryBudget: 1}
+	inv, err := New(
+		Op{Target: &Target{Name: "a", Slots: -4}}, Op{Target: good}, Op{Target: &Target{Name: "c", Slots: math.MaxInt32}},
+		Op{Service: service}, Op{Service: &Service{Name: "t", MaxShiftPerMinute: math.NaN(), MaxFailoverPerMinute: math.Inf(1), HeadroomFloor: -1, RetryBudget: 7}},
+	)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := inv.Bounded()
+	if got.Target("a").Slots != 0 || got.Target("b") != good || got.Target("c").Slots != 100_000 || inv.Target("a").Slots != -4 {
+		t.Errorf("targets %+v, %+v, %+v", got.Target("a"), got.Target("b"), got.Target("c"))
+	}
+	if s := got.Service("t"); got.Service("s") != service || s.MaxShiftPerMinute != 0 || s.MaxFailoverPerMinute != 1 || s.HeadroomFloor != 0 || s.RetryBudget != 1 {
+		t.Errorf("services %+v, %+v", got.Service("s"), s)
+	}
+}
--- a/io/vm/config.go
+++ b/io/vm/config.go
@@ -108,7 +108,7 @@
 	if era < c.era || era == c.era && inv.Version <= c.inv.Version {
 		return
 	}
-	c.inv, c.changes, c.at, c.era = inv, nil, now, era
+	c.inv, c.changes, c.at, c.era = inv.Bounded(), nil, now, era
 	c.log.WithFields(logrus.Fields{"Version": inv.Version, "Era": era}).Info("InventoryInForce")
 }
 
