--- a/core/balance/stale_test.go
+++ b/core/balance/stale_test.go
@@ -5,7 +5,6 @@
 	"testing"
 
 	"auburnlatch/core/balance"
-	"auburnlatch/core/target"
 )
 
 // Guards against VMs that place objects differently, those that have seen an upstream register with
