io/upstream: one check of a process at a time

Now a VM has one check of an upstream in progress; the other requests wait for what it shows, at most 450 ms and not beyond their deadline, and none is sent once the upstream is known to be cold.

--- a/core/balance/signals.go
+++ b/core/balance/signals.go
@@ -168,6 +168,13 @@
 	}
 }
 
+// IsCold reports whether a lease's target is known to be cold.
+func (b *Balancer) IsCold(now time.Time, l Lease) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.current(l.state).Cold(now)
+}
+
 // current returns the registered state of a state's incarnation, or s if there is none. The
 // registration may have lapsed and come back while a request was in flight.
 func (b *Balancer) current(s *state) *state {
--- a/io/entry/warmth.go
+++ b/io/entry/warmth.go
@@ -11,6 +11,7 @@
 
 	"auburnlatch/core/balance"
 	"auburnlatch/core/lease"
+	"auburnlatch/io/clock"
 	"auburnlatch/io/upstream"
 )
 
@@ -56,8 +57,11 @@
 }
 
 // CheckDue implements upstream.Process.
-func (p *process) CheckDue(now, opened lease.Moment) bool {
-	return p.vm.warmth.CheckDue(now, opened, p.incarnation)
+func (p *process) CheckDue(now time.Time, opened lease.Moment) (bool, error) {
+	if p.vm.balancer.IsCold(now, p.lease) {
+		return false, errCold
+	}
+	return p.vm.warmth.CheckDue(clock.SinceBoot(), opened, p.incarnation), nil
 }
 
 // Check implements upstream.Process.
--- a/io/upstream/call.go
+++ b/io/upstream/call.go
@@ -7,9 +7,6 @@
 	"slices"
 	"strconv"
 	"time"
-
-	"auburnlatch/core/lease"
-	"auburnlatch/io/clock"
 )
 
 // Call is one request to an upstream, as it is written to a connection.
@@ -50,28 +47,6 @@
 	Connect time.Duration
 }
 
-// Process knows the process of an upstream, which may have started again at the same address and under
-// the same ID.
-type Process interface {
-	// CheckDue reports whether a check has to show which process is at the other end of a
-	// connection that was opened at a moment.
-	CheckDue(now, opened lease.Moment) bool
-	// Check returns the check.
-	Check() Check
-	// Checked takes the response to a check that was sent at asked. The request is not sent if it
-	// returns an error.
-	Checked(now time.Time, asked lease.Moment, resp *http.Response) error
-	// Lost records that a connection was lost, or that none could be opened.
-	Lost(now lease.Moment)
-}
-
-// lost records that a connection was lost, or that none could be opened.
-func (c *Call) lost() {
-	if c.Process != nil {
-		c.Process.Lost(clock.SinceBoot())
-	}
-}
-
 // head returns the request line and the header, with the final empty line.
 func (c *Call) head() []byte {
 	var b bytes.Buffer
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -15,7 +15,6 @@
 	"github.com/cockroachdb/errors"
 
 	"auburnlatch/core/verdict"
-	"auburnlatch/io/clock"
 	"auburnlatch/io/lifecycle"
 	"auburnlatch/io/tcp"
 )
@@ -53,6 +52,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// checking has the checks of processes in progress, by target. Each is closed at its end.
+	checking map[string]chan struct{}
 	// abortDials ends the opening of connections.
 	abortDials lifecycle.Broadcast
 }
@@ -86,7 +87,7 @@
 	for _, opt := range opts {
 		opt(o)
 	}
-	p := &Pool{dial: o.dial, idle: make(map[string][]*conn)}
+	p := &Pool{dial: o.dial, idle: make(map[string][]*conn), checking: make(map[string]chan struct{})}
 	p.SetMaxHeader(defaultMaxHeader)
 	return p
 }
@@ -196,46 +197,6 @@
 	return newConn(raw), nil
 }
 
-// processCheckTimeout bounds the check of the process of an upstream: a response across regions.
-const processCheckTimeout = 450 * time.Millisecond
-
-// checkProcess checks which process is at the other end of a connection, if that has to be known
-// before the call's request is sent on it. It returns an error that proves that the request has not
-// run if the process must not run it now.
-func (p *Pool) checkProcess(ctx context.Context, call *Call, c *conn) error {
-	if call.Process == nil || !call.Process.CheckDue(clock.SinceBoot(), c.opened) {
-		return nil
-	}
-	checkCtx, cancel := context.WithTimeout(ctx, processCheckTimeout)
-	defer cancel()
-	stop := context.AfterFunc(checkCtx, func() { c.Close() })
-	asked := clock.SinceBoot()
-	p.checked.Add(1)
-	resp, err := c.check(call.Addr, call.Process.Check(), int(p.maxHeader.Load()))
-	inTime := stop()
-	switch {
-	case ctx.Err() != nil:
-		c.Close()
-		return verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.ReasonCanceled, 0)
-	case !inTime:
-		return verdict.Wrap(checkCtx.Err(), verdict.NotRun, verdict.ReasonWithheld, withheldRetryAfter)
-	case err != nil:
-		p.countHeader(err)
-		c.Close()
-		call.lost()
-		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonUnreachable, defaultRetryAfter)
-	}
-	if err := call.Process.Checked(time.Now(), asked, resp); err != nil {
-		p.keep(call.Target, c, resp)
-		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonWithheld, withheldRetryAfter)
-	}
-	if !reusableAfter(c, resp) {
-		c.Close()
-		return verdict.New(verdict.NotRun, verdict.ReasonWithheld, withheldRetryAfter)
-	}
-	return nil
-}
-
 // Listening states whether a process accepts connections at an address.
 type Listening int
 
