--- a/tools/soak/cold.go
+++ b/tools/soak/cold.go
@@ -29,6 +29,8 @@
 	maxBlinds    = 3
 	maxBlindLead = 1500 * time.Millisecond
 	maxBlind     = 5 * time.Second
+	// minStoreBack is how long the store is not away again after it was.
+	minStoreBack = time.Second
 	// coldDelay is the time after which a VM must act on a registration that the store has.
 	coldDelay = 500 * time.Millisecond
 	// minEvacuation and maxEvacuation bound how long a zone is evacuated before its upstreams
@@ -61,6 +63,7 @@
 		_, err := c.fleet.control("away", nil)
 		<-time.After(blindFor(rnd))
 		_, err2 := c.fleet.control("back", nil)
+		<-time.After(minStoreBack)
 		return errors.Join(err, err2)
 	}},
 	{"storeSilent", func(c *cooler, rnd *rand.Rand) error {
