io/route, io/caller, io/vm: a stopping VM sends on only what can end before it does

Callers of auburnlatchd in a planned stop lost bookings: a VM took them while look-ups still named it, sent them to another VM's slot or had them wait for one, and closed their connections with no answer at the end of StopGrace. An upstream had run some of them.

Cause: until LookupTtl had passed, all requests were taken, whatever was left of StopGrace; retries and waits for a slot were bounded by the caller's deadline only.

--- a/core/leave/leave.go
+++ b/core/leave/leave.go
@@ -64,6 +64,8 @@
 type Estimator struct {
 	mu      sync.Mutex
 	classes map[Class]*responses
+	// forgotten is when classes were last forgotten.
+	forgotten time.Time
 }
 
 // responses is a ring of the newest response times of a class.
@@ -100,7 +102,10 @@
 	if e.classes == nil {
 		e.classes = make(map[Class]*responses)
 	}
-	maps.DeleteFunc(e.classes, func(_ Class, r *responses) bool { return len(r.recent(now)) == 0 })
+	if now.Sub(e.forgotten) >= maxAge {
+		e.forgotten = now
+		maps.DeleteFunc(e.classes, func(_ Class, r *responses) bool { return len(r.recent(now)) == 0 })
+	}
 	e.classes[c] = r
 }
 
--- a/io/caller/parse.go
+++ b/io/caller/parse.go
@@ -49,10 +49,14 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	now := time.Now()
 	req := &route.Request{
-		Service: name, Origin: s.originZone(r), Deadline: time.Now().Add(timeout),
+		Service: name, Origin: s.originZone(r), Deadline: now.Add(timeout), HTTP: r,
 		Idempotent: slices.Contains(rules.IdempotentMethods, r.Method),
 	}
+	if err := s.router.Late(now, req); err != nil {
+		return nil, nil, err
+	}
 	var key *claim.Key
 	if !req.Idempotent {
 		if key, err = claimKey(r, name, rules.KeyOptional); err != nil {
