core/balance: an upstream's weight follows its registered slots

Callers saw: after an upstream had registered with other slots, VMs that had known it before placed objects by its former slots, those that had started since by the new ones. Its objects were new to two upstreams, and an upstream with fewer slots kept the share that it had.

Cause: the weight was computed once, when the incarnation was first seen.

Change: it is computed with each registration.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -210,7 +210,7 @@
 			b.services[t.Service].removeFromRegion(s)
 		}
 		b.regions[t.Zone] = t.Region
-		s.Target = t
+		s.Target, s.weight = t, b.weightOf(t)
 		b.services[t.Service].addToRegion(s)
 	}
 	for service := range changed {
@@ -230,14 +230,20 @@
 		b.services[t.Service] = &pool{disabled: &b.disabled}
 	}
 	s := &state{
-		Target: t, seed: xxhash.Sum64String(t.ID), weight: float64(t.Slots), serviceStats: b.serviceStatsOf(t.Service), regionLoad: b.regionLoadOf(t), disabled: &b.disabled,
+		Target: t, seed: xxhash.Sum64String(t.ID), serviceStats: b.serviceStatsOf(t.Service), regionLoad: b.regionLoadOf(t), disabled: &b.disabled,
 		signals: b.restore(t), history: &emptyHistory,
 	}
 	s.updateRestricted()
+	return s
+}
+
+// weightOf returns the weight of a target by its registration, which may change.
+func (b *Balancer) weightOf(t *target.Target) float64 {
+	weight := float64(t.Slots)
 	if t.Zone == b.zone && !b.disabled[SameZone] {
-		s.weight *= sameZoneFactor
+		weight *= sameZoneFactor
 	}
-	return s
+	return weight
 }
 
 // removeTarget removes a target that is no longer registered.
