core/steer: failures from before a pause do not make a zone unreachable

Callers saw: a VM that was paused for 3 to 30 s, with one failed request to a zone before the pause and one after it, moved that zone's traffic away at the failover cap. A zone that it had found unreachable before the pause stayed so for up to 30 s.

Cause: a run of failures was the time from the first to the last one, whatever the VM did in between.

Change: a time of 4 s without any call is a pause, as steering asks each second; failures from before it are forgotten.

Before the change TestPauseIsNoRunOfFailures and TestVerdictFromBeforePauseIsForgotten found the zone unreachable.

--- a/core/steer/reach.go
+++ b/core/steer/reach.go
@@ -12,6 +12,9 @@
 	// unreachableFor is how long the last failure counts. After that time, an
 	// unreachable zone is also lost by the age of its summary.
 	unreachableFor = LostAfter
+	// pausedAfter is the time without any call after which the VM was paused: Unreachable is
+	// called for each zone every second.
+	pausedAfter = 4 * time.Second
 )
 
 // Reachability records whether requests reach the VMs of each zone. This takes
@@ -21,6 +24,8 @@
 type Reachability struct {
 	mu    sync.Mutex
 	zones map[string]failureRun // Zones whose last request failed.
+	// calledAt is the time of the last call.
+	calledAt time.Time
 }
 
 // failureRun is a run of failed requests. It is empty if first is zero.
@@ -33,6 +38,7 @@
 func (r *Reachability) Record(now time.Time, zone string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.forgetAfterPause(now)
 	if ok {
 		delete(r.zones, zone)
 		return
@@ -53,6 +59,15 @@
 func (r *Reachability) Unreachable(now time.Time, zone string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.forgetAfterPause(now)
 	z, ok := r.zones[zone]
 	return ok && now.Sub(z.last) <= unreachableFor && z.last.Sub(z.first) >= unreachableAfter
 }
+
+// forgetAfterPause forgets all failures if the VM was paused since the last call.
+func (r *Reachability) forgetAfterPause(now time.Time) {
+	if now.Sub(r.calledAt) > pausedAfter {
+		clear(r.zones)
+	}
+	r.calledAt = now
+}
