core/poison: a crash beside a burst doesn't single out the request that is in flight everywhere

Evidence: UpstreamEnded and RequestBanned of all VMs (Ends=4 or 5, each time the poison request's and i-1-1-0), UpstreamFailed of the poison request's runs.

Now a request that has all its crashes in common with others, or at the same moment as one that it has in common (minCrashGap), is not banned before a trial has told them apart. Callers lose nothing by that: the look-up is answered in its next trial, and a poison request crashes the next upstream at another time.

poison.TestPopularRequestIsNotBannedForABurstAndOneMoreCrash failed before (4, 5 and 6 crashes).

--- a/core/poison/evaluate.go
+++ b/core/poison/evaluate.go
@@ -44,38 +44,49 @@
 // request crashes upstreams by itself: one may be chance.
 const minOwnCrashes = 2
 
-// ambiguous reports whether other requests with as many crashes, in total or consecutive, may
-// together be the cause of those of c. None is banned before a trial has told them apart: an
-// innocent request is answered, and a poison request also crashes upstreams without its
-// rivals.
+// ambiguous reports whether other requests may be the cause of the crashes of c. None is banned
+// before a trial has told them apart: an innocent request is answered, and a poison request also
+// crashes upstreams without its rivals. A rival with as many crashes, in total or consecutive, may
+// explain all but minOwnCrashes. One with fewer may explain those at the same time as a crash that
+// it has in common with c: a popular request is in flight at any upstream that crashes by itself
+// meanwhile.
 func (l *Ledger) ambiguous(c candidate) bool {
-	var rivals []*suspect
+	var rivals, equal []*suspect
 	for p, s := range l.suspects {
 		if p == c.print || len(s.crashes) < banThreshold {
 			continue
 		}
+		rivals = append(rivals, s)
 		if t := l.tally(s.crashes); t.consecutive >= c.tally.consecutive || t.total >= c.tally.total {
-			rivals = append(rivals, s)
+			equal = append(equal, s)
 		}
 	}
-	own, shared := l.crashesWithout(c.suspect, rivals)
-	return shared && own < minOwnCrashes
+	own, shared := l.divideCrashes(c.suspect, equal)
+	if len(shared) > 0 && l.tally(own).consecutive < minOwnCrashes {
+		return true
+	}
+	own, shared = l.divideCrashes(c.suspect, rivals)
+	return len(shared) > 0 && !slices.ContainsFunc(own, func(r Run) bool { return r.apart(shared) })
 }
 
-// crashesWithout returns how many consecutive crashes a request has at upstreams where no
-// rival was in flight, and whether it has any crash in common with a rival.
-func (l *Ledger) crashesWithout(s *suspect, rivals []*suspect) (own int, shared bool) {
-	var rest []Run
+// divideCrashes divides the crashes of a request that are not attributed to a ban into those at
+// upstreams where no rival was in flight, and those that it has in common with a rival.
+func (l *Ledger) divideCrashes(s *suspect, rivals []*suspect) (own, shared []Run) {
 	for _, r := range s.crashes {
 		switch {
 		case l.isAttributed(r.Target):
 		case slices.ContainsFunc(rivals, func(rival *suspect) bool { return rival.crashed(r.Target) }):
-			shared = true
+			shared = append(shared, r)
 		default:
-			rest = append(rest, r)
+			own = append(own, r)
 		}
 	}
-	return l.tally(rest).consecutive, shared
+	return own, shared
+}
+
+// apart reports whether the crash during r was at another time than the others.
+func (r Run) apart(others []Run) bool {
+	return !slices.ContainsFunc(others, func(other Run) bool { return r.Ended.Sub(other.Ended).Abs() < minCrashGap })
 }
 
 // crashed reports whether an incarnation crashed with the request in flight.
--- a/core/poison/rival_test.go
+++ b/core/poison/rival_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"auburnlatch/core/poison"
@@ -48,6 +49,26 @@
 	}
 }
 
+// Guards against a ban of a popular request in place of the poison request that caused all crashes
+// but one, since an upstream crashed by itself during an exclusive trial of the popular one.
+func TestPopularRequestIsNotBannedForABurstAndOneMoreCrash(t *testing.T) {
+	for _, last := range []int{2, 3, 4} { // The last upstream that the poison request crashes.
+		runs := slices.DeleteFunc(burst(), func(r poison.Run) bool {
+			return r.Print == printOf("killer") && r.Target > fmt.Sprint("i-", last)
+		})
+		runs = append(runs, poison.Run{Print: printOf("popular"), Target: "j-0", Began: at(1130), Ended: at(1160), ConnectionLost: true, Alone: true})
+		runs = slices.DeleteFunc(runs, func(r poison.Run) bool {
+			return r.Target > fmt.Sprint("i-", last) && r.Target != "j-0"
+		})
+		l := poison.NewLedger()
+		l.MergeNews(at(1200), poison.News{Runs: runs})
+		l.Tick(at(2000))
+		if banned(l, 2000, "popular") {
+			t.Errorf("the popular request is banned for %d crashes, of which the poison request explains %d", last+2, last+1)
+		}
+	}
+}
+
 // Guards against a ban that is based on crashes before a response, of a request with many
 // simultaneous callers.
 func TestNoBanForCrashesBeforeAnAnswer(t *testing.T) {
