core/poison: a run that was abandoned long before its upstream ended is weak evidence

Now a run that was abandoned more than a second before the first sign of a crash makes its request suspected, as one that was answered just before does, and counts for a ban only as an exclusive trial. Run.Answered is Run.Over; what VMs send each other is as before. Its price: a request that silences its upstreams and is always abandoned early needs exclusive trials for each crash that counts.

poison.TestPopularRequestIsNotBannedForAnUpstreamThatLeft fails without it. TestAnAbandonedRequestIsImplicated (abandoned half a second before) and the tests of poison requests in io/entry, io/vm and io/quarantine hold.

--- a/core/poison/answer.go
+++ b/core/poison/answer.go
@@ -28,7 +28,7 @@
 	if l.suspects[r.Print] == nil && l.activeBan(now, r.Print) == nil {
 		return false
 	}
-	r.Answered = true
+	r.Over = true
 	if u := l.upstreams[r.Target]; u != nil && u.crashed {
 		l.implicateLate(now, u, r)
 		return false
--- a/core/poison/evaluate.go
+++ b/core/poison/evaluate.go
@@ -66,7 +66,7 @@
 		return true
 	}
 	own, shared = l.divideCrashes(c.suspect, rivals)
-	return len(shared) > 0 && !slices.ContainsFunc(own, func(r Run) bool { return r.apart(shared) })
+	return len(shared) > 0 && !slices.ContainsFunc(own, func(r Run) bool { return r.evidence() > 0 && r.apart(shared) })
 }
 
 // divideCrashes divides the crashes of a request that are not attributed to a ban into those at
--- a/core/poison/rival_test.go
+++ b/core/poison/rival_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"auburnlatch/core/poison"
 )
@@ -69,6 +70,29 @@
 	}
 }
 
+// Guards against a ban of a popular request in place of the poison request that caused a burst, since
+// a caller of the popular one hung up at an upstream that was leaving and ended seconds later.
+func TestPopularRequestIsNotBannedForAnUpstreamThatLeft(t *testing.T) {
+	l, other := poison.NewLedger(), poison.NewLedger()
+	l.Left(at(500), poison.Run{Print: printOf("popular"), Target: "leaving", Began: at(480), Ended: at(500)})
+	runs := append(burst(), poison.Run{Print: printOf("popular"), Target: "j-0", Began: at(5130), Ended: at(5160), ConnectionLost: true, Alone: true})
+	for i := range runs[:len(runs)-1] {
+		runs[i].Began, runs[i].Ended = runs[i].Began.Add(4*time.Second), runs[i].Ended.Add(4*time.Second)
+	}
+	l.MergeNews(at(5200), poison.News{Runs: runs})
+	other.MergeNews(at(5200), poison.News{Runs: runs})
+	if n := len(l.Crashed(at(5300), "leaving")); n != 1 {
+		t.Fatalf("%d runs may have caused the end of the upstream that left, want 1", n)
+	}
+	other.MergeNews(at(5330), l.TakeNews())
+	for i, l := range []*poison.Ledger{l, other} {
+		l.Tick(at(6000))
+		if banned(l, 6000, "popular") {
+			t.Errorf("VM %d bans the popular request", i)
+		}
+	}
+}
+
 // Guards against a ban that is based on crashes before a response, of a request with many
 // simultaneous callers.
 func TestNoBanForCrashesBeforeAnAnswer(t *testing.T) {
--- a/core/poison/runs.go
+++ b/core/poison/runs.go
@@ -12,6 +12,10 @@
 	// next request to the upstream, or when its registration lapses after three heartbeats,
 	// which is read at most a second later.
 	abandonedTTL = 8 * time.Second
+	// abandonedMargin is how long before the first sign of a crash a run may have been abandoned
+	// for the crash to count as one during the run. An upstream that leaves ends seconds after its
+	// last response, so that nothing shows that it survived a run that was abandoned before.
+	abandonedMargin = time.Second
 	// survivalMargin is how much later than a run an upstream has to respond to another one
 	// to be known to have survived the run. On a congested link, what it sent before a
 	// crash may arrive after its other connections were lost.
@@ -37,8 +41,9 @@
 	Alone bool
 	// ConnectionLost says that its connection was lost, rather than that it was abandoned.
 	ConnectionLost bool
-	// Answered says that the upstream crashed right after it responded.
-	Answered bool
+	// Over says that the run was over before the first sign of the crash: the upstream had just
+	// responded, or the VM had abandoned the run more than abandonedMargin before.
+	Over bool
 }
 
 // evidence ranks runs by how strongly they suggest that their request crashed the upstream.
@@ -46,7 +51,7 @@
 	switch {
 	case r.Alone:
 		return 2
-	case !r.Answered:
+	case !r.Over:
 		return 1
 	}
 	return 0
@@ -237,6 +242,9 @@
 // takeInFlight removes the runs of an upstream that do not count yet, and returns those that may
 // have caused its crash, of which the first sign was seen at first.
 func (l *Ledger) takeInFlight(u *upstreamRuns, target string, first time.Time) []Run {
+	for i, r := range u.abandoned {
+		u.abandoned[i].Over = !r.ConnectionLost && u.crashedAt.Sub(r.Ended) > abandonedMargin
+	}
 	runs := slices.Concat(u.broken, u.abandoned, l.takeUnconfirmed(target), l.takeUnsuspected(target, first))
 	u.broken, u.abandoned = nil, nil
 	return slices.DeleteFunc(runs, func(r Run) bool { return !u.mayBeCause(r) })
--- a/core/poison/suspect.go
+++ b/core/poison/suspect.go
@@ -82,9 +82,9 @@
 	// sequential counts crashes whose run began after the previous crash, or that came
 	// minCrashGap or more after it.
 	sequential int
-	// consecutive counts those among them that a ban may be based on. Answered runs count
-	// only if they were exclusive trials: with many callers, a request is answered at any
-	// time.
+	// consecutive counts those among them that a ban may be based on. Runs that were over
+	// before count only if they were exclusive trials: with many callers, a request is
+	// answered or abandoned at any time.
 	consecutive int
 	// proven says that there are enough consecutive crashes for a ban, and that an
 	// exclusive trial was among the last.
--- a/core/poison/unsuspected.go
+++ b/core/poison/unsuspected.go
@@ -28,7 +28,7 @@
 	if len(req.content.Body) > maxKeptBody {
 		return
 	}
-	r.Answered = true
+	r.Over = true
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.unsuspected) < maxUnsuspected {
--- a/io/wire/poison.go
+++ b/io/wire/poison.go
@@ -21,7 +21,7 @@
 		if !ok || r.GetTarget() == "" || began < ended {
 			continue
 		}
-		n.Runs = append(n.Runs, poison.Run{Print: p, Target: r.GetTarget(), Began: now.Add(-began), Ended: now.Add(-ended), Alone: r.GetAlone(), Answered: r.GetAnswered()})
+		n.Runs = append(n.Runs, poison.Run{Print: p, Target: r.GetTarget(), Began: now.Add(-began), Ended: now.Add(-ended), Alone: r.GetAlone(), Over: r.GetAnswered()})
 	}
 	for _, t := range m.GetTried() {
 		if p, ok := poison.PrintFromBytes(t.GetPrint()); ok {
@@ -57,7 +57,7 @@
 		m.Runs = append(m.Runs, &schema.PoisonRun{
 			Print: r.Print.Bytes(), Target: r.Target,
 			BeganAgoMillis: now.Sub(r.Began).Milliseconds(), EndedAgoMillis: now.Sub(r.Ended).Milliseconds(),
-			Alone: r.Alone, Answered: r.Answered,
+			Alone: r.Alone, Answered: r.Over,
 		})
 	}
 	for _, t := range n.Tried {
--- a/io/wire/poison_test.go
+++ b/io/wire/poison_test.go
@@ -19,7 +19,7 @@
 	sent, arrived := start, start.Add(time.Hour) // By the receiver's clock.
 	ban := poison.Ban{Print: poisonPrint("/b"), At: 1234, Lifted: true}
 	news := poison.News{
-		Runs:   []poison.Run{{Print: poisonPrint("/a"), Target: "i-1@7", Began: sent.Add(-300 * time.Millisecond), Ended: sent.Add(-100 * time.Millisecond), Alone: true, Answered: true}},
+		Runs:   []poison.Run{{Print: poisonPrint("/a"), Target: "i-1@7", Began: sent.Add(-300 * time.Millisecond), Ended: sent.Add(-100 * time.Millisecond), Alone: true, Over: true}},
 		Served: []poison.Clearance{{Print: poisonPrint("/c"), Began: sent.Add(-200 * time.Millisecond), Answered: sent.Add(-150 * time.Millisecond)}}, Tried: []poison.TrialUpdate{{Print: poisonPrint("/d"), Target: "i-2"}},
 		Bans: []poison.Ban{ban}, Kept: []poison.Ban{ban},
 	}
