--- a/core/poison/rival_test.go
+++ b/core/poison/rival_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"auburnlatch/core/poison"
 )
@@ -48,6 +50,49 @@
 	}
 }
 
+// Guards against a ban of a popular request in place of the poison request that caused all crashes
+// but one, since an upstream crashed by itself during an exclusive trial of the popular one.
+func TestPopularRequestIsNotBannedForABurstAndOneMoreCrash(t *testing.T) {
+	for _, last := range []int{2, 3, 4} { // The last upstream that the poison request crashes.
+		runs := slices.DeleteFunc(burst(), func(r poison.Run) bool {
+			return r.Print == printOf("killer") && r.Target > fmt.Sprint("i-", last)
+		})
+		runs = append(runs, poison.Run{Print: printOf("popular"), Target: "j-0", Began: at(1130), Ended: at(1160), ConnectionLost: true, Alone: true})
+		runs = slices.DeleteFunc(runs, func(r poison.Run) bool {
+			return r.Target > fmt.Sprint("i-", last) && r.Target != "j-0"
+		})
+		l := poison.NewLedger()
+		l.MergeNews(at(1200), poison.News{Runs: runs})
+		l.Tick(at(2000))
+		if banned(l, 2000, "popular") {
+			t.Errorf("the popular request is banned for %d crashes, of which the poison request explains %d", last+2, last+1)
+		}
+	}
+}
+
+// Guards against a ban of a popular request in place of the poison request that caused a burst, since
+// a caller of the popular one hung up at an upstream that was leaving and ended seconds later.
+func TestPopularRequestIsNotBannedForAnUpstreamThatLeft(t *testing.T) {
+	l, other := poison.NewLedger(), poison.NewLedger()
+	l.Left(at(500), poison.Run{Print: printOf("popular"), Target: "leaving", Began: at(480), Ended: at(500)})
+	runs := append(burst(), poison.Run{Print: printOf("popular"), Target: "j-0", Began: at(5130), Ended: at(5160), ConnectionLost: true, Alone: true})
+	for i := range runs[:len(runs)-1] {
+		runs[i].Began, runs[i].Ended = runs[i].Began.Add(4*time.Second), runs[i].Ended.Add(4*time.Second)
+	}
+	l.MergeNews(at(5200), poison.News{Runs: runs})
+	other.MergeNews(at(5200), poison.News{Runs: runs})
+	if n := len(l.Crashed(at(5300), "leaving")); n != 1 {
+		t.Fatalf("%d runs may have caused the end of the upstream that left, want 1", n)
+	}
+	other.MergeNews(at(5330), l.TakeNews())
+	for i, l := range []*poison.Ledger{l, other} {
+		l.Tick(at(6000))
+		if banned(l, 6000, "popular") {
+			t.Errorf("VM %d bans the popular request", i)
+		}
+	}
+}
+
 // Guards against a ban that is based on crashes before a response, of a request with many
 // simultaneous callers.
 func TestNoBanForCrashesBeforeAnAnswer(t *testing.T) {
