--- a/io/entry/cold_fleet_test.go
+++ b/io/entry/cold_fleet_test.go
@@ -231,6 +231,7 @@
 
 // Guards against VMs that take an upstream for warm by what they knew before it started.
 func TestColdUpstreamIsNotFlooded(t *testing.T) {
+	t.Parallel()
 	const vms, upstreams, restarted = 5, 6, 2
 	for _, tc := range []struct {
 		name string
--- a/io/entry/cold_views_test.go
+++ b/io/entry/cold_views_test.go
@@ -217,6 +217,7 @@
 
 // Guards against more requests to a cold upstream than it bears from VMs that know different others.
 func TestColdAllowanceOfVMsWithDifferentViews(t *testing.T) {
+	t.Parallel()
 	const first, last, slack = 12, 20, 5 // With fewer seeds the mutation is not found.
 	used, capacity := 0, 0.0
 	for seed := uint64(first); seed <= last; seed++ {
--- a/io/upstream/process.go
+++ b/io/upstream/process.go
@@ -30,8 +30,9 @@
 // errClosedAfterCheck reports that the upstream closes the connection on which it was checked.
 var errClosedAfterCheck = errors.New("the upstream closes the connection after a health check")
 
-// processCheckTimeout bounds the check of the process of an upstream: a response across regions.
-const processCheckTimeout = 450 * time.Millisecond
+// processCheckTimeout bounds the check of the process of an upstream. A response across regions takes
+// less than half of it, and the request needs what is left of its time for another upstream.
+const processCheckTimeout = 300 * time.Millisecond
 
 // lost records that a connection was lost, or that none could be opened.
 func (c *Call) lost() {
