tools/soak: upstreams come back cold without reaching the store

Cause: an upstream that cannot register after its start is known to be cold by its health responses only, while VMs find the store's registrations current.

Change: zoneBackUnregistered, the way from a zone's upstreams to the store is faulty while they end and come back.

--- a/tools/soak/cold.go
+++ b/tools/soak/cold.go
@@ -49,8 +49,8 @@
 
 // coldTurns are the ways in which upstreams turn cold.
 var coldTurns = []coldFault{
-	{"zoneBack", (*cooler).zoneBack},
-	{"zoneBack", (*cooler).zoneBack},
+	{"zoneBack", func(c *cooler, rnd *rand.Rand) error { return c.zoneBack(c.zone(rnd), rnd) }},
+	{"zoneBackUnregistered", (*cooler).zoneBackUnregistered},
 	{"zoneTurned", func(c *cooler, rnd *rand.Rand) error { return c.turn(c.zone(rnd)) }},
 	{"zoneTakenBack", (*cooler).zoneTakenBack},
 }
@@ -169,10 +169,10 @@
 }
 
 // zoneBack ends the upstreams of a zone, which come back together.
-func (c *cooler) zoneBack(rnd *rand.Rand) error {
+func (c *cooler) zoneBack(upstreams []int, rnd *rand.Rand) error {
 	down := time.Duration(rnd.Int64N(int64(maxDown)))
 	var wait sync.WaitGroup
-	for _, i := range c.zone(rnd) {
+	for _, i := range upstreams {
 		wait.Go(func() {
 			lock := c.chaos.lock("upstreamKilled", i)
 			lock.Lock()
@@ -184,6 +184,20 @@
 	return nil
 }
 
+// zoneBackUnregistered is zoneBack for upstreams that do not reach the store meanwhile.
+func (c *cooler) zoneBackUnregistered(rnd *rand.Rand) error {
+	list, hidden := c.zone(rnd), mode(1+rnd.IntN(len(modeNames)-1))
+	for _, i := range list {
+		c.fleet.upstream(i).store.mode.Store(int32(hidden))
+	}
+	err := c.zoneBack(list, rnd)
+	<-time.After(blindFor(rnd))
+	for _, i := range list {
+		c.fleet.upstream(i).store.mode.Store(int32(pass))
+	}
+	return err
+}
+
 // turn turns upstreams cold that go on running.
 func (c *cooler) turn(upstreams []int) error {
 	for _, i := range upstreams {
--- a/tools/soak/fleet.go
+++ b/tools/soak/fleet.go
@@ -90,7 +90,7 @@
 // unless upstreams turn cold.
 type upstreamProc struct {
 	*process
-	path        *proxy
+	path, store *proxy // From VMs, and to the store.
 	listen      string
 	incarnation int
 }
@@ -199,7 +199,11 @@
 	if err != nil {
 		return err
 	}
-	u := &upstreamProc{path: path, listen: listen}
+	toStore, err := startProxy(f.storeAddr, false, nil)
+	if err != nil {
+		return err
+	}
+	u := &upstreamProc{path: path, store: toStore, listen: listen}
 	zone, _ := zoneOf(i)
 	u.process = &process{name: fmt.Sprint("upstream-", i), out: &lineWriter{take: f.ledger.parseLine}, args: func() []string {
 		u.incarnation++
@@ -212,7 +216,7 @@
 		}
 		return append([]string{
 			os.Args[0], "upstream", "--id", fmt.Sprintf("i-%d-%d", i, id), "--service", service, "--zone", zone, "--addr", path.addr(),
-			"--listen", listen, "--store", f.storeAddr, "--cut-share", "0.01", "--fail-share", "0.01",
+			"--listen", listen, "--store", toStore.addr(), "--cut-share", "0.01", "--fail-share", "0.01",
 		}, starts...)
 	}}
 	f.upstreams = append(f.upstreams, u)
