io/entry: a stopping VM sends on only what can end before it does

Callers of a VM in a planned stop sent requests late in its grace time. It took them, an upstream ran them, and at the end of the work they got 502, MaybeRan: among them requests that must not be repeated, which another VM could have served. With a grace time of 6 s and work of 4.5 s that were 39 of 40 sent after SIGTERM.

Cause: whether a request was taken depended on the time since SIGTERM alone (2.9 s, or 0.48 of the grace time), not on whether it could end within the rest. Retries, second sends and relays were begun as long as the deadline allowed, and half a body was awaited until its deadline, beyond the end of the process.

core/leave decides, from the response times of the last minute by route and service: a request that must not be repeated is sent if 99 in 100 of its class would end in time, another one if 95 in 100 would. With fewer than 99 and 19 responses known its deadline bounds it. Nearly always rather than usually, as a cut loses the whole request and a refusal a round trip and a connection. The decision is taken when the header is read, and before each send, retry, second send and relay; the body is read only as long as the rest could still end. The refusal is 503, Leaving, not run, Retry-After 0.03 s, Connection: close.

Each of the tests of refusals failed on the code before: 502 after 2.2 s in place of 503 at once, and the upstream had run it; a retry and a second send were begun 0.6 s before the end of work of 0.8 s and more; half a body was awaited for 7.9 s beyond the time at which it was too late. TestStopServesRequestsThatCanEnd passes on both.

A body that was arriving as the stop began is not refused for want of knowledge before half of the time is over, as it would have to be sent again.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -84,6 +84,7 @@
 	targets       registered
 
 	leaving        atomic.Bool
+	stop           stopEnd
 	announced      atomic.Bool     // The platform may have this VM's address.
 	workCtx        context.Context // Canceled when a stopping VM cancels the remaining requests.
 	cancelWork     context.CancelFunc
@@ -145,6 +146,7 @@
 	v.requests.log = log
 	v.closer = tcp.NewCloser(tcp.WithEnded(v.connClosed))
 	v.workCtx, v.cancelWork = context.WithCancel(context.Background())
+	v.stop.begun, v.stop.cancel = context.WithCancel(context.Background())
 	v.Configure(cfg)
 	return v
 }
--- a/io/entry/leave.go
+++ b/io/entry/leave.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"auburnlatch/core/leave"
 	"auburnlatch/io/keepalive"
 	"auburnlatch/io/lifecycle"
 )
@@ -42,9 +43,11 @@
 func (v *VM) leave(front net.Listener, servers []*keepalive.Server) {
 	grace := v.cfg.Load().StopGrace
 	started := time.Now()
+	margin := min(exitMargin, lifecycle.Share(grace, exitMarginFraction))
+	working := max(lifecycle.Share(grace, minWorkFraction), grace-margin-answerMargin)
+	v.stop.begin(leave.Stop{Began: started, End: started.Add(working)})
 	v.leaving.Store(true)
 	v.log.WithField("InFlight", v.inFlight.Load()).Info("VMLeaving")
-	margin := min(exitMargin, lifecycle.Share(grace, exitMarginFraction))
 	ctx, cancel := context.WithTimeout(context.Background(), grace-margin)
 	defer cancel()
 	v.publish(started)
@@ -57,7 +60,6 @@
 	// while a request may be arriving on them.
 	front.Close()
 	v.idle.CloseAll(time.Now())
-	working := max(lifecycle.Share(grace, minWorkFraction), grace-margin-answerMargin)
 	last := time.AfterFunc(time.Until(started.Add(working)), v.cancelWork)
 	defer last.Stop()
 	for v.idle.Count()+v.closer.Count() > 0 && lifecycle.Sleep(ctx, drainTick) {
--- a/io/entry/overdue.go
+++ b/io/entry/overdue.go
@@ -237,7 +237,7 @@
 // team's limit.
 func (v *VM) secondLease(ctx context.Context, req *request, tried []string, sent int) (balance.Lease, bool) {
 	now := time.Now()
-	if ctx.Err() != nil || v.cutOff() || !overdue.Allowed(v.overdueRequest(now, req, sent)) {
+	if ctx.Err() != nil || v.cutOff() || !overdue.Allowed(v.overdueRequest(now, req, sent)) || v.refuseLate(now, req, req.service) != nil {
 		return balance.Lease{}, false
 	}
 	// The budget is asked first, as a choice counts as a request to the upstream.
--- a/io/entry/pipelined.go
+++ b/io/entry/pipelined.go
@@ -51,6 +51,8 @@
 	err      *verdict.Error
 	// readyAt is when the outcome was known.
 	readyAt time.Time
+	// streamed says that the response was not whole then.
+	streamed bool
 	// stop releases the context on which reading the rest of the response depends.
 	stop context.CancelFunc
 }
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -70,6 +70,12 @@
 		if v.cutOff() {
 			return v.relayStarted(ctx, req, sent, last, lastErr)
 		}
+		if late := v.refuseLate(time.Now(), req, req.service); late != nil {
+			if !mayHaveRun(last, lastErr) {
+				lastErr = late
+			}
+			break
+		}
 		trial, refused := v.guard.Admit(time.Now(), req.identity)
 		if refused != nil {
 			if !mayHaveRun(last, lastErr) {
--- a/io/entry/relay.go
+++ b/io/entry/relay.go
@@ -133,6 +133,10 @@
 	var tried []string
 	for range maxRelayTries {
 		now := time.Now()
+		if late := v.refuseLate(now, req, ""); late != nil {
+			last = late
+			break
+		}
 		peers := v.relayPeers(now)
 		list := peers.all
 		if kind == forward.Retry {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -47,11 +47,13 @@
 
 // request is a caller's request in progress.
 type request struct {
-	route    *route.Route
-	service  string
-	id       string
-	key      string
-	started  time.Time
+	route   *route.Route
+	service string
+	id      string
+	key     string
+	started time.Time
+	// readAt is when all of it was read that is read before it is sent on.
+	readAt   time.Time
 	deadline time.Time
 	// callerDeadline is the caller's own deadline, zero if it named none. It may be later than
 	// deadline, which is bounded by the route's timeout.
@@ -143,6 +145,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if res.err != nil {
+		v.stop.observe(time.Now(), res)
 		v.refuse(w, r, res.request, res.err)
 		return
 	}
@@ -151,6 +154,7 @@
 	whole := conn.responding(r)
 	res.response.relay(w)
 	whole()
+	v.stop.observe(time.Now(), res)
 }
 
 // serve processes a request and returns its outcome.
@@ -167,6 +171,7 @@
 		}
 	}
 	res.readyAt = time.Now()
+	res.streamed = res.response != nil && res.response.rest != nil
 	v.splitLog.done(res)
 	if req.appointing {
 		v.appointed(res)
@@ -210,8 +215,12 @@
 	if req.appointing {
 		req.returned = v.appointments.recognize(req)
 	}
-	if err := req.readWithin(connOf(r), limits.MaxBodyBytes); err != nil {
-		return req, verdict.Wrap(err, verdict.NotRun, bodyReason(r.Context(), err), 0)
+	service := rt.Pick(rand.Float64())
+	if e := v.refuseLate(time.Now(), req, service); e != nil {
+		return req, e
+	}
+	if e := v.readBody(req, service, limits.MaxBodyBytes); e != nil {
+		return req, e
 	}
 	req.identity = v.identity(req)
 	if req.relayed == "" && v.cutOff() {
@@ -221,7 +230,7 @@
 	if e := v.limit(req); e != nil {
 		return req, e
 	}
-	req.service = rt.Pick(rand.Float64())
+	req.service = service
 	v.splitLog.picked(req)
 	return req, nil
 }
@@ -266,14 +275,23 @@
 	return req.started.Add(left)
 }
 
-// readWithin reads the body until the deadline. What comes later can't be sent on any more.
-func (r *request) readWithin(conn *callerConn, limit int64) error {
-	if conn == nil || r.http.ContentLength == 0 {
-		return r.read(limit)
-	}
-	_ = conn.SetReadDeadline(r.deadline)
-	defer func() { _ = conn.SetReadDeadline(time.Time{}) }()
-	return r.read(limit)
+// readBody reads the body until the deadline. What comes later can't be sent on any more.
+func (v *VM) readBody(req *request, service string, limit int64) *verdict.Error {
+	r, conn := req.http, connOf(req.http)
+	read := req.read
+	if conn != nil && r.ContentLength != 0 {
+		read = (&bodyReader{vm: v, conn: conn, req: req, service: service, set: make(chan struct{})}).read
+	}
+	err := read(limit)
+	req.readAt = time.Now()
+	if err == nil {
+		return nil
+	}
+	reason := bodyReason(r.Context(), err)
+	if reason == verdict.ReasonDeadline && req.readAt.Before(req.deadline) {
+		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonLeaving, shedRetryAfter)
+	}
+	return verdict.Wrap(err, verdict.NotRun, reason, 0)
 }
 
 // read reads the body, up to the size of the buffer.
@@ -348,7 +366,8 @@
 	code := status(e)
 	v.counts.failed(e)
 	v.requests.refused(v, req, e, code, connOf(r).trace())
-	if r.Context().Err() != nil && e.Reason != verdict.ReasonDeadline {
+	// A read that times out also cancels the context.
+	if r.Context().Err() != nil && e.Reason != verdict.ReasonDeadline && !errors.Is(e, os.ErrDeadlineExceeded) {
 		panic(http.ErrAbortHandler) // The caller has disconnected.
 	}
 	h := w.Header()
