io/route, io/caller, io/vm: a stopping VM sends on only what can end before it does

Callers of auburnlatchd in a planned stop lost bookings: a VM took them while look-ups still named it, sent them to another VM's slot or had them wait for one, and closed their connections with no answer at the end of StopGrace. An upstream had run some of them.

Cause: until LookupTtl had passed, all requests were taken, whatever was left of StopGrace; retries and waits for a slot were bounded by the caller's deadline only.

The Router decides by core/leave, with classes by service and method: before a body is read, before a claim is written, and at each attempt, at each of another VM's requests, as a wait for a slot begins to be too long, and as the slot is there. While the VM is stopped, the HTTP transport repeats no GET by itself. A refusal is NotRun, Leaving, with Connection: close. If a retry is refused and an earlier attempt may have run, the caller is told of that attempt.

TestGracefulStopWaitsForUpload now waits until its upload has reached the VM before it stops it, as it says.

--- a/io/caller/keyed_test.go
+++ b/io/caller/keyed_test.go
@@ -63,6 +63,9 @@
 	}, nil
 }
 
+// Late implements Router. The VM is not stopped.
+func (f *fakeRouter) Late(time.Time, *route.Request) error { return nil }
+
 // fakeRegister has one service and is always ready.
 type fakeRegister struct {
 	inv     *inventory.Inventory
--- a/io/caller/parse.go
+++ b/io/caller/parse.go
@@ -49,10 +49,17 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	now := time.Now()
 	req := &route.Request{
-		Service: name, Origin: s.originZone(r), Deadline: time.Now().Add(timeout),
+		Service: name, Origin: s.originZone(r), Deadline: now.Add(timeout), HTTP: r,
 		Idempotent: slices.Contains(rules.IdempotentMethods, r.Method),
 	}
+	if r.ContentLength != 0 {
+		req.BodySince = now
+	}
+	if err := s.router.Late(now, req); err != nil {
+		return nil, nil, err
+	}
 	var key *claim.Key
 	if !req.Idempotent {
 		if key, err = claimKey(r, name, rules.KeyOptional); err != nil {
@@ -85,6 +92,9 @@
 		return verdict.Wrap(err, verdict.NotRun, verdict.ReasonBadRequest, 0)
 	}
 	req.Body = body
+	if body.Whole() {
+		req.BodyUntil = time.Now()
+	}
 	req.Identity = poison.NewRequest(poison.Content{
 		Method: r.Method, URI: r.URL.RequestURI(), Caller: callerName(r), Body: body.Kept(),
 	})
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -27,6 +27,9 @@
 // Router sends a caller's request to an upstream.
 type Router interface {
 	Route(ctx context.Context, req *route.Request) (*http.Response, error)
+	// Late returns the refusal of a request that could not end before a VM that is stopped does, or
+	// nil.
+	Late(now time.Time, req *route.Request) error
 }
 
 // Register gives the server its view of the inventory and the VM's state.
@@ -144,6 +147,10 @@
 		s.refuse(w, r, verdict.As(err))
 		return nil
 	}
+	if err := s.router.Late(time.Now(), req); err != nil {
+		s.refuse(w, r, verdict.As(err))
+		return nil
+	}
 	if key != nil {
 		s.keyedRequest(w, req, *key)
 		return nil
@@ -163,6 +170,9 @@
 	s.log.WithFields(logrus.Fields{
 		"Verdict": e.Verdict, "Reason": e.Reason, "Method": r.Method, "Path": r.URL.Path, "Err": e.Err,
 	}).Info("RequestRefused")
+	if e.Reason == verdict.ReasonLeaving {
+		w.Header().Set("Connection", "close")
+	}
 	// The body may be unread. net/http then reads the rest, so that it is not
 	// taken for the next request, or closes the connection if the rest is long.
 	forward.Refuse(w, e)
--- a/io/route/router.go
+++ b/io/route/router.go
@@ -68,6 +68,9 @@
 	Idempotent bool
 	Deadline   time.Time
 	Body       *Body
+	// BodySince is when the body began to arrive; zero: there is none. BodyUntil is when all of it
+	// was there; zero: it is not.
+	BodySince, BodyUntil time.Time
 	// HTTP has the method, the path within the service, and the header fields.
 	HTTP *http.Request
 	// Identity is the fingerprint by which a repeated request is recognized; nil
@@ -97,12 +100,21 @@
 	Links      *upstream.Links // nil: not watched.
 
 	nextRemote atomic.Uint64 // Rotates the VM of another zone that is tried first.
+	stop       stopEnd
 }
 
 // Route sends a caller's request to an upstream of a zone, picked by the weights
 // of the request's origin. It retries only on NotRun, or on MaybeRan if the
 // request is idempotent, and only within the retry budget.
 func (r *Router) Route(ctx context.Context, req *Request) (*http.Response, error) {
+	began := time.Now()
+	resp, err := r.sendRetrying(ctx, req)
+	r.stop.observe(req, began, resp, err)
+	return resp, err
+}
+
+// sendRetrying sends a request to a zone, and again as far as it may be.
+func (r *Router) sendRetrying(ctx context.Context, req *Request) (*http.Response, error) {
 	rules := r.Pool.Rules(req.Service)
 	if rules == nil {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoService, 0)
@@ -114,6 +126,12 @@
 	r.Budget.Request(time.Now(), rules.RetryBudget)
 	var last error
 	for attempt := 1; ; attempt++ {
+		if late := r.Late(time.Now(), req); late != nil {
+			if last != nil && verdict.Of(last) != verdict.NotRun {
+				return nil, last
+			}
+			return nil, late
+		}
 		resp, err := r.sendAdmitted(ctx, zone, req)
 		if err == nil {
 			return resp, nil
@@ -121,7 +139,9 @@
 		if last != nil && verdict.As(err).Reason == verdict.ReasonQuarantined && verdict.Of(last) != verdict.NotRun {
 			return nil, last // An earlier attempt may have run.
 		}
-		last = err
+		if last == nil || verdict.Of(last) == verdict.NotRun || verdict.Of(err) != verdict.NotRun {
+			last = err
+		}
 		if attempt == maxAttempts || !mayRetry(verdict.As(err), req) || !r.Budget.Retry(time.Now(), rules.RetryBudget) {
 			return nil, err
 		}
@@ -173,6 +193,9 @@
 	first := int(r.nextRemote.Add(1) % uint64(min(maxRemoteVMs, len(vms))))
 	var err error
 	for i := range min(maxRemoteVMs, len(vms)) {
+		if i > 0 && r.Late(time.Now(), req) != nil {
+			break
+		}
 		vm := vms[(first+i)%min(maxRemoteVMs, len(vms))]
 		var resp *http.Response
 		resp, err = r.VMs.Send(ctx, vm.Forward, req.meta(forward.Zone), req.outgoing(ctx))
@@ -204,7 +227,20 @@
 	if identity, ok := poison.ParseRequest(meta.Print); ok {
 		req.Identity = identity
 	}
-	switch meta.Mode {
+	began := time.Now()
+	if hr.ContentLength != 0 {
+		req.BodySince = began
+	}
+	resp, err := r.serve(ctx, meta.Mode, req)
+	r.stop.observe(req, began, resp, err)
+	return resp, err
+}
+
+func (r *Router) serve(ctx context.Context, mode forward.Mode, req *Request) (*http.Response, error) {
+	if err := r.Late(time.Now(), req); err != nil {
+		return nil, err
+	}
+	switch mode {
 	case forward.Zone:
 		return r.sendLocal(ctx, req)
 	case forward.Offer:
@@ -295,16 +331,29 @@
 	}
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
-	select {
-	case target := <-ticket.Granted:
-		if target == nil {
-			return nil, verdict.New(verdict.NotRun, verdict.ReasonLeaving, retryAfter)
+	stopping := r.stop.stopping().Done()
+	for waiting := true; waiting; {
+		select {
+		case target := <-ticket.Granted:
+			if target == nil {
+				return nil, verdict.New(verdict.NotRun, verdict.ReasonLeaving, retryAfter)
+			}
+			return r.send(ctx, target, req)
+		case <-stopping:
+			stopping = nil
+			if by, ok := r.sendBy(time.Now(), req); ok && by.Before(until) {
+				timer.Reset(time.Until(by))
+			}
+		case <-timer.C:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
 		}
-		return r.send(ctx, target, req)
-	case <-timer.C:
-	case <-ctx.Done():
 	}
 	r.Pool.Cancel(time.Now(), ticket)
+	if err := r.Late(time.Now(), req); err != nil {
+		return nil, err
+	}
 	r.Meter.Refused(time.Now(), req.Service, req.Origin, dispatch.DefaultRequestDuration)
 	return nil, verdict.New(verdict.NotRun, verdict.ReasonQueueFull, retryAfter)
 }
@@ -322,6 +371,10 @@
 // the response has been read or closed, or on an error.
 func (r *Router) send(ctx context.Context, t *inventory.Target, req *Request) (*http.Response, error) {
 	started := time.Now()
+	if err := r.Late(started, req); err != nil {
+		r.Pool.Release(started, t)
+		return nil, err
+	}
 	if !claim.MayDispatch(started, req.Deadline) {
 		r.Pool.Release(started, t)
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonDeadline, 0)
@@ -344,6 +397,7 @@
 	hr := req.outgoing(ctx)
 	forward.StripReserved(hr.Header)
 	hr.Header.Set(forward.HeaderTimeout, remainingMillis(started, req.Deadline))
+	r.stop.limitRepeats(hr)
 	var shed []int
 	if rules := r.Pool.Rules(req.Service); rules != nil {
 		shed = rules.ShedStatuses
--- a/io/vm/leave.go
+++ b/io/vm/leave.go
@@ -7,14 +7,20 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"auburnlatch/core/leave"
 	"auburnlatch/core/member"
 	"auburnlatch/io/keepalive"
+	"auburnlatch/io/lifecycle"
 )
 
 const (
 	drainPollInterval = 20 * time.Millisecond
 	// lastExchangeTimeout bounds the last exchanges with the zone peers.
 	lastExchangeTimeout = 2 * time.Second
+	// answerMargin is the time before the end of the grace period by which requests are to end,
+	// but no more than answerMarginFraction of the period.
+	answerMargin         = time.Second
+	answerMarginFraction = 0.1
 	// lastReplyTimeout bounds the replies to operators that are still on their way.
 	lastReplyTimeout = 2 * time.Second
 )
@@ -26,16 +32,20 @@
 // leave stops the VM gracefully. The VM takes requests until the TTL of all look-ups
 // that name it has passed, as callers may use a cached look-up until then. After
 // that it refuses new requests with NotRun and waits for those in flight, for at
-// most the stop's grace period.
+// most the stop's grace period. From the start on it refuses those that could not end by then.
 func (v *VM) leave(callerSrv, forwardSrv *keepalive.Server) error {
 	v.leaving.Store(true)
 	v.log.Info("VMLeaving")
 	now := time.Now()
+	grace := v.cfg.Timing.StopGrace
+	serving := v.cfg.Timing.LookupTTL + 2*v.cfg.Timing.Heartbeat
+	end := now.Add(serving + grace - min(answerMargin, lifecycle.Share(grace, answerMarginFraction)))
+	v.router.Stop(leave.Stop{Began: now, End: end})
 	v.heartbeat(now)
 	v.refreshLookups(now)
-	time.Sleep(v.cfg.Timing.LookupTTL + 2*v.cfg.Timing.Heartbeat)
+	time.Sleep(serving)
 	v.callers.Refuse()
-	ctx, cancel := context.WithTimeout(context.Background(), v.cfg.Timing.StopGrace)
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	err := v.waitIdle(ctx)
 	if err == nil {
--- a/io/vm/vm_test.go
+++ b/io/vm/vm_test.go
@@ -33,6 +33,7 @@
 	}()
 	part := bytes.Repeat([]byte("x"), 100_000)
 	body.parts <- part
+	f.waitFor("the upload has begun", func() bool { return a.callers.InFlight() == 1 })
 	stopped := make(chan error, 1)
 	go func() { stopped <- f.leave("a") }()
 	f.waitFor("new requests are refused as not run", func() bool {
