io/caller, io/vm: a stop answers the requests that it ends

Callers of auburnlatchd whose requests were in flight at the end of StopGrace had their connections closed with no answer.

Cause: leave closed the servers then. A second before the end, or a tenth of StopGrace, the VM now cancels what has no response yet, and its callers get 502, Broken, MaybeRan, or Leaving if it did not run. Run still returns an error, and the claims of bookings stay as they were left before.

TestStopAnswersWhatItCuts failed before: EOF for a booking and for a look-up.

--- a/io/caller/keyed.go
+++ b/io/caller/keyed.go
@@ -57,14 +57,14 @@
 	case claim.Replay:
 		s.replay(ctx, w, req, act.Answer)
 	case claim.Dispatch:
-		s.dispatch(ctx, w, req, a)
+		s.dispatch(ctx, cancel, w, req, a)
 	}
 }
 
 // dispatch sends a claimed request to an upstream and settles its row.
-func (s *Server) dispatch(ctx context.Context, w http.ResponseWriter, req *route.Request, a *claim.Attempt) {
+func (s *Server) dispatch(ctx context.Context, cancel context.CancelFunc, w http.ResponseWriter, req *route.Request, a *claim.Attempt) {
 	s.open.add(a)
-	resp, err := s.router.Route(ctx, req)
+	resp, err := s.route(ctx, cancel, req)
 	if err != nil {
 		s.settle(a, a.Finish(time.Now(), nil, err))
 		s.refuse(w, req.HTTP, verdict.As(err))
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -64,11 +64,16 @@
 	settling sync.WaitGroup
 	open     openClaims
 	answers  answerCache
+
+	work    context.Context // Canceled when the VM's work ends.
+	endWork context.CancelFunc
 }
 
 // New returns a server.
 func New(cfg Config, router Router, claims *platform.Claims, register Register, log *logrus.Entry) *Server {
-	return &Server{cfg: cfg, router: router, claims: claims, register: register, log: log}
+	s := &Server{cfg: cfg, router: router, claims: claims, register: register, log: log}
+	s.work, s.endWork = context.WithCancel(context.Background())
+	return s
 }
 
 // InFlight returns the number of requests in flight.
@@ -81,6 +86,10 @@
 // flight are served to their end.
 func (s *Server) Refuse() { s.refusing.Store(true) }
 
+// EndWork gives the requests in flight final responses. Their callers could not tell otherwise
+// whether they have run.
+func (s *Server) EndWork() { s.endWork() }
+
 // Settled waits until the rows of all claims are settled, or returns ctx's error
 // when ctx ends: rows cannot be settled while the platform is unavailable. Such
 // rows stay Claimed: retries are refused with MaybeRan until an operator resolves
@@ -157,7 +166,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
 	defer cancel()
-	resp, err := s.router.Route(ctx, req)
+	resp, err := s.route(ctx, cancel, req)
 	if err != nil {
 		s.refuse(w, r, verdict.As(err))
 		return nil
@@ -166,6 +175,25 @@
 	return nil
 }
 
+// route sends a request on. Its context is canceled if the VM's work ends before it has a response.
+func (s *Server) route(ctx context.Context, cancel context.CancelFunc, req *route.Request) (*http.Response, error) {
+	release := context.AfterFunc(s.work, cancel)
+	defer release()
+	resp, err := s.router.Route(ctx, req)
+	if err == nil || s.work.Err() == nil {
+		return resp, err
+	}
+	e := verdict.As(err)
+	switch {
+	case e.Reason != verdict.ReasonCanceled:
+		return nil, err
+	case e.Verdict == verdict.NotRun:
+		return nil, verdict.Wrap(e, verdict.NotRun, verdict.ReasonLeaving, retryAfter)
+	default:
+		return nil, verdict.Wrap(e, e.Verdict, verdict.ReasonBroken, 0)
+	}
+}
+
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, e *verdict.Error) {
 	s.log.WithFields(logrus.Fields{
 		"Verdict": e.Verdict, "Reason": e.Reason, "Method": r.Method, "Path": r.URL.Path, "Err": e.Err,
--- a/io/vm/late_test.go
+++ b/io/vm/late_test.go
@@ -131,6 +131,26 @@
 	}
 }
 
+// Guards against requests that are cut at the end of a stop without a response, so that their
+// callers do not know whether they ran.
+func TestStopAnswersWhatItCuts(t *testing.T) {
+	f, a := startLate(t, 4*time.Second)
+	f.setFaults("z1", &schema.UpstreamFaults{WorkMs: 15_000})
+	before := f.totalRuns()
+	booking := f.begin(a, http.MethodPost, "/istoric/slots", strings.NewReader("order"), keyed("k"))
+	lookup := f.begin(a, http.MethodGet, "/istoric/x", http.NoBody, nil)
+	f.waitFor("both are in flight", func() bool { return a.callers.InFlight() == 2 && f.totalRuns() == before+2 })
+	_, ended := f.lateStop(a)
+	for what, got := range map[string]answer{"booking": <-booking, "look-up": <-lookup} {
+		if got.resp == nil || got.resp.StatusCode != http.StatusBadGateway || got.resp.Header.Get(forward.HeaderVerdict) != "MaybeRan" {
+			t.Errorf("%s: %v, %s; want 502, MaybeRan", what, got.resp, got.body)
+		}
+	}
+	if err := <-ended; err == nil {
+		t.Error("Run = nil, want an error: requests were cut")
+	}
+}
+
 // Guards against a request that waits for a slot of a stopping VM although it could not end.
 func TestStopRefusesWaitingRequestsThatCannotEnd(t *testing.T) {
 	f, a := startLate(t, lateGrace)
--- a/io/vm/leave.go
+++ b/io/vm/leave.go
@@ -17,8 +17,8 @@
 	drainPollInterval = 20 * time.Millisecond
 	// lastExchangeTimeout bounds the last exchanges with the zone peers.
 	lastExchangeTimeout = 2 * time.Second
-	// answerMargin is the time before the end of the grace period by which requests are to end,
-	// but no more than answerMarginFraction of the period.
+	// answerMargin is the time before the end of the grace period in which requests still in
+	// flight get a final response, but no more than answerMarginFraction of the period.
 	answerMargin         = time.Second
 	answerMarginFraction = 0.1
 	// lastReplyTimeout bounds the replies to operators that are still on their way.
@@ -47,8 +47,13 @@
 	v.callers.Refuse()
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
-	err := v.waitIdle(ctx)
-	if err == nil {
+	work, endWork := context.WithDeadline(ctx, end)
+	defer endWork()
+	err := v.waitIdle(work)
+	if err != nil {
+		v.callers.EndWork()
+	}
+	if answered := v.waitIdle(ctx); answered == nil {
 		_ = callerSrv.Shutdown(ctx)
 		_ = forwardSrv.Shutdown(ctx)
 	} else {
