--- a/core/leave/leave.go
+++ b/core/leave/leave.go
@@ -13,13 +13,15 @@
 //   - One that may be repeated is sent if 95 in 100 would. If it is cut, its caller has lost
 //     the time that it waited, and asks another VM.
 //
-// Where too few responses are known to tell, the request's deadline bounds its duration.
+// Where too few responses are known to tell, the request's deadline bounds its duration. One whose
+// body was arriving as the stop began would have to send it again, and is sent on if half of the
+// time is left.
 //
 // # Usage
 //
 //	var e leave.Estimator
 //	e.Observe(now, leave.Class{...}, took)          // Each response.
-//	by := e.SendBy(now, leave.Request{...}, end)    // During the stop, before each send.
+//	by := e.SendBy(now, leave.Request{...}, stop)   // During the stop, before each send.
 //	if !now.Before(by) { ... }                      // It has to be refused.
 package leave
 
@@ -57,6 +59,20 @@
 	Class
 	// Deadline is when it ends in any case.
 	Deadline time.Time
+	// BodySince is when its body began to arrive; zero: it has none. BodyUntil is when all of it was
+	// there; zero: it is not.
+	BodySince, BodyUntil time.Time
+}
+
+// bodyArriving reports whether its body was arriving at a time.
+func (r Request) bodyArriving(at time.Time) bool {
+	return !r.BodySince.IsZero() && r.BodySince.Before(at) && (r.BodyUntil.IsZero() || r.BodyUntil.After(at))
+}
+
+// Stop is the time of a stop.
+type Stop struct {
+	// Began is when it began, and End when the work of the VM ends.
+	Began, End time.Time
 }
 
 // Estimator has the response times of a VM's requests. The zero value is ready to use. It is safe
@@ -120,18 +136,22 @@
 	return took
 }
 
-// SendBy returns the time from which on a request cannot be expected to end by end. It is to be sent
-// before or not at all. SendBy returns the zero time if it is not known to end by then, whenever it
-// is sent.
-func (e *Estimator) SendBy(now time.Time, req Request, end time.Time) time.Time {
-	if !req.Deadline.After(end) {
-		return end
+// SendBy returns the time from which on a request cannot be expected to end before the VM's work
+// does. It is to be sent before or not at all. SendBy returns the zero time if it is not known to end
+// by then, whenever it is sent.
+func (e *Estimator) SendBy(now time.Time, req Request, stop Stop) time.Time {
+	if !req.Deadline.After(stop.End) {
+		return stop.End
 	}
 	bound, ok := e.bound(now, req.Class)
-	if !ok {
+	switch {
+	case ok:
+		return stop.End.Add(-bound)
+	case req.bodyArriving(stop.Began):
+		return stop.Began.Add(stop.End.Sub(stop.Began) / 2)
+	default:
 		return time.Time{}
 	}
-	return end.Add(-bound)
 }
 
 // bound returns the time in which nearly all requests of a class end, or false if too few responses
--- a/io/entry/late.go
+++ b/io/entry/late.go
@@ -13,26 +13,33 @@
 // stopEnd is when the work of a VM that is stopped ends, and what is known of the requests that
 // would have to end by then.
 type stopEnd struct {
-	at        atomic.Pointer[time.Time] // nil: the VM is not stopped.
-	begun     context.Context           // Canceled when at is set.
+	at        atomic.Pointer[leave.Stop] // nil: the VM is not stopped.
+	begun     context.Context            // Canceled when at is set.
 	cancel    context.CancelFunc
 	estimator leave.Estimator
 }
 
-// begin sets when the work ends.
-func (s *stopEnd) begin(end time.Time) {
-	s.at.Store(&end)
+// begin begins the stop.
+func (s *stopEnd) begin(stop leave.Stop) {
+	s.at.Store(&stop)
 	s.cancel()
 }
 
 // sendBy returns the time from which on a request must not be sent on, as it could not end before
 // the VM does. ok is false if the VM is not stopped.
 func (s *stopEnd) sendBy(now time.Time, req *request, service string) (by time.Time, ok bool) {
-	end := s.at.Load()
-	if end == nil {
+	stop := s.at.Load()
+	if stop == nil {
 		return time.Time{}, false
 	}
-	return s.estimator.SendBy(now, leave.Request{Class: leaveClass(req, service), Deadline: req.deadline}, *end), true
+	r := leave.Request{Class: leaveClass(req, service), Deadline: req.deadline}
+	if req.http.ContentLength != 0 {
+		r.BodySince = req.started
+		if req.rest == nil {
+			r.BodyUntil = req.readAt
+		}
+	}
+	return s.estimator.SendBy(now, r, *stop), true
 }
 
 // leaveClass returns the class of a request that is sent to a service; empty: it is relayed.
--- a/io/entry/leave.go
+++ b/io/entry/leave.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"auburnlatch/core/leave"
 	"auburnlatch/io/keepalive"
 	"auburnlatch/io/lifecycle"
 )
@@ -44,7 +45,7 @@
 	started := time.Now()
 	margin := min(exitMargin, lifecycle.Share(grace, exitMarginFraction))
 	working := max(lifecycle.Share(grace, minWorkFraction), grace-margin-answerMargin)
-	v.stop.begin(started.Add(working))
+	v.stop.begin(leave.Stop{Began: started, End: started.Add(working)})
 	v.leaving.Store(true)
 	v.log.WithField("InFlight", v.inFlight.Load()).Info("VMLeaving")
 	ctx, cancel := context.WithTimeout(context.Background(), grace-margin)
--- a/io/route/late.go
+++ b/io/route/late.go
@@ -18,7 +18,7 @@
 // stopEnd is when the work of a VM that is stopped ends, and what is known of the requests that
 // would have to end by then. The zero value is that of a VM that is not stopped.
 type stopEnd struct {
-	at        atomic.Pointer[time.Time]
+	at        atomic.Pointer[leave.Stop]
 	begun     context.Context // Canceled when at is set.
 	begin     context.CancelFunc
 	once      sync.Once
@@ -31,11 +31,11 @@
 	return s.begun
 }
 
-// EndBy says that the VM is stopped, and when its work ends. From then on requests that cannot be
-// expected to end by then are refused as not run.
-func (r *Router) EndBy(end time.Time) {
+// Stop says that the VM is stopped. From then on requests that cannot be expected to end before its
+// work does are refused as not run.
+func (r *Router) Stop(stop leave.Stop) {
 	r.stop.stopping()
-	r.stop.at.Store(&end)
+	r.stop.at.Store(&stop)
 	r.stop.begin()
 }
 
@@ -51,11 +51,11 @@
 // sendBy returns the time from which on a request must not be sent on, as it could not end before
 // the VM does. ok is false if the VM is not stopped.
 func (r *Router) sendBy(now time.Time, req *Request) (by time.Time, ok bool) {
-	end := r.stop.at.Load()
-	if end == nil {
+	stop := r.stop.at.Load()
+	if stop == nil {
 		return time.Time{}, false
 	}
-	return r.stop.estimator.SendBy(now, leave.Request{Class: leaveClass(req), Deadline: req.Deadline}, *end), true
+	return r.stop.estimator.SendBy(now, leave.Request{Class: leaveClass(req), Deadline: req.Deadline, BodySince: req.BodySince, BodyUntil: req.BodyUntil}, *stop), true
 }
 
 // classMethods are the methods that are told apart. All others are taken for one, as callers could
--- a/io/route/router.go
+++ b/io/route/router.go
@@ -68,6 +68,9 @@
 	Idempotent bool
 	Deadline   time.Time
 	Body       *Body
+	// BodySince is when the body began to arrive; zero: there is none. BodyUntil is when all of it
+	// was there; zero: it is not.
+	BodySince, BodyUntil time.Time
 	// HTTP has the method, the path within the service, and the header fields.
 	HTTP *http.Request
 	// Identity is the fingerprint by which a repeated request is recognized; nil
@@ -225,6 +228,9 @@
 		req.Identity = identity
 	}
 	began := time.Now()
+	if hr.ContentLength != 0 {
+		req.BodySince = began
+	}
 	resp, err := r.serve(ctx, meta.Mode, req)
 	r.stop.observe(req, began, resp, err)
 	return resp, err
