core/reach: a check that the VM was suspended in says nothing

Callers saw: a VM that was suspended while it checked whether it reaches upstreams took itself for cut off when it ran again. It gave up the requests in flight, and its callers' requests went through other VMs for a quarter of a second or longer.

Cause: contacts time out during a suspension, and the time without a response includes it.

Change: a check that took more than 3 s, where 0.45 s bounds it, concludes nothing. The silence counts from its end, and failures from before it do not count.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -70,6 +70,8 @@
 	// checkPause is the time between two checks, recheckPause that of a VM that is cut off.
 	checkPause   = 500 * time.Millisecond
 	recheckPause = 250 * time.Millisecond
+	// maxCheck is how long a check may take; during a longer one the VM was suspended.
+	maxCheck = 3 * time.Second
 	// usualWeight is the weight of the newest response in the usual response time.
 	usualWeight = 0.1
 )
@@ -240,6 +242,10 @@
 		return Regained
 	case m.cutOff:
 		return Unchanged
+	case now.Sub(began) > maxCheck:
+		// The contacts timed out during the suspension, and the requests waited through it.
+		clear(m.failed)
+		m.waitingSince = now
 	case c > None:
 		m.cutOff = m.isUnanswered(now)
 	case targets >= minCheckTargets:
