io/entry: the end of a stop also ends long responses that others wait behind

Callers with requests in flight behind a long response on their connection got no answer if that response did not end within the grace time of a planned stop: upstreams had run them, and the process ended with the connection open.

Cause: such a response is buffered whole (aheadBuffer), and reading it was bounded by the caller's deadline only. Now it ends with the VM's work, as requests without a response do: its caller gets 502, and those behind it their answers.

TestStopAnswersBehindLongResponse failed before: the answers came 10 s after the stop, at the deadline, with a grace time of 3 s; a process of its own has ended by then.

--- a/io/entry/ahead.go
+++ b/io/entry/ahead.go
@@ -23,11 +23,13 @@
 type aheadBuffer struct{ used atomic.Int64 }
 
 // hold buffers a long response if it has requests in flight behind it on its connection. From then on
-// further requests wait for their turn. free is to be called once the response has been passed on.
-func (a *aheadBuffer) hold(ctx context.Context, conn *callerConn, res *result) (free func()) {
+// further requests wait for their turn. It ends a response that is not whole when work does. free is
+// to be called once the response has been passed on.
+func (a *aheadBuffer) hold(ctx, work context.Context, conn *callerConn, res *result) (free func()) {
 	if res.err != nil || res.response.rest == nil || !conn.holdBack() {
 		return func() {}
 	}
+	defer context.AfterFunc(work, res.stop)()
 	free, res.err = a.fill(ctx, res.response)
 	return free
 }
--- a/io/entry/late_test.go
+++ b/io/entry/late_test.go
@@ -265,6 +265,37 @@
 	v.wantRefusedAtOnce(t, half, "half", v.stopped.Add(lateWork-600*time.Millisecond))
 }
 
+// Guards against requests that get no response at the end of a stop, as a long response ahead of them
+// on their connection does not end.
+func TestStopAnswersBehindLongResponse(t *testing.T) {
+	begun := make(chan struct{})
+	v := startLate(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/get/long" {
+			works(w, r)
+			return
+		}
+		_, _ = io.WriteString(w, strings.Repeat("a", 400_000))
+		_ = http.NewResponseController(w).Flush()
+		close(begun)
+		<-r.Context().Done()
+	})
+	c := dialPipeline(t, v.runningVM)
+	c.send(t, get("/get/long"))
+	c.send(t, get("/get/500ms"))
+	<-begun
+	eventually(t, "the request behind it runs", func() bool { return v.runs("/get/500ms") == 1 })
+	v.stopNow(t)
+	if status, _, closes := c.response(t); status != http.StatusBadGateway || closes {
+		t.Errorf("the long response: status %d, closes: %v; want 502", status, closes)
+	}
+	if status, body, closes := c.response(t); status != http.StatusOK || body != "done" || !closes {
+		t.Errorf("behind it: status %d, %q, closes: %v", status, body, closes)
+	}
+	if took := time.Since(v.stopped); took > lateGrace {
+		t.Errorf("answered %v after the stop, when the VM has ended", took)
+	}
+}
+
 // Guards against uploads that are refused as a stop begins, because nothing is known of their work.
 func TestStopServesBegunUpload(t *testing.T) {
 	v := startLate(t, 1, works)
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -133,7 +133,7 @@
 		res = v.serve(r.Context(), r)
 		defer res.stop()
 	}
-	defer v.ahead.hold(r.Context(), conn, &res)()
+	defer v.ahead.hold(r.Context(), v.workCtx, conn, &res)()
 	conn.respondBy(res.request.started, res.request.awaitedUntil())
 	if res.request.relayed == "" {
 		v.traffic.Add(res.bytes())
