io/upstream: a check's connection is kept only after a whole response

A check of an upstream whose response had a broken chunk, or a chunk extension or trailer beyond what is read, kept the connection for requests: only a body longer than 4 KiB was taken for a reason to close it. By reading: the next request would have been sent on it, to an upstream that is not at the begin of a request.

TestCheckBodyWithoutEnd/a_broken_chunk failed before ("the connection is still open after 5 s"). With it go tests of the other forms of bodies without an end: checks, health checks of auburnlatchd, and responses whose caller has left. These passed before.

--- a/io/upstream/contact.go
+++ b/io/upstream/contact.go
@@ -104,8 +104,8 @@
 	}
 	c.header.end()
 	_, err = io.CopyN(io.Discard, resp.Body, maxHealthBody)
-	if err == nil {
-		resp.Close = true // There is more.
+	if err != io.EOF {
+		resp.Close = true // There is more, or what follows is no body.
 	}
 	return resp, nil
 }
--- /dev/null
+++ b/io/upstream/endless_test.go
@@ -0,0 +1,116 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"auburnlatch/core/dispatch"
+	"auburnlatch/core/inventory"
+	"auburnlatch/core/reach"
+	"auburnlatch/io/upstream"
+	"auburnlatch/standin/endless"
+)
+
+// endlessBodies are the fields of a response and the repeated part of bodies without an end. One
+// without a repeated part stays open.
+var endlessBodies = map[string][2]string{
+	"until the close": {"\r\n", "bytes"},
+	"chunks":          {"Transfer-Encoding: chunked\r\n\r\n", "5\r\nbytes\r\n"},
+	"extension":       {"Transfer-Encoding: chunked\r\n\r\n5;name=", "value"},
+	"long length":     {"Content-Length: 9223372036854775807\r\n\r\n", "bytes"},
+	"trailer":         {"Transfer-Encoding: chunked\r\n\r\n0\r\n", "Field: value\r\n"},
+	"a few bytes":     {"Content-Length: 1000\r\n\r\nbytes", ""},
+	"a broken chunk":  {"Transfer-Encoding: chunked\r\n\r\nbytes\r\n", ""},
+}
+
+// endlessServer responds with a status line and a body without an end. closed is closed when its
+// first connection is.
+func endlessServer(t *testing.T, status string, part [2]string) (addr string, closed chan struct{}) {
+	t.Helper()
+	closed = make(chan struct{})
+	return startServer(t, func(n int, c net.Conn, r *bufio.Reader) {
+		if n == 0 {
+			defer close(closed)
+		}
+		if _, ok := readRequest(r); !ok {
+			return
+		}
+		if part[1] != "" {
+			endless.Send(c, "HTTP/1.1 "+status+"\r\n"+part[0], part[1], math.MaxInt64)
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\n"+part[0])
+		_, _ = io.Copy(io.Discard, r)
+	}), closed
+}
+
+// requireClosed fails the test if the connection stays open.
+func requireClosed(t *testing.T, closed chan struct{}) {
+	t.Helper()
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Error("the connection is still open after 5 s")
+	}
+}
+
+// Guards against health checks that read a response without an end.
+func TestProbeBodyWithoutEnd(t *testing.T) {
+	for name, part := range endlessBodies {
+		t.Run(name, func(t *testing.T) {
+			addr, closed := endlessServer(t, "200 OK", part)
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			if health, err := upstream.NewClient().Probe(ctx, &inventory.Target{Addr: addr}); err == nil || health != dispatch.Down || ctx.Err() != nil {
+				t.Errorf("Probe: %v, %v, context: %v", health, err, ctx.Err())
+			}
+			requireClosed(t, closed)
+		})
+	}
+}
+
+// Guards against checks that read a response without an end, or keep its connection for requests.
+func TestCheckBodyWithoutEnd(t *testing.T) {
+	for name, part := range endlessBodies {
+		t.Run(name, func(t *testing.T) {
+			addr, closed := endlessServer(t, "200 OK", part)
+			p := upstream.NewPool()
+			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+			defer cancel()
+			if got := p.Contact(ctx, "t", addr, upstream.Check{Path: "/"}, reach.Heard); got != reach.Heard && got != reach.Open {
+				t.Errorf("contact %v", got)
+			}
+			requireClosed(t, closed)
+		})
+	}
+}
+
+// Guards against responses without an end that a Client reads on after its caller has left.
+func TestClientBodyWithoutEndAfterItsCallerHasLeft(t *testing.T) {
+	for name, part := range endlessBodies {
+		t.Run(name, func(t *testing.T) {
+			addr, closed := endlessServer(t, "200 OK", part)
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp, err := upstream.NewClient().RoundTrip(ctx, addr, req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if n, err := io.Copy(io.Discard, resp.Body); err == nil {
+				t.Errorf("a complete body of %d bytes", n)
+			}
+			resp.Body.Close()
+			requireClosed(t, closed)
+		})
+	}
+}
