io/upstream: a shed request does not wait for the end of its refusal

auburnlatchd: an upstream that shed a request (a status of ShedStatuses) and then sent a few bytes of a longer body and no more held the request until its deadline, though it was known not to have run and could have gone to another upstream.

Cause: up to 4 KiB of the body are read so that the connection can be reused, without a bound in time. Now for 100 ms; after that the connection is closed.

TestShedBodyWithoutEnd/a_few_bytes failed before: 10 s, the test's deadline.

--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -23,9 +23,10 @@
 	idleTimeout       = 90 * time.Second
 	idlePerUpstream   = 64
 	defaultRetryAfter = time.Second
-	// maxShedBody is how many bytes of a shed response's body are read so that
-	// its connection can be reused.
+	// maxShedBody is how many bytes of a shed response's body are read, and maxShedTime
+	// for how long, so that its connection can be reused.
 	maxShedBody = 4 << 10
+	maxShedTime = 100 * time.Millisecond
 )
 
 // Client sends requests to upstreams. It is safe for concurrent use.
@@ -99,7 +100,9 @@
 		return nil, err
 	}
 	if slices.Contains(shed, resp.StatusCode) {
+		late := time.AfterFunc(maxShedTime, func() { resp.Body.Close() })
 		_, _ = io.CopyN(io.Discard, resp.Body, maxShedBody)
+		late.Stop()
 		resp.Body.Close()
 		pause := RetryAfter(resp.Header)
 		return nil, verdict.Wrap(&ShedError{pause}, verdict.NotRun, verdict.ReasonShed, max(defaultRetryAfter, pause))
--- a/io/upstream/endless_test.go
+++ b/io/upstream/endless_test.go
@@ -13,6 +13,7 @@
 	"auburnlatch/core/dispatch"
 	"auburnlatch/core/inventory"
 	"auburnlatch/core/reach"
+	"auburnlatch/core/verdict"
 	"auburnlatch/io/upstream"
 	"auburnlatch/standin/endless"
 )
@@ -60,6 +61,26 @@
 	}
 }
 
+// Guards against requests that were shed and wait for the end of a response that has none.
+func TestShedBodyWithoutEnd(t *testing.T) {
+	for name, part := range endlessBodies {
+		t.Run(name, func(t *testing.T) {
+			addr, closed := endlessServer(t, "503 Service Unavailable", part)
+			req, err := http.NewRequest(http.MethodGet, "http://"+addr+"/", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			_, err = upstream.NewClient().Send(ctx, &inventory.Target{Addr: addr}, []int{http.StatusServiceUnavailable}, req)
+			if verdict.As(err).Reason != verdict.ReasonShed || verdict.Of(err) != verdict.NotRun || ctx.Err() != nil {
+				t.Errorf("Send: %v, context: %v", err, ctx.Err())
+			}
+			requireClosed(t, closed)
+		})
+	}
+}
+
 // Guards against health checks that read a response without an end.
 func TestProbeBodyWithoutEnd(t *testing.T) {
 	for name, part := range endlessBodies {
