io/wire: a bound on the packed values of one message together

By test, not seen by callers: each packed value of a row was unpacked up to 16 MiB, and a message of 4 MiB holds hundreds of them: 200 rows of 16 KB took 7.2 GB of allocations before the exchange went on.

The values of a message are refused past 64 MiB together, which ends the exchange; what is packed by VMs is a configuration of some hundred KB.

TestPackedValuesAreBoundTogether failed before (accepted, 7,253,182,632 bytes allocated).

--- a/io/wire/replica.go
+++ b/io/wire/replica.go
@@ -54,9 +54,15 @@
 	return m
 }
 
-// ReplicaDeltas maps deltas of tables. It returns an error if a row is corrupt.
+// maxUnpackedValues is how many bytes the packed values of one message may have. Only long values
+// are packed, which is a configuration of some hundred KB as a rule.
+const maxUnpackedValues = 64 << 20
+
+// ReplicaDeltas maps deltas of tables. It returns an error if a row is corrupt, or if the values
+// of all are too long.
 func ReplicaDeltas(list []*schema.ReplicaDelta) ([]replica.Delta, error) {
 	out := make([]replica.Delta, 0, len(list))
+	unpacked := 0
 	for _, m := range list {
 		d := replica.Delta{From: m.GetFrom(), To: head(m.GetTo()), Whole: m.GetWhole(), FromPeer: true}
 		rows, err := unpackRows(m)
@@ -69,6 +75,9 @@
 				if row.Value, err = replica.Unpack(row.Packed); err != nil {
 					return nil, err
 				}
+				if unpacked += len(row.Value); unpacked > maxUnpackedValues {
+					return nil, errors.Newf("packed rows: values longer than %d bytes", maxUnpackedValues)
+				}
 			}
 			d.Rows = append(d.Rows, row)
 		}
--- a/io/wire/replica_test.go
+++ b/io/wire/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -139,3 +140,26 @@
 		packer.FromReplicaDeltas(list)
 	}
 }
+
+// Guards against one message of 4 MiB whose packed rows take gigabytes.
+func TestPackedValuesAreBoundTogether(t *testing.T) {
+	const size = 16 << 20
+	packed := replica.Pack(make([]byte, size))
+	m := &schema.ReplicaDelta{To: &schema.ReplicaHead{Table: "targets", Version: 1}}
+	for i := range 200 {
+		m.Rows = append(m.Rows, &schema.ReplicaRow{Key: fmt.Sprint(i), Version: 1, Packed: packed})
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	if _, err := wire.ReplicaDeltas([]*schema.ReplicaDelta{m}); err == nil {
+		t.Error("200 values of 16 MiB are accepted")
+	}
+	runtime.ReadMemStats(&after)
+	if n := after.TotalAlloc - before.TotalAlloc; n > 1<<30 {
+		t.Errorf("%d bytes were allocated", n)
+	}
+	m.Rows = m.Rows[:3]
+	if _, err := wire.ReplicaDeltas([]*schema.ReplicaDelta{m}); err != nil {
+		t.Errorf("three values of 16 MiB: %v", err)
+	}
+}
