--- a/io/upstream/contact.go
+++ b/io/upstream/contact.go
@@ -111,7 +111,7 @@
 		resp.Close = true // There is more.
 		return resp, nil
 	default:
-		resp.Close = true
+		resp.Close = true // What follows is no body.
 		return resp, err
 	}
 }
