core/ratelimit: a VM that starts assumes the demand before it was that after it

What callers of other teams saw: after a jump in one team's demand and kills of most or all VMs within two seconds, upstreams got up to 594 of 2,660 requests more of that team in five seconds than its limit.

Cause: what the ended processes admitted in the last second is known to nobody, and counted as nothing.

Now a VM assumes, for the first window after its start, that the processes before it met the present demand and admitted what a jump lets through, unless the totals say more. Averages of demand that are still rising are scaled up. The first window begins with the first report in place of the first limited request.

--- a/core/ratelimit/bounds.go
+++ b/core/ratelimit/bounds.go
@@ -91,6 +91,10 @@
 	// lowLoadThreshold is the known demand, as a fraction of the window limit, up to which
 	// load is low and some requests pass without a token.
 	lowLoadThreshold = 0.7
+	// jumpFraction is what VMs admit in addition to the rate of their buckets when demand rises
+	// far above the limit, as a fraction of the window limit: full buckets, and requests
+	// without a token.
+	jumpFraction = 0.45
 	// equalFraction is the fraction of a limit that is divided equally among the VMs that
 	// callers use, and lowLoadEqualFraction its minimum at low load. Callers who move reach
 	// VMs at which their team had no demand.
@@ -109,6 +113,13 @@
 	return (t.RatePerSecond*b.Window.Seconds()+t.Burst)*(1+b.Excess) + b.Slack
 }
 
+// maxSent returns how many requests all VMs can have admitted in a part of a window, in seconds,
+// in which the demand rose far above the limit.
+func (b Bounds) maxSent(t *team.Team, seconds float64) float64 {
+	rate, _ := b.bucketTotals(t)
+	return min(b.windowLimit(t), jumpFraction*b.windowLimit(t)+rate*seconds)
+}
+
 // load returns a rate of demand as a fraction of the window limit.
 func (b Bounds) load(t *team.Team, perSecond float64) float64 {
 	return perSecond * b.Window.Seconds() / b.windowLimit(t)
--- a/core/ratelimit/doc.go
+++ b/core/ratelimit/doc.go
@@ -42,8 +42,10 @@
 //   - A VM that has just started has the same equal share until it receives totals. Its own
 //     collector returns no totals before the other VMs have had time to report. As some of
 //     what was admitted before the start may be unknown, the VM begins with one token and uses less
-//     of the window limit for the first Window. If all VMs are killed within a second of a jump
-//     in demand, nobody knows what was admitted, and a window may exceed its limit.
+//     of the window limit for the first Window. Once it knows the demand, it assumes that the
+//     processes before it met the same and admitted what the limit allows, unless the totals say more.
+//     A small limit may still be exceeded if all VMs are killed in series, since each process admits
+//     its first request before it knows the demand.
 //   - If two VMs both act as the collector because they cannot reach each other, each
 //     reserves the equal shares of all VMs from which it receives no report.
 //
--- a/core/ratelimit/limiter.go
+++ b/core/ratelimit/limiter.go
@@ -16,6 +16,8 @@
 	shareTTL = 2500 * time.Millisecond
 	// demandTimeConstant is the time constant over which demand is averaged.
 	demandTimeConstant = 1500 * time.Millisecond
+	// minSettling is the shortest time over which a VM that has just started estimates demand.
+	minSettling = 250 * time.Millisecond
 	// minRetryAfter is the shortest time after which a caller is told to retry.
 	minRetryAfter = 50 * time.Millisecond
 	// minDemand is the demand in requests per second below which it is not reported.
@@ -132,6 +134,9 @@
 	}
 	allowed := max(lowLoadRequests, lowLoadFraction*s.part*l.bounds.windowLimit(t))
 	if l.starting(now) {
+		if l.bounds.load(t, l.settledDemand(b)) > lowLoadThreshold {
+			return false
+		}
 		allowed = startupRequests
 	}
 	return float64(b.untokened.sum(l.slice(now))+1) <= allowed
@@ -148,11 +153,32 @@
 	if now.Sub(b.totalsAt) > totalsTTL {
 		return true
 	}
-	others, fraction := max(0, b.total.Sent-b.counted.Sent), globalFraction
+	sent, fraction := float64(own+max(0, b.total.Sent-b.counted.Sent)), globalFraction
 	if l.starting(now) {
 		fraction = startupGlobalFraction
+		if l.assumedSent(now, b, t, sent)+1 > windowLimit {
+			return false
+		}
 	}
-	return float64(own+others+1) <= max(1, fraction*(1-l.reserved)*windowLimit)
+	return sent+1 <= max(1, fraction*(1-l.reserved)*windowLimit)
+}
+
+// settledDemand estimates the total demand while this VM is starting and the averages of those
+// that started with it are still rising.
+func (l *Limiter) settledDemand(b *bucket) float64 {
+	since := max(minSettling, b.totalsAt.Sub(l.base))
+	return b.total.PerSecond / (1 - math.Exp(-since.Seconds()/demandTimeConstant.Seconds()))
+}
+
+// assumedSent returns how many requests all VMs may have admitted in the last window, of which sent
+// are known, while this VM is starting. Processes that nobody remembers may have met the
+// same demand before, and admitted as many requests as the limit allows in a part of a window.
+func (l *Limiter) assumedSent(now time.Time, b *bucket, t *team.Team, sent float64) float64 {
+	since := now.Sub(l.base)
+	before := (l.bounds.Window - since).Seconds()
+	unknown := min(l.settledDemand(b)*before, l.bounds.maxSent(t, before))
+	rate, _ := l.bounds.bucketTotals(t)
+	return max(sent, min(sent, float64(l.vmCount)+rate*since.Seconds())+unknown)
 }
 
 // windowAllowance returns the number of requests that this VM may admit in a window, out of
@@ -306,6 +332,7 @@
 func (l *Limiter) Demand(now time.Time) []Demand {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.slice(now) // The first report is sent when the VM starts.
 	var list []Demand
 	for _, b := range l.byID {
 		b.reported = Demand{Team: b.id, PerSecond: b.demand.rate(now), Sent: int(b.window.sum(l.slice(now)))}
