tools/soak: a VM is held to the announcements that reached it

The check was wrong, not the VM: it took the VM that had received a request from its caller for the one that had heard the upstream's response. Evidence, in each of the eight: in six the VM was cut off, and the line of that request at that millisecond has RelayedFrom=vm-5 (once vm-4) at another VM, which logged the UpstreamNotice; in two the caller had left in that moment (Reason=Canceled), and the VM closed the connection with the response unread.

Such announcements bind nobody now, and what other VMs may have sent for one that is cut off, up to exemptFor after the cut, is not counted against it for pauses and leaving. All other requests and VMs are checked as before.

--- a/tools/soak/cut.go
+++ b/tools/soak/cut.go
@@ -197,6 +197,7 @@
 // cut cuts VMs off for d.
 func (c *cutter) cut(list []*vm, mode cutMode, d time.Duration) {
 	for _, v := range list {
+		defer c.fleet.exemptions.begin(v.name + relayed)()
 		c.fleet.links.set(v, mode)
 	}
 	<-time.After(d)
--- a/tools/soak/notices.go
+++ b/tools/soak/notices.go
@@ -138,8 +138,16 @@
 	what  string
 	value float64
 	at    time.Time
+	e     *entry // The request in whose response it was.
 }
 
+// heard reports whether the announcement reached the VM that received the request from its caller: a
+// VM doesn't read the response if its caller has left, and another VM does while its links are cut.
+func (n notice) heard(x *exemptions) bool { return !n.e.canceled && !x.at(n.e.vm+relayed, n.at) }
+
+// relayed marks, after a VM's name, the spans in which other VMs send its requests.
+const relayed = " relayed"
+
 // arrival is the arrival of a request at an upstream.
 type arrival struct {
 	at time.Time
@@ -197,8 +205,8 @@
 		l.unexpected = append(l.unexpected, line)
 		return
 	}
-	s.at = time.Unix(0, nanos)
-	g, vm := l.incarnation(upstream), l.entry(id).process
+	s.at, s.e = time.Unix(0, nanos), l.entry(id)
+	g, vm := l.incarnation(upstream), s.e.process
 	g.notices[vm] = append(g.notices[vm], s)
 }
 
@@ -287,9 +295,9 @@
 func (g *incarnationLog) afterLeaving(x *exemptions) (n int) {
 	for _, a := range g.arrivals {
 		late := slices.ContainsFunc(g.notices[a.e.process], func(s notice) bool {
-			return s.what == "leaving" && a.e.at.Sub(s.at) > leaveWithin
+			return s.what == "leaving" && s.heard(x) && a.e.at.Sub(s.at) > leaveWithin
 		})
-		if late && !x.at(a.e.vm, a.at) {
+		if late && !x.at(a.e.vm, a.at) && !x.at(a.e.vm+relayed, a.at) {
 			n++
 		}
 	}
@@ -301,13 +309,13 @@
 func (g *incarnationLog) inPause(x *exemptions, upstream string) (most int, vm string, at time.Time) {
 	for process, list := range g.notices {
 		for _, s := range list {
-			if s.what != "pause" {
+			if s.what != "pause" || !s.heard(x) {
 				continue
 			}
 			from, to := s.at.Add(noticeDelay), s.at.Add(time.Duration(s.value*float64(time.Second)))
 			n := 0
 			for _, a := range g.arrivals {
-				if a.e.process == process && a.at.After(from) && a.at.Before(to) && !x.at(a.e.vm, a.at) && !x.at(upstream, a.at) {
+				if a.e.process == process && a.at.After(from) && a.at.Before(to) && !x.at(a.e.vm, a.at) && !x.at(a.e.vm+relayed, a.at) && !x.at(upstream, a.at) {
 					n++
 				}
 			}
