core/warmth, io/entry: VMs that hold no connection seldom trust a new one

A VM without a connection to an upstream that starts again under its ID has none to lose. Now it trusts one such request in as long as all active VMs together need to send a cold upstream no more than it sustains, and checks the others. IDs that name one process only (no start time is registered) need none of that: a request for the old one is rejected there.

--- a/core/warmth/warmth.go
+++ b/core/warmth/warmth.go
@@ -13,8 +13,9 @@
 // takes to register after its start, or a health check that was sent after the opening says that the
 // process is not cold.
 //
-// To spare health checks, a new connection needs none while the registrations are current and no
-// connection to the upstream has been lost since. Registrations are current if they have been verified
+// To spare health checks, a VM sends one request now and then on a new connection without one, while
+// the registrations are current and no connection to the upstream has been lost since. VMs do that so
+// seldom that a cold upstream sustains what all of them send it that way. Registrations are current if they have been verified
 // to be the newest again and again, without a gap, for as long as an upstream takes to register. So
 // they are not current after the VM's own start, nor while the platform cannot be reached, nor for a
 // while after that.
@@ -28,7 +29,7 @@
 //	t.SetBounds(2500*time.Millisecond, 3*time.Second)
 //	t.Verified(asOf)                        // The registrations were the newest as of then.
 //	t.Lost(now, "i-1@1700")                 // A connection broke, or could not be opened.
-//	if t.CheckDue(now, opened, "i-1@1700") { // Before a request is sent on a connection.
+//	if t.CheckDue(now, opened, "i-1@1700", 4*time.Second) { // Before a request is sent on a connection.
 //		...                             // Send a health check on it.
 //		t.Warm(asked, "i-1@1700")       // The response said that it is not cold.
 //	}
@@ -58,6 +59,8 @@
 	warmAsOf lease.Moment
 	// lostAt is when a connection was last lost or could not be opened.
 	lostAt lease.Moment
+	// trustedAt is when a request was last sent without a check to a process that nothing had shown.
+	trustedAt lease.Moment
 }
 
 // SetBounds sets the time within which an upstream that has started registers and the platform has
@@ -96,25 +99,40 @@
 func (t *Tracker) update(incarnation string, change func(*evidence)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	e := t.upstreams[incarnation]
+	change(&e)
+	t.set(incarnation, e)
+}
+
+func (t *Tracker) set(incarnation string, e evidence) {
 	if t.upstreams == nil {
 		t.upstreams = make(map[string]evidence)
 	}
-	e := t.upstreams[incarnation]
-	change(&e)
 	t.upstreams[incarnation] = e
 }
 
 // CheckDue reports whether a health check has to show that an incarnation is warm before a request is
-// sent to it on a connection that was opened at a moment.
-func (t *Tracker) CheckDue(now, opened lease.Moment, incarnation string) bool {
+// sent to it on a connection that was opened at a moment. If not, the request is to be sent.
+// trustEvery is the least time between two requests of this VM to a process that nothing has shown,
+// while registrations are current; 0: there is no other process with the upstream's ID.
+func (t *Tracker) CheckDue(now, opened lease.Moment, incarnation string, trustEvery time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.upstreams[incarnation]
 	known := max(t.registeredAsOf(), e.warmAsOf)
-	if t.current(now) {
-		return opened > known && e.lostAt > known
+	switch {
+	case !t.current(now):
+		return opened > known || now-known > lease.Moment(2*t.registerWithin)
+	case opened <= known:
+		return false
+	case e.lostAt > known || trustEvery > 0 && e.trustedAt > 0 && now-e.trustedAt < lease.Moment(trustEvery):
+		return true
+	}
+	if trustEvery > 0 {
+		e.trustedAt = now
+		t.set(incarnation, e)
 	}
-	return opened > known || now-known > lease.Moment(2*t.registerWithin)
+	return false
 }
 
 // Current reports whether the registrations are current.
--- a/core/warmth/warmth_test.go
+++ b/core/warmth/warmth_test.go
@@ -22,15 +22,15 @@
 	var t warmth.Tracker
 	t.SetBounds(2*time.Second, 3*time.Second)
 	second := lease.Moment(time.Second)
-	fmt.Println("just started:", t.CheckDue(10*second, 10*second, "i-1"))
+	fmt.Println("just started:", t.CheckDue(10*second, 10*second, "i-1", 0))
 	t.Warm(10*second, "i-1")
-	fmt.Println("checked:", t.CheckDue(11*second, 10*second, "i-1"))
+	fmt.Println("checked:", t.CheckDue(11*second, 10*second, "i-1", 0))
 	for asOf := 10 * second; asOf <= 13*second; asOf += second {
 		t.Verified(asOf)
 	}
-	fmt.Println("registrations are current:", t.CheckDue(13*second, 13*second, "i-1"))
+	fmt.Println("registrations are current:", t.CheckDue(13*second, 13*second, "i-1", 0))
 	t.Lost(13*second, "i-1")
-	fmt.Println("a connection was lost:", t.CheckDue(13*second, 13*second, "i-1"))
+	fmt.Println("a connection was lost:", t.CheckDue(13*second, 13*second, "i-1", 0))
 	// Output:
 	// just started: true
 	// checked: false
@@ -77,19 +77,38 @@
 		for _, step := range tc.steps {
 			step(&tracker)
 		}
-		if got := tracker.CheckDue(at(tc.now), at(tc.opened), "i"); got != tc.want {
+		if got := tracker.CheckDue(at(tc.now), at(tc.opened), "i", 0); got != tc.want {
 			t.Errorf("%s: check due %v, want %v", tc.name, got, tc.want)
 		}
 	}
 }
 
+// Guards against requests without a check, at the usual rate, by VMs that had no connection to lose when
+// the upstream started again.
+func TestProcessesThatNothingHasShownAreTrustedSeldom(t *testing.T) {
+	var tracker warmth.Tracker
+	tracker.SetBounds(registerWithin, maxGap)
+	sent := 0
+	for ms := 0; ms <= 20_000; ms += 100 {
+		if ms%500 == 0 {
+			tracker.Verified(at(ms))
+		}
+		if ms >= 10_000 && !tracker.CheckDue(at(ms), at(ms), "i", 4*time.Second) {
+			sent++
+		}
+	}
+	if sent != 3 {
+		t.Errorf("%d requests on new connections in ten seconds were sent without a check, want 3", sent)
+	}
+}
+
 func TestKeep(t *testing.T) {
 	var tracker warmth.Tracker
 	tracker.SetBounds(registerWithin, maxGap)
 	tracker.Warm(at(0), "gone")
 	tracker.Warm(at(0), "here")
 	tracker.Keep(func(incarnation string) bool { return incarnation == "here" })
-	if tracker.CheckDue(at(0), at(0), "here") || !tracker.CheckDue(at(0), at(0), "gone") {
+	if tracker.CheckDue(at(0), at(0), "here", 0) || !tracker.CheckDue(at(0), at(0), "gone", 0) {
 		t.Error("the wrong one was forgotten")
 	}
 }
@@ -112,6 +131,11 @@
 	nextRead            int
 	conns               []connection
 
+	// trustEvery is as in CheckDue, trusted when it last sent a request to a process that nothing had
+	// shown, while registrations were current.
+	trustEvery time.Duration
+	trusted    int
+
 	unchecked, checks int
 }
 
@@ -130,7 +154,7 @@
 }
 
 func (w *world) startVM(bounds func(*warmth.Tracker)) {
-	w.tracker, w.conns, w.knownBorn, w.lostBorn = &warmth.Tracker{}, nil, -1, -1
+	w.tracker, w.conns, w.knownBorn, w.lostBorn, w.trusted = &warmth.Tracker{}, nil, -1, -1, 0
 	bounds(w.tracker)
 }
 
@@ -184,7 +208,7 @@
 		w.conns, w.lostBorn = nil, max(w.lostBorn, c.born)
 		return ""
 	}
-	if w.tracker.CheckDue(at(w.now), at(c.opened), "i") {
+	if w.tracker.CheckDue(at(w.now), at(c.opened), "i", w.trustEvery) {
 		w.tracker.Warm(at(w.now), "i")
 		w.knownBorn = w.born
 		w.checks++
@@ -200,7 +224,10 @@
 		return fmt.Sprintf("at %d: a process that nothing has shown, %d after its start; the end of the one before was noticed", w.now, age)
 	case age > int((registerWithin+maxGap)/time.Millisecond):
 		return fmt.Sprintf("at %d: a process that nothing has shown, %d after its start", w.now, age)
+	case w.trusted > 0 && w.now-w.trusted < int(w.trustEvery/time.Millisecond):
+		return fmt.Sprintf("at %d: a process that nothing has shown, %d after another request of that kind", w.now, w.now-w.trusted)
 	}
+	w.trusted = w.now
 	return ""
 }
 
@@ -211,6 +238,7 @@
 	unchecked, checks := 0, 0
 	for seed := range uint64(seeds) {
 		w := newWorld(seed, sound)
+		w.trustEvery = time.Duration(seed%4) * 500 * time.Millisecond
 		for range steps {
 			if wrong := w.advance(sound); wrong != "" {
 				t.Fatalf("seed %d %s", seed, wrong)
--- a/io/entry/cold_fleet_test.go
+++ b/io/entry/cold_fleet_test.go
@@ -37,6 +37,7 @@
 	srv       *http.Server
 	born      int64
 	coldUntil time.Time
+	closes    bool // Each connection, after a response.
 	// arrivals are the requests that it received while it was cold, and checks counts the health
 	// checks.
 	arrivals []time.Time
@@ -56,6 +57,7 @@
 	u.addr = l.Addr().String()
 	u.srv, u.born, u.coldUntil = &http.Server{Handler: u}, now.UnixMilli(), now.Add(cold)
 	srv := u.srv
+	srv.SetKeepAlivesEnabled(!u.closes)
 	u.mu.Unlock()
 	go srv.Serve(l)
 	t.Cleanup(func() { srv.Close() })
@@ -76,15 +78,31 @@
 	u.srv.Close()
 }
 
-// register writes the upstream's row as of now.
-func (u *coldUpstream) register() {
+// turnCold makes the process cold, which goes on running.
+func (u *coldUpstream) turnCold() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.platform.set(entry.TableTargets, u.id, target.Registration{
-		Service: "s", Addr: u.addr, Zone: "z", Slots: 64, Born: u.born, ColdLeft: max(0, time.Until(u.coldUntil)),
-	})
+	u.coldUntil = time.Now().Add(coldTime)
 }
 
+// keepNoConnections has it close each connection after a response.
+func (u *coldUpstream) keepNoConnections() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.closes = true
+	u.srv.SetKeepAlivesEnabled(false)
+}
+
+// registration returns what the upstream writes to its row now.
+func (u *coldUpstream) registration() target.Registration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return target.Registration{Service: "s", Addr: u.addr, Zone: "z", Slots: 64, Born: u.born, ColdLeft: max(0, time.Until(u.coldUntil))}
+}
+
+// register writes the upstream's row as of now.
+func (u *coldUpstream) register() { u.platform.set(entry.TableTargets, u.id, u.registration()) }
+
 // ServeHTTP implements http.Handler.
 func (u *coldUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	u.mu.Lock()
@@ -271,21 +289,79 @@
 			<-time.After(900 * time.Millisecond)
 			registerAll(cold)
 		}},
+		{"the registration of the process before is written late", func(f *coldFleet, cold []*coldUpstream) {
+			before := make([]target.Registration, len(cold))
+			for i, u := range cold {
+				before[i] = u.registration()
+			}
+			restartAll(f.t, cold, 50*time.Millisecond)
+			registerAll(cold)
+			<-time.After(1100 * time.Millisecond) // What was lost by it is forgotten.
+			for i, u := range cold {
+				f.platform.set(entry.TableTargets, u.id, before[i])
+			}
+			<-time.After(900 * time.Millisecond)
+			registerAll(cold)
+		}},
+		{"no connections are kept", func(f *coldFleet, cold []*coldUpstream) {
+			restartAll(f.t, cold, 0)
+			<-time.After(900 * time.Millisecond)
+			registerAll(cold)
+		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			f := newColdFleet(t, vms, upstreams)
-			stop := f.call()
-			<-time.After(5 * time.Second) // All take their part of the allowance.
-			cold := f.upstreams[:restarted]
-			tc.play(f, cold)
-			<-time.After(coldTime)
-			stop()
-			f.requireBound(cold)
+			if tc.name == "no connections are kept" {
+				for _, u := range f.upstreams {
+					u.keepNoConnections()
+				}
+			}
+			f.playCold(f.upstreams[:restarted], tc.play)
 		})
 	}
 }
 
+// Guards against VMs that do not ask an upstream which goes on running whether it has turned cold.
+func TestRunningUpstreamThatTurnsColdIsNotFlooded(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		play func(f *coldFleet, cold []*coldUpstream)
+	}{
+		{"it says so later", func(_ *coldFleet, cold []*coldUpstream) {
+			for _, u := range cold {
+				u.turnCold()
+			}
+			<-time.After(900 * time.Millisecond)
+			registerAll(cold)
+		}},
+		{"the platform is away", func(f *coldFleet, cold []*coldUpstream) {
+			f.platform.setUnavailable(true)
+			<-time.After(3 * time.Second)
+			for _, u := range cold {
+				u.turnCold()
+			}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newColdFleet(t, 5, 6)
+			f.playCold(f.upstreams[:2], tc.play)
+		})
+	}
+}
+
+// playCold has callers send requests while something makes upstreams cold, and checks the bound.
+func (f *coldFleet) playCold(cold []*coldUpstream, play func(f *coldFleet, cold []*coldUpstream)) {
+	f.t.Helper()
+	stop := f.call()
+	<-time.After(5 * time.Second) // All take their part of the allowance.
+	play(f, cold)
+	<-time.After(coldTime)
+	stop()
+	f.requireBound(cold)
+}
+
 func restartAll(t *testing.T, list []*coldUpstream, after time.Duration) {
 	t.Helper()
 	var wg sync.WaitGroup
--- a/io/entry/warmth.go
+++ b/io/entry/warmth.go
@@ -11,6 +11,7 @@
 
 	"auburnlatch/core/balance"
 	"auburnlatch/core/lease"
+	"auburnlatch/core/target"
 	"auburnlatch/io/clock"
 	"auburnlatch/io/upstream"
 )
@@ -20,6 +21,8 @@
 	// platform has the registration of one that has started. Upstreams whose registrations lapsed
 	// while the platform was away are registered again within two seconds of its return.
 	registerMargin = time.Second
+	// maxTrustSeconds bounds the time between two requests to processes that nothing has shown.
+	maxTrustSeconds = 3600
 	// maxColdTime bounds how long a health check says that an upstream is cold, if the rules do not.
 	maxColdTime = time.Minute
 )
@@ -40,6 +43,8 @@
 	// path is that of health checks, and coldFor how long an upstream is cold after its start.
 	path    string
 	coldFor time.Duration
+	// trustEvery is as in warmth.Tracker.CheckDue.
+	trustEvery time.Duration
 }
 
 // processOf returns the process that a lease's request is meant for, or nil if it need not be known:
@@ -54,7 +59,21 @@
 	if s == nil || s.HealthPath == "" || s.ColdFor <= 0 && s.ColdPerSecond <= 0 {
 		return nil
 	}
-	return &process{vm: v, lease: lease, incarnation: lease.Target.Incarnation(), path: s.HealthPath, coldFor: s.ColdFor}
+	return &process{
+		vm: v, lease: lease, incarnation: lease.Target.Incarnation(), path: s.HealthPath, coldFor: s.ColdFor,
+		trustEvery: v.trustEvery(time.Now(), lease.Target, s.ColdPerSecond),
+	}
+}
+
+// trustEvery returns the least time between two requests of this VM to a process of an upstream that
+// nothing has shown: so long that all active VMs together send one that is cold no more than it
+// sustains. It is 0 for an upstream whose ID is that of one process only.
+func (v *VM) trustEvery(now time.Time, t *target.Target, coldPerSecond float64) time.Duration {
+	if t.Born == 0 {
+		return 0
+	}
+	seconds := float64(len(v.active(now).vms)) / coldPerSecond
+	return time.Duration(min(seconds, maxTrustSeconds) * float64(time.Second))
 }
 
 // CheckDue implements upstream.Process.
@@ -62,7 +81,7 @@
 	if p.vm.balancer.IsCold(now, p.lease) {
 		return false, errCold
 	}
-	return p.vm.warmth.CheckDue(clock.SinceBoot(), opened, p.incarnation), nil
+	return p.vm.warmth.CheckDue(clock.SinceBoot(), opened, p.incarnation, p.trustEvery), nil
 }
 
 // Check implements upstream.Process.
