io/entry, io/route: a retry that a stop rules out draws on no budget

A retry that could not end before a stopping VM does was refused only after it had drawn on the retry budget, and on its team's limit where the first attempt may have run. Callers of other VMs share both. Found by reading. entry.TestStopBeginsNoRetryThatCannotEnd failed before with one retry drawn; auburnlatchd's budget has no such test.

--- a/io/entry/late_test.go
+++ b/io/entry/late_test.go
@@ -205,6 +205,7 @@
 	})
 	v.learn(t, 110, http.MethodPost, "/post/900ms")
 	c := dialPipeline(t, v.runningVM)
+	before := v.retries()
 	v.stopNow(t)
 	v.after(200 * time.Millisecond)
 	c.send(t, post("/post/900ms", "late", 0))
@@ -215,6 +216,17 @@
 	if took := time.Since(v.stopped); took > lateWork-200*time.Millisecond {
 		t.Errorf("refused %v after the stop, want it as soon as the upstream gave it back", took)
 	}
+	if n := v.retries() - before; n != 0 {
+		t.Errorf("%d retries were drawn from the budget, want none", n)
+	}
+}
+
+// retries returns how many retries were drawn from the budget.
+func (v *lateVM) retries() (n int64) {
+	for _, u := range v.Figures(time.Now()).Retries {
+		n += u.Retries
+	}
+	return n
 }
 
 // Guards against a second send of an overdue request that cannot end either.
--- a/io/entry/proxy.go
+++ b/io/entry/proxy.go
@@ -178,7 +178,7 @@
 // that reports the upstream's own failure.
 func (v *VM) mayRetry(ctx context.Context, req *request, e *verdict.Error, sent int) bool {
 	now := time.Now()
-	if ctx.Err() != nil || req.rest != nil || req.deadline.Sub(now) < minRetryTime {
+	if ctx.Err() != nil || req.rest != nil || req.deadline.Sub(now) < minRetryTime || v.refuseLate(now, req, req.service) != nil {
 		return false
 	}
 	if e != nil && e.Verdict != verdict.NotRun && !req.idempotent() {
--- a/io/route/router.go
+++ b/io/route/router.go
@@ -142,7 +142,7 @@
 		if last == nil || verdict.Of(last) == verdict.NotRun || verdict.Of(err) != verdict.NotRun {
 			last = err
 		}
-		if attempt == maxAttempts || !mayRetry(verdict.As(err), req) || !r.Budget.Retry(time.Now(), rules.RetryBudget) {
+		if attempt == maxAttempts || !mayRetry(verdict.As(err), req) || r.Late(time.Now(), req) != nil || !r.Budget.Retry(time.Now(), rules.RetryBudget) {
 			return nil, err
 		}
 	}
