--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -27,6 +27,9 @@
 // Router sends a caller's request to an upstream.
 type Router interface {
 	Route(ctx context.Context, req *route.Request) (*http.Response, error)
+	// Late returns the refusal of a request that could not end before a VM that is stopped does, or
+	// nil.
+	Late(now time.Time, req *route.Request) error
 }
 
 // Register gives the server its view of the inventory and the VM's state.
@@ -61,11 +64,16 @@
 	settling sync.WaitGroup
 	open     openClaims
 	answers  answerCache
+
+	work    context.Context // Canceled when the VM's work ends.
+	endWork context.CancelFunc
 }
 
 // New returns a server.
 func New(cfg Config, router Router, claims *platform.Claims, register Register, log *logrus.Entry) *Server {
-	return &Server{cfg: cfg, router: router, claims: claims, register: register, log: log}
+	s := &Server{cfg: cfg, router: router, claims: claims, register: register, log: log}
+	s.work, s.endWork = context.WithCancel(context.Background())
+	return s
 }
 
 // InFlight returns the number of requests in flight.
@@ -78,6 +86,10 @@
 // flight are served to their end.
 func (s *Server) Refuse() { s.refusing.Store(true) }
 
+// EndWork gives the requests in flight final responses. Their callers could not tell otherwise
+// whether they have run.
+func (s *Server) EndWork() { s.endWork() }
+
 // Settled waits until the rows of all claims are settled, or returns ctx's error
 // when ctx ends: rows cannot be settled while the platform is unavailable. Such
 // rows stay Claimed: retries are refused with MaybeRan until an operator resolves
@@ -144,13 +156,17 @@
 		s.refuse(w, r, verdict.As(err))
 		return nil
 	}
+	if err := s.router.Late(time.Now(), req); err != nil {
+		s.refuse(w, r, verdict.As(err))
+		return nil
+	}
 	if key != nil {
 		s.keyedRequest(w, req, *key)
 		return nil
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
 	defer cancel()
-	resp, err := s.router.Route(ctx, req)
+	resp, err := s.route(ctx, cancel, req)
 	if err != nil {
 		s.refuse(w, r, verdict.As(err))
 		return nil
@@ -159,10 +175,32 @@
 	return nil
 }
 
+// route sends a request on. Its context is canceled if the VM's work ends before it has a response.
+func (s *Server) route(ctx context.Context, cancel context.CancelFunc, req *route.Request) (*http.Response, error) {
+	release := context.AfterFunc(s.work, cancel)
+	defer release()
+	resp, err := s.router.Route(ctx, req)
+	if err == nil || s.work.Err() == nil {
+		return resp, err
+	}
+	e := verdict.As(err)
+	switch {
+	case e.Reason != verdict.ReasonCanceled:
+		return nil, err
+	case e.Verdict == verdict.NotRun:
+		return nil, verdict.Wrap(e, verdict.NotRun, verdict.ReasonLeaving, retryAfter)
+	default:
+		return nil, verdict.Wrap(e, e.Verdict, verdict.ReasonBroken, 0)
+	}
+}
+
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, e *verdict.Error) {
 	s.log.WithFields(logrus.Fields{
 		"Verdict": e.Verdict, "Reason": e.Reason, "Method": r.Method, "Path": r.URL.Path, "Err": e.Err,
 	}).Info("RequestRefused")
+	if e.Reason == verdict.ReasonLeaving {
+		w.Header().Set("Connection", "close")
+	}
 	// The body may be unread. net/http then reads the rest, so that it is not
 	// taken for the next request, or closes the connection if the rest is long.
 	forward.Refuse(w, e)
--- a/io/entry/warmth.go
+++ b/io/entry/warmth.go
@@ -11,6 +11,7 @@
 
 	"auburnlatch/core/balance"
 	"auburnlatch/core/lease"
+	"auburnlatch/io/clock"
 	"auburnlatch/io/upstream"
 )
 
@@ -27,6 +28,7 @@
 var (
 	errCold         = errors.New("the upstream is cold")
 	errOtherProcess = errors.New("another upstream has the address")
+	errCheckRefused = errors.New("the upstream refused a health check")
 	errColdTime     = errors.New("the upstream's cold time cannot be read")
 )
 
@@ -56,8 +58,11 @@
 }
 
 // CheckDue implements upstream.Process.
-func (p *process) CheckDue(now, opened lease.Moment) bool {
-	return p.vm.warmth.CheckDue(now, opened, p.incarnation)
+func (p *process) CheckDue(now time.Time, opened lease.Moment) (bool, error) {
+	if p.vm.balancer.IsCold(now, p.lease) {
+		return false, errCold
+	}
+	return p.vm.warmth.CheckDue(clock.SinceBoot(), opened, p.incarnation), nil
 }
 
 // Check implements upstream.Process.
@@ -65,8 +70,11 @@
 
 // Checked implements upstream.Process.
 func (p *process) Checked(now time.Time, asked lease.Moment, resp *http.Response) error {
-	if resp.Header.Get(p.vm.protocol.Instance) != p.lease.Target.ID {
+	switch {
+	case resp.Header.Get(p.vm.protocol.Instance) != p.lease.Target.ID:
 		return errOtherProcess
+	case resp.StatusCode != http.StatusOK && resp.Header.Get(p.vm.protocol.ColdMillis) == "":
+		return errCheckRefused
 	}
 	cold, err := parseCold(resp.Header.Values(p.vm.protocol.ColdMillis))
 	if err != nil {
--- a/tools/soak/cold.go
+++ b/tools/soak/cold.go
@@ -29,6 +29,8 @@
 	maxBlinds    = 3
 	maxBlindLead = 1500 * time.Millisecond
 	maxBlind     = 5 * time.Second
+	// minStoreBack is how long the store is not away again after it was.
+	minStoreBack = time.Second
 	// coldDelay is the time after which a VM must act on a registration that the store has.
 	coldDelay = 500 * time.Millisecond
 	// minEvacuation and maxEvacuation bound how long a zone is evacuated before its upstreams
@@ -47,8 +49,8 @@
 
 // coldTurns are the ways in which upstreams turn cold.
 var coldTurns = []coldFault{
-	{"zoneBack", (*cooler).zoneBack},
-	{"zoneBack", (*cooler).zoneBack},
+	{"zoneBack", func(c *cooler, rnd *rand.Rand) error { return c.zoneBack(c.zone(rnd), rnd) }},
+	{"zoneBackUnregistered", (*cooler).zoneBackUnregistered},
 	{"zoneTurned", func(c *cooler, rnd *rand.Rand) error { return c.turn(c.zone(rnd)) }},
 	{"zoneTakenBack", (*cooler).zoneTakenBack},
 }
@@ -61,6 +63,7 @@
 		_, err := c.fleet.control("away", nil)
 		<-time.After(blindFor(rnd))
 		_, err2 := c.fleet.control("back", nil)
+		<-time.After(minStoreBack)
 		return errors.Join(err, err2)
 	}},
 	{"storeSilent", func(c *cooler, rnd *rand.Rand) error {
@@ -166,10 +169,10 @@
 }
 
 // zoneBack ends the upstreams of a zone, which come back together.
-func (c *cooler) zoneBack(rnd *rand.Rand) error {
+func (c *cooler) zoneBack(upstreams []int, rnd *rand.Rand) error {
 	down := time.Duration(rnd.Int64N(int64(maxDown)))
 	var wait sync.WaitGroup
-	for _, i := range c.zone(rnd) {
+	for _, i := range upstreams {
 		wait.Go(func() {
 			lock := c.chaos.lock("upstreamKilled", i)
 			lock.Lock()
@@ -181,6 +184,20 @@
 	return nil
 }
 
+// zoneBackUnregistered is zoneBack for upstreams that do not reach the store meanwhile.
+func (c *cooler) zoneBackUnregistered(rnd *rand.Rand) error {
+	list, hidden := c.zone(rnd), mode(1+rnd.IntN(len(modeNames)-1))
+	for _, i := range list {
+		c.fleet.upstream(i).store.mode.Store(int32(hidden))
+	}
+	err := c.zoneBack(list, rnd)
+	<-time.After(blindFor(rnd))
+	for _, i := range list {
+		c.fleet.upstream(i).store.mode.Store(int32(pass))
+	}
+	return err
+}
+
 // turn turns upstreams cold that go on running.
 func (c *cooler) turn(upstreams []int) error {
 	for _, i := range upstreams {
