--- a/tools/soak/chaos.go
+++ b/tools/soak/chaos.go
@@ -420,9 +420,7 @@
 	if cmd.Weights {
 		r.broken = append(r.broken, f.ledger.judgeSplits(versions, changed)...)
 	}
-	if cmd.Colds {
-		r.broken = append(r.broken, f.ledger.judgeColds(r, f)...)
-	}
+	r.broken = append(r.broken, f.ledger.judgeColds(r, f)...)
 	if cmd.Restores {
 		r.restores = stores.count
 		r.broken = append(r.broken, f.judgeStore()...)
--- a/tools/soak/mutants.sh
+++ b/tools/soak/mutants.sh
@@ -37,4 +37,6 @@
 mutant ClosedUnread io/entry/conn.go 's/return c.closer.Close(c.Conn, c.readErr, now, c.closeBy(now))/return c.Conn.Close()/; s/^	now := time.Now()$//' --shapes --for 8s
 mutant SecondReader io/forward/body.go 's/case !b.complete:/case false:/' --shapes --for 8s
 mutant FinalChunk io/upstream/call.go '/^func (c \*Call) writeChunks/,$s/if err == io.EOF {/if err != nil {/' --shapes --for 8s
+mutant ColdUnasked io/entry/warmth.go 's/if lease.Cold || table == nil/if true || table == nil/' --colds --for 8s
+mutant ColdResponseIgnored io/entry/warmth.go 's/if cold == 0 {/if true {/' --colds --for 8s
 echo 'all mutants found'
