io/vm: a refused probe makes an upstream unknown

Callers saw: an upstream that was away for a single probe, while no request was sent to it, got its full share at once when it was back.

Cause: a single failed probe was ignored, as it says little of an upstream that is slow. That its connection was refused or broke says that its process may be another one.

Change: such a probe makes the upstream unknown at the VM that sent it. Others, by timeout or status, are ignored as before.

--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"auburnlatch/core/verdict"
 )
 
@@ -104,8 +106,8 @@
 // lostConnection reports whether an error is that a connection broke or could not be opened, as
 // when the upstream's process has ended.
 func lostConnection(err error) bool {
-	reason := verdict.As(err).Reason
-	return reason == verdict.ReasonBroken || reason == verdict.ReasonUnreachable
+	var e *verdict.Error
+	return errors.As(err, &e) && (e.Reason == verdict.ReasonBroken || e.Reason == verdict.ReasonUnreachable)
 }
 
 // doubt records that the upstream may have started again, so that what was known of it does not
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -228,6 +228,15 @@
 	}
 }
 
+// ProbeFailed records a failed probe that does not make the upstream Down.
+func (p *Pool) ProbeFailed(now time.Time, target string, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a := p.allocations[target]; a != nil && lostConnection(err) {
+		a.doubt(now)
+	}
+}
+
 // Unconfirmed returns the upstreams of which this VM may use slots and does not know the state, and
 // those that are leaving, which may be back as other processes.
 func (p *Pool) Unconfirmed() []*inventory.Target {
--- a/io/vm/health.go
+++ b/io/vm/health.go
@@ -152,6 +152,7 @@
 	}
 	state, before := p.vm.health.record(p.target.Name, p.target.Addr, h, err)
 	if err != nil && state != dispatch.Down {
+		p.vm.pool.ProbeFailed(time.Now(), p.target.Name, err)
 		return
 	}
 	p.vm.pool.ReportHealth(time.Now(), began, p.target.Name, state)
--- a/io/vm/stale_test.go
+++ b/io/vm/stale_test.go
@@ -63,3 +63,24 @@
 		t.Errorf("%d requests at once at the upstream that is back, %d at the other; want 1 and 4", most["z1-0"], most["z1-1"])
 	}
 }
+
+// Guards against an upstream that is away for a single probe, while no request is sent to it, and
+// that gets its full share at once.
+func TestRefusedProbeMakesHealthUnknown(t *testing.T) {
+	f := newFleet(t, "z1")
+	f.timing.Probe = waitTimeout
+	a := f.startServing(vmSpec{"a", "z1"})
+	f.waitFor("both upstreams are up", func() bool { return len(a.pool.Unconfirmed()) == 0 })
+	away := a.Inventory().Target("z1-0")
+	a.links.set(true, away.Addr)
+	(&probe{vm: a.VM, target: away, done: func() {}}).run(t.Context())
+	if list := a.pool.Unconfirmed(); len(list) != 1 || list[0].Name != "z1-0" {
+		t.Errorf("unknown upstreams: %v, want z1-0", list)
+	}
+	a.links.set(false, away.Addr)
+	f.upstreams["z1-1"].SetFaults(&schema.UpstreamFaults{HealthDown: true})
+	(&probe{vm: a.VM, target: a.Inventory().Target("z1-1"), done: func() {}}).run(t.Context())
+	if list := a.pool.Unconfirmed(); len(list) != 1 {
+		t.Errorf("unknown upstreams: %v, want z1-0 only: the other has not ended", list)
+	}
+}
