cmd/auburnlatch-entry: the stopped daemon of a test does not sleep for the race detector

Built with -race, a process sleeps for a second before it exits, so that the daemon took 3.23 to 3.28 s of 3 s in four of four runs, and 2.2 s without. The bound stays; the daemon is started with atexit_sleep_ms=0.

--- a/cmd/auburnlatch-entry/stop_test.go
+++ b/cmd/auburnlatch-entry/stop_test.go
@@ -134,7 +134,8 @@
 		t.Fatal(err)
 	}
 	cmd := exec.CommandContext(t.Context(), os.Args[0], "--settings", path)
-	cmd.Env = append(os.Environ(), daemonEnv+"=1")
+	// A daemon that is built with the race detector would sleep for a second before it exits.
+	cmd.Env = append(os.Environ(), daemonEnv+"=1", "GORACE=atexit_sleep_ms=0")
 	out, err := cmd.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
