core/warmth: a short outage of the platform delays registrations

An upstream that starts while the platform is away for less than the gap that is allowed between verifications registers up to two seconds after its return. Checks stopped at the first verification after that, up to 1.9 s too early, also at a VM that had lost a connection to it: its requests could reach the cold process unchecked. Two verifications with more than two thirds of that gap between them now count as a time in which the platform may have been away: registrations show who started before it, until upstreams have had time to register.

TestShortOutageDelaysRegistrations failed before (no check 1.9 s before the registration).

--- a/core/warmth/warmth.go
+++ b/core/warmth/warmth.go
@@ -50,7 +50,10 @@
 	registerWithin, maxGap time.Duration
 	// The registrations were verified without a gap since first, and last as of last.
 	first, last lease.Moment
-	upstreams   map[string]evidence // By incarnation.
+	// The platform may have been away at times between the verifications at awayFrom and awayTo: there
+	// was more than regularGap between two of them. Both are 0 if it was not since first.
+	awayFrom, awayTo lease.Moment
+	upstreams        map[string]evidence // By incarnation.
 }
 
 // evidence is what a VM's own connections have shown of an incarnation.
@@ -78,12 +81,22 @@
 	if asOf <= t.last {
 		return
 	}
-	if t.last == 0 || asOf-t.last > lease.Moment(t.maxGap) {
-		t.first = asOf
+	switch gap := asOf - t.last; {
+	case t.last == 0 || gap > lease.Moment(t.maxGap):
+		t.first, t.awayFrom, t.awayTo = asOf, 0, 0
+	case gap > t.regularGap():
+		if t.awayFrom == 0 || t.last-t.awayTo > lease.Moment(t.registerWithin) {
+			t.awayFrom = t.last
+		}
+		t.awayTo = asOf
 	}
 	t.last = asOf
 }
 
+// regularGap returns the most time between two verifications after which the platform need not have
+// been away.
+func (t *Tracker) regularGap() lease.Moment { return lease.Moment(t.maxGap * 2 / 3) }
+
 // Lost records that a connection to an incarnation was lost, or that none could be opened. It may
 // have started again.
 func (t *Tracker) Lost(now lease.Moment, incarnation string) {
@@ -152,6 +165,9 @@
 	if t.last == 0 || t.last-t.first < within {
 		return 0
 	}
+	if t.awayTo > 0 && t.last-t.awayTo < within {
+		return max(0, t.awayFrom-within) // Upstreams that started then may have yet to register.
+	}
 	return t.last - within
 }
 
--- a/core/warmth/warmth_test.go
+++ b/core/warmth/warmth_test.go
@@ -102,6 +102,24 @@
 	}
 }
 
+// Guards against registrations that count as current while upstreams that started in a short outage of
+// the platform have yet to register.
+func TestShortOutageDelaysRegistrations(t *testing.T) {
+	var tracker warmth.Tracker
+	tracker.SetBounds(registerWithin, 2800*time.Millisecond)
+	for ms := 0; ms <= 10_000; ms += 500 {
+		tracker.Verified(at(ms))
+	}
+	// The platform is away from 10.1 to 12.6 s. The upstream starts again at 10.2 s and registers at 14.6 s.
+	tracker.Lost(at(10_200), "i")
+	for ms := 12_700; ms <= 14_500; ms += 300 {
+		tracker.Verified(at(ms))
+		if !tracker.CheckDue(at(ms), at(ms), "i", 0) {
+			t.Fatalf("no check of a new connection at %d ms, %d ms before it is registered", ms, 14_600-ms)
+		}
+	}
+}
+
 func TestKeep(t *testing.T) {
 	var tracker warmth.Tracker
 	tracker.SetBounds(registerWithin, maxGap)
