tests: one list of bodies without an end, one line at the head of a test

The bodies stood in two packages, the request whose response must not look whole in two tests, and the setup of what was found cold in two. What is checked is unchanged.

--- a/core/balance/cold_found_test.go
+++ b/core/balance/cold_found_test.go
@@ -8,14 +8,20 @@
 	"auburnlatch/core/target"
 )
 
-// Guards against an upstream that was found cold by a check and is taken for warm once its registration
-// has lapsed and come back.
-func TestFoundColdOutlivesALapse(t *testing.T) {
+// oneTarget returns the Balancer of a VM without others, and its only target.
+func oneTarget() (*balance.Balancer, *target.Target) {
 	b := balance.New("vm", "north", "north-0")
 	b.SetVMs(namedVMs("vm"))
 	b.SetSynced()
 	u := &target.Target{ID: "only", Born: 1000, Service: "s", Region: "north", Zone: "north-0", Slots: 4, Usable: true}
 	b.SetTargets([]*target.Target{u})
+	return b, u
+}
+
+// Guards against an upstream that was found cold by a check and is taken for warm once its registration
+// has lapsed and come back.
+func TestFoundColdOutlivesALapse(t *testing.T) {
+	b, u := oneTarget()
 	l := choose(t, b, start, balance.Request{Key: "object"})
 	b.MarkCold(l, start.Add(3*time.Second))
 	b.SetTargets(nil)
@@ -29,11 +35,7 @@
 
 // Guards against two requests of a VM within a second at a cold upstream, one under each incarnation.
 func TestColdIntervalOutlivesARegistration(t *testing.T) {
-	b := balance.New("vm", "north", "north-0")
-	b.SetVMs(namedVMs("vm"))
-	b.SetSynced()
-	u := &target.Target{ID: "only", Born: 1000, Service: "s", Region: "north", Zone: "north-0", Slots: 4, Usable: true}
-	b.SetTargets([]*target.Target{u})
+	b, u := oneTarget()
 	req := balance.Request{Service: "s", Route: "r", Key: "object", ColdPerSecond: 10}
 	l, err := b.Choose(start, req)
 	if err != nil {
--- a/core/balance/stale_test.go
+++ b/core/balance/stale_test.go
@@ -10,9 +10,7 @@
 	"auburnlatch/core/throttle"
 )
 
-// Guards against VMs that place objects differently, those that have seen an upstream register with
-// other slots by its former ones: its objects are new to two upstreams, and it gets the share of
-// slots that it no longer has.
+// Guards against VMs that place objects by slots that an upstream no longer has.
 func TestPlacingFollowsChangedSlots(t *testing.T) {
 	before := newTargets(8, map[string]int{"north": 4})
 	after := newTargets(8, map[string]int{"north": 4})
@@ -100,9 +98,7 @@
 	}
 }
 
-// Guards against an object that counts as warm at an upstream that has started again under the same
-// ID and has lost its caches: by this VM's own requests, or by placements that it receives when it
-// starts.
+// Guards against objects that count as warm at an upstream that started again and lost its caches.
 func TestObjectsAreNotWarmAtNewIncarnation(t *testing.T) {
 	now := start.Add(time.Second)
 	b, former := restarted(t, 1)
--- a/io/entry/endless_forms_test.go
+++ b/io/entry/endless_forms_test.go
@@ -10,23 +10,40 @@
 	"time"
 
 	"auburnlatch/io/entry"
+	"auburnlatch/standin/endless"
 )
 
-// endlessBodies are the beginning of a response, after its status line, and the repeated part of
-// bodies without an end.
-var endlessBodies = map[string][2]string{
-	"until the close": {"\r\n", "bytes"},
-	"chunks":          {"Transfer-Encoding: chunked\r\n\r\n", "5\r\nbytes\r\n"},
-	"extension":       {"Transfer-Encoding: chunked\r\n\r\n5;name=", "value"},
-	"long length":     {"Content-Length: 9223372036854775807\r\n\r\n", "bytes"},
-	"trailer":         {"Transfer-Encoding: chunked\r\n\r\n0\r\n", "Field: value\r\n"},
-	"a byte at times": {"Content-Length: 1000\r\n\r\n", ""},
+// endlessBodies returns bodies without an end. Of one without a repeated part, a byte comes at times.
+func endlessBodies() map[string]endless.Body {
+	bodies := endless.Bodies()
+	bodies["a byte at times"] = endless.Body{Begin: "Content-Length: 1000\r\n\r\n"}
+	return bodies
+}
+
+// requireNotWhole sends a request whose response has no end to the VM, and fails if the caller can take
+// the response for whole.
+func (v *runningVM) requireNotWhole(ctx context.Context, t *testing.T, path, id string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.cfg.FrontAddr+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Request-Id", id)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if n, err := io.Copy(io.Discard, resp.Body); err == nil && resp.StatusCode == http.StatusOK {
+		t.Errorf("got a complete response of %d bytes", n)
+	}
 }
 
 // sendEndlessBody sends one of endlessBodies after the begin of a header.
-func sendEndlessBody(t *testing.T, w http.ResponseWriter, begin string, part [2]string) {
-	if part[1] != "" {
-		sendEndless(t, w, begin+part[0], part[1], math.MaxInt64)
+func sendEndlessBody(t *testing.T, w http.ResponseWriter, begin string, part endless.Body) {
+	if part.Repeat != "" {
+		sendEndless(t, w, begin+part.Begin, part.Repeat, math.MaxInt64)
 		return
 	}
 	c, _, err := http.NewResponseController(w).Hijack()
@@ -35,7 +52,7 @@
 		return
 	}
 	defer c.Close()
-	_, err = io.WriteString(c, begin+part[0])
+	_, err = io.WriteString(c, begin+part.Begin)
 	for err == nil {
 		<-time.After(20 * time.Millisecond)
 		_, err = io.WriteString(c, "x")
@@ -46,7 +63,7 @@
 // incarnation, whose body has none.
 func TestRefusalWithoutEnd(t *testing.T) {
 	for _, status := range []string{"503 Service Unavailable\r\nNot-Run: 1", "429 Too Many Requests\r\nNot-Run: 1", "421 Misdirected Request"} {
-		for name, part := range endlessBodies {
+		for name, part := range endlessBodies() {
 			t.Run(status[:3]+" "+name, func(t *testing.T) {
 				t.Parallel()
 				p := newPlatform()
@@ -76,7 +93,7 @@
 
 // Guards against responses without an end that are read on after their caller has left.
 func TestBodyWithoutEndAfterItsCallerHasLeft(t *testing.T) {
-	for name, part := range endlessBodies {
+	for name, part := range endlessBodies() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p := newPlatform()
@@ -122,7 +139,7 @@
 // Guards against relayed responses without an end that either VM reads on after the request's
 // deadline, or that callers take for complete.
 func TestRelayedBodyWithoutEndIsCut(t *testing.T) {
-	for name, part := range endlessBodies {
+	for name, part := range endlessBodies() {
 		t.Run(name, func(t *testing.T) {
 			f := newCutFleet(t)
 			closed := make(chan struct{}, 100)
@@ -138,20 +155,7 @@
 			f.cut(0)
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
-			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.vms[0].cfg.FrontAddr+"/post/endless", nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			req.Host = "h"
-			req.Header.Set("Request-Id", "endless")
-			resp, err := http.DefaultClient.Do(req)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer resp.Body.Close()
-			if n, err := io.Copy(io.Discard, resp.Body); err == nil && resp.StatusCode == http.StatusOK {
-				t.Errorf("got a complete response of %d bytes", n)
-			}
+			f.vms[0].requireNotWhole(ctx, t, "/post/endless", "endless")
 			select {
 			case <-closed:
 			case <-ctx.Done():
--- a/io/entry/endless_test.go
+++ b/io/entry/endless_test.go
@@ -102,20 +102,7 @@
 			register(p, "i-0", u.addr())
 			v := startVM(t, "a", p, nil)
 			ready(t, v)
-			req, err := http.NewRequest(http.MethodPost, "http://"+v.cfg.FrontAddr+"/post/1", nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			req.Host = "h"
-			req.Header.Set("Request-Id", "1")
-			resp, err := http.DefaultClient.Do(req)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer resp.Body.Close()
-			if n, err := io.Copy(io.Discard, resp.Body); err == nil && resp.StatusCode == http.StatusOK {
-				t.Errorf("got a complete response of %d bytes", n)
-			}
+			v.requireNotWhole(t.Context(), t, "/post/1", "1")
 			<-closed
 		})
 	}
--- a/io/upstream/endless_test.go
+++ b/io/upstream/endless_test.go
@@ -18,21 +18,18 @@
 	"auburnlatch/standin/endless"
 )
 
-// endlessBodies are the fields of a response and the repeated part of bodies without an end. One
-// without a repeated part stays open.
-var endlessBodies = map[string][2]string{
-	"until the close": {"\r\n", "bytes"},
-	"chunks":          {"Transfer-Encoding: chunked\r\n\r\n", "5\r\nbytes\r\n"},
-	"extension":       {"Transfer-Encoding: chunked\r\n\r\n5;name=", "value"},
-	"long length":     {"Content-Length: 9223372036854775807\r\n\r\n", "bytes"},
-	"trailer":         {"Transfer-Encoding: chunked\r\n\r\n0\r\n", "Field: value\r\n"},
-	"a few bytes":     {"Content-Length: 1000\r\n\r\nbytes", ""},
-	"a broken chunk":  {"Transfer-Encoding: chunked\r\n\r\nbytes\r\n", ""},
+// endlessBodies returns bodies without an end. The connection of one without a repeated part stays
+// open.
+func endlessBodies() map[string]endless.Body {
+	bodies := endless.Bodies()
+	bodies["a few bytes"] = endless.Body{Begin: "Content-Length: 1000\r\n\r\nbytes"}
+	bodies["a broken chunk"] = endless.Body{Begin: "Transfer-Encoding: chunked\r\n\r\nbytes\r\n"}
+	return bodies
 }
 
 // endlessServer responds with a status line and a body without an end. closed is closed when its
 // first connection is.
-func endlessServer(t *testing.T, status string, part [2]string) (addr string, closed chan struct{}) {
+func endlessServer(t *testing.T, status string, part endless.Body) (addr string, closed chan struct{}) {
 	t.Helper()
 	closed = make(chan struct{})
 	return startServer(t, func(n int, c net.Conn, r *bufio.Reader) {
@@ -42,11 +39,11 @@
 		if _, ok := readRequest(r); !ok {
 			return
 		}
-		if part[1] != "" {
-			endless.Send(c, "HTTP/1.1 "+status+"\r\n"+part[0], part[1], math.MaxInt64)
+		if part.Repeat != "" {
+			endless.Send(c, "HTTP/1.1 "+status+"\r\n"+part.Begin, part.Repeat, math.MaxInt64)
 			return
 		}
-		_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\n"+part[0])
+		_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\n"+part.Begin)
 		_, _ = io.Copy(io.Discard, r)
 	}), closed
 }
@@ -63,7 +60,7 @@
 
 // Guards against requests that were shed and wait for the end of a response that has none.
 func TestShedBodyWithoutEnd(t *testing.T) {
-	for name, part := range endlessBodies {
+	for name, part := range endlessBodies() {
 		t.Run(name, func(t *testing.T) {
 			addr, closed := endlessServer(t, "503 Service Unavailable", part)
 			req, err := http.NewRequest(http.MethodGet, "http://"+addr+"/", nil)
@@ -83,7 +80,7 @@
 
 // Guards against health checks that read a response without an end.
 func TestProbeBodyWithoutEnd(t *testing.T) {
-	for name, part := range endlessBodies {
+	for name, part := range endlessBodies() {
 		t.Run(name, func(t *testing.T) {
 			addr, closed := endlessServer(t, "200 OK", part)
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
@@ -98,7 +95,7 @@
 
 // Guards against checks that read a response without an end, or keep its connection for requests.
 func TestCheckBodyWithoutEnd(t *testing.T) {
-	for name, part := range endlessBodies {
+	for name, part := range endlessBodies() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			addr, closed := endlessServer(t, "200 OK", part)
@@ -115,7 +112,7 @@
 
 // Guards against responses without an end that a Client reads on after its caller has left.
 func TestClientBodyWithoutEndAfterItsCallerHasLeft(t *testing.T) {
-	for name, part := range endlessBodies {
+	for name, part := range endlessBodies() {
 		t.Run(name, func(t *testing.T) {
 			addr, closed := endlessServer(t, "200 OK", part)
 			ctx, cancel := context.WithCancel(t.Context())
--- a/standin/endless/endless.go
+++ b/standin/endless/endless.go
@@ -11,6 +11,21 @@
 	"strings"
 )
 
+// Body is the body of a response that does not end: the fields after the status line with what
+// follows them, and the part that is repeated.
+type Body struct{ Begin, Repeat string }
+
+// Bodies returns bodies without an end, by their form.
+func Bodies() map[string]Body {
+	return map[string]Body{
+		"until the close": {"\r\n", "bytes"},
+		"chunks":          {"Transfer-Encoding: chunked\r\n\r\n", "5\r\nbytes\r\n"},
+		"extension":       {"Transfer-Encoding: chunked\r\n\r\n5;name=", "value"},
+		"long length":     {"Content-Length: 9223372036854775807\r\n\r\n", "bytes"},
+		"trailer":         {"Transfer-Encoding: chunked\r\n\r\n0\r\n", "Field: value\r\n"},
+	}
+}
+
 // chunkBytes is how much is written at a time.
 const chunkBytes = 4 << 10
 
