io/http1: a status below 100 makes no response

What callers saw: an answer with the status 000 (auburnlatchd's client handed it on; its server then panicked, "invalid WriteHeader code 0", and cut the caller's connection), or, at auburnlatch-entry, a wait for the route's timeout and what followed the 000 on the connection as the response to their request.

Cause: net/http takes any three bytes that strconv.Atoi parses as a number from 0 on for a status: 000, 099, +20. The pool took all below 200 for interim responses and read on. A 101, which no request asks for, was skipped as interim too, or passed on. A version other than 1 was accepted.

Evidence: on "status 000", "000 before a response", "099", "+20", "101" and "version 2.0" of upstream.TestMalformedHeadIsNoResponse failed for requests of the pool and the client, probes and checks; the same six of entry.TestMalformedHeadIsBadGateway, of the store's, and of the operators' client. Statuses of two and four digits, no status, and noise held before; their cases stay.

Change: Conn follows the heads of the responses to one request below the parser: to the empty line, over interim ones, until the final one ends. A status line has to be HTTP/1.x, a blank and a number from 100 on of three digits, other than 101. The end of one that is not is never passed on, so that the parser cannot take it for a line and the connection is closed. Bytes that a parser has read ahead, behind a response to another request, are given to Begin.

Why there: the parser's result shows such a head only when it has been acted on. http.Transport has put a connection back before its caller sees a response without a body.

Callers get 502 with the verdict MaybeRan, and the log line the status line. A request that may be repeated goes to another upstream.

--- a/io/entry/broken_test.go
+++ b/io/entry/broken_test.go
@@ -6,12 +6,15 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"auburnlatch/io/entry"
 	"auburnlatch/io/forward"
 	"auburnlatch/io/http1"
+	"auburnlatch/io/logline"
 	"auburnlatch/standin/broken"
 )
 
@@ -100,3 +103,84 @@
 		}
 	}
 }
+
+// requireBadGateway sends a request that may run once to a VM whose upstream responds with bytes, and fails if
+// its caller gets a response of the upstream, if it is sent again, or if the connection is kept.
+func requireBadGateway(t *testing.T, response string, closes bool, reason string) {
+	closed := make(chan struct{})
+	v, u := startServing(t, func(w http.ResponseWriter, _ *http.Request) {
+		defer close(closed)
+		c := respondRaw(t, w, response)
+		defer c.Close()
+		if !closes {
+			_, _ = bufio.NewReader(c).ReadByte()
+		}
+	}, nil)
+	r := v.request(t, http.MethodPost, "/post/1", "1", "body")
+	if r.err != nil || r.status != http.StatusBadGateway || r.body != "" || r.header.Get(forward.HeaderVerdict) != "MaybeRan" {
+		t.Errorf("response %+v", r)
+	}
+	if n := u.runs("1"); n != 1 {
+		t.Errorf("sent %d times", n)
+	}
+	select {
+	case <-closed:
+	case <-time.After(10 * time.Second):
+		t.Error("the connection is kept")
+	}
+	says := func(f logline.Field) bool { return f.Name == "Err" && strings.Contains(f.Value, reason) }
+	if !slices.ContainsFunc(v.trace(t, "1"), func(l logline.Line) bool { return slices.ContainsFunc(l.Fields, says) }) {
+		t.Error("no line says why")
+	}
+}
+
+// Guards against callers that get bytes outside the grammar of a head as a response.
+func TestMalformedHeadIsBadGateway(t *testing.T) {
+	for name, response := range broken.Heads("Request-Id: 1\r\n") {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			requireBadGateway(t, response, false, "malformed")
+		})
+	}
+}
+
+// Guards against requests that can be repeated and fail with the malformed head of one upstream.
+func TestMalformedHeadIsRetried(t *testing.T) {
+	p := newPlatform()
+	p.set(entry.TableRules, "config", config(1))
+	bad := startUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+		defer respondRaw(t, w, broken.Heads("Request-Id: 1\r\n")["status 000"]).Close()
+	})
+	good := startUpstream(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	register(p, "i-0", bad.addr())
+	v := startVM(t, "a", p, nil)
+	ready(t, v)
+	if r := v.request(t, http.MethodGet, "/get/1", "1", ""); r.status != http.StatusBadGateway {
+		t.Errorf("with the bad one only: %d, %v", r.status, r.err)
+	}
+	register(p, "i-1", good.addr())
+	eventually(t, "the other upstream serves", func() bool {
+		r := v.request(t, http.MethodGet, "/get/1", "2", "")
+		return r.err == nil && r.status == http.StatusOK && r.body == "ok"
+	})
+}
+
+// Guards against a VM that relays a request and passes on as whole what the other one cut.
+func TestRelayedMalformedHeadIsBadGateway(t *testing.T) {
+	f := newCutFleet(t)
+	responses := broken.Heads("Request-Id: 1\r\n")
+	f.handle = func(w http.ResponseWriter, r *http.Request) bool {
+		response, ok := responses[strings.ReplaceAll(strings.TrimPrefix(r.URL.Path, "/post/"), "_", " ")]
+		if ok {
+			defer respondRaw(t, w, response).Close()
+		}
+		return ok
+	}
+	f.start(2)
+	f.cut(0)
+	for _, name := range []string{"status 000", "status 099", "status 101"} {
+		if r := f.ask(0, http.MethodPost, "/post/"+strings.ReplaceAll(name, " ", "_"), "1", nil, nil); r.status != http.StatusBadGateway {
+			t.Errorf("%s: %d, %v", name, r.status, r.err)
+		}
+	}
+}
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -15,7 +15,8 @@
 // aborted is a write deadline in the past. It makes a blocked write time out.
 var aborted = time.Unix(1, 0)
 
-// Conn is the client's side of a connection. Read returns io.EOF only if the peer ended the stream. After an error other than
+// Conn is the client's side of a connection. Read fails at the first line of a head that is not
+// within the grammar, and returns io.EOF only if the peer ended the stream. After an error other than
 // a timeout all reads return it. A Conn has one reader and one writer at a time.
 type Conn struct {
 	net.Conn
@@ -26,6 +27,7 @@
 	writeErr error
 
 	mu      sync.Mutex
+	head    head
 	readErr error
 }
 
@@ -38,6 +40,18 @@
 // Written returns how many bytes may have been sent.
 func (c *Conn) Written() int64 { return c.written.Load() }
 
+// Begin has the bytes that follow checked as the head of a response. ahead are those of them that have
+// been read already.
+func (c *Conn) Begin(ahead []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = head{}
+	if _, err := c.head.scan(ahead); err != nil {
+		c.readErr = err
+	}
+	return c.readErr
+}
+
 // Write implements net.Conn. It counts before it writes, since a failed write may have sent part
 // of the data.
 func (c *Conn) Write(p []byte) (int, error) {
@@ -69,6 +83,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if passed, herr := c.head.scan(p[:n]); herr != nil {
+		n, err = passed, herr
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.readErr = err
 	}
--- a/io/http1/transport.go
+++ b/io/http1/transport.go
@@ -41,6 +41,7 @@
 func (t *Transport) Send(req *http.Request, got func(c *Conn, reused bool)) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*Conn); ok {
+			_ = c.Begin(nil)
 			got(c, info.Reused)
 		}
 	}}
--- a/io/operator/broken_test.go
+++ b/io/operator/broken_test.go
@@ -4,9 +4,39 @@
 	"crypto/tls"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
+
+	"auburnlatch/standin/broken"
 )
 
+// Guards against bytes outside the grammar of a head that operators get as the answer of a VM.
+func TestMalformedHeadIsNoAnswer(t *testing.T) {
+	for name, response := range broken.Heads("") {
+		t.Run(name, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer c.Close()
+				_, _ = io.WriteString(c, strings.Replace(response, "bytes", `{   }`, 1))
+			}))
+			defer srv.Close()
+			c, err := NewClient(strings.TrimPrefix(srv.URL, "http://"), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := c.Status(t.Context()); err == nil || !strings.Contains(err.Error(), "malformed") {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
+
 // Guards against an answer that passes for whole, as a TLS connection was closed below TLS.
 func TestTLSWithoutCloseNotifyEndsNoAnswer(t *testing.T) {
 	own := newAuthority(t)
--- a/io/platform/broken_test.go
+++ b/io/platform/broken_test.go
@@ -2,15 +2,51 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"auburnlatch/io/platform"
 	"auburnlatch/standin/broken"
 )
 
+// Guards against bytes outside the grammar of a head that pass for an answer of the platform.
+func TestMalformedHeadIsNoAnswer(t *testing.T) {
+	for name, response := range broken.Heads("Table-Era: 7\r\n") {
+		t.Run(name, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer c.Close()
+				_, _ = io.WriteString(c, strings.Replace(response, "bytes", `{   }`, 1))
+			}))
+			defer srv.Close()
+			c := platform.New(srv.URL)
+			for call, f := range map[string]func() error{
+				"commit": func() error { _, err := c.Commit(t.Context(), nil); return err },
+				"scan":   func() error { _, err := c.Scan(t.Context(), "", "", 1); return err },
+				"get":    func() error { _, err := c.GetObject(t.Context(), "o"); return err },
+				"put":    func() error { return c.PutObject(t.Context(), "o", []byte("object")) },
+			} {
+				var e *platform.Error
+				if err := f(); !errors.As(err, &e) || !e.Sent {
+					t.Errorf("%s: %v", call, err)
+				}
+			}
+			if !c.AnsweredAt().IsZero() || c.Era() != 0 {
+				t.Errorf("answered at %v, era %d", c.AnsweredAt(), c.Era())
+			}
+		})
+	}
+}
+
 // Guards against an object that passes for stored, where the connection was reset while it was written.
 func TestResetLearnedByWriteEndsNoAnswer(t *testing.T) {
 	const response = "HTTP/1.1 200 OK\r\n\r\nstored"
--- a/io/upstream/broken_test.go
+++ b/io/upstream/broken_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"auburnlatch/core/inventory"
+	"auburnlatch/core/reach"
+	"auburnlatch/core/verdict"
 	"auburnlatch/io/upstream"
 	"auburnlatch/standin/broken"
 )
@@ -102,3 +104,78 @@
 		}
 	})
 }
+
+// respondOnce returns the address of an upstream that sends a response to the first request of each connection
+// and then reads until the connection is closed, or closes it. closed is closed when that of the first is.
+func respondOnce(t *testing.T, response string, closes bool) (addr string, closed chan struct{}) {
+	t.Helper()
+	closed = make(chan struct{})
+	return startServer(t, func(n int, c net.Conn, r *bufio.Reader) {
+		if n == 0 {
+			defer close(closed)
+		}
+		if _, ok := readRequest(r); !ok {
+			return
+		}
+		_, _ = io.WriteString(c, response)
+		if !closes {
+			_, _ = io.Copy(io.Discard, r)
+		}
+	}), closed
+}
+
+// requireNoResponse sends requests and checks to upstreams with a response, and fails if one takes it for a
+// response, or if its connection can be used again.
+func requireNoResponse(t *testing.T, response string, closes bool, reason string) {
+	fails := func(t *testing.T, err error) {
+		t.Helper()
+		e := verdict.As(err)
+		if err == nil || e.Verdict != verdict.MaybeRan || e.Reason != verdict.ReasonBroken || !strings.Contains(err.Error(), reason) {
+			t.Errorf("error %v", err)
+		}
+	}
+	for name, send := range map[string]func(ctx context.Context, t *testing.T, addr string){
+		"Pool": func(ctx context.Context, t *testing.T, addr string) {
+			_, err := upstream.NewPool().Send(ctx, call(addr, "1"), time.Second)
+			fails(t, err)
+		},
+		"Client": func(ctx context.Context, t *testing.T, addr string) {
+			req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/", strings.NewReader("body"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = upstream.NewClient().Send(ctx, &inventory.Target{Addr: addr}, nil, req)
+			fails(t, err)
+		},
+		"probe": func(ctx context.Context, t *testing.T, addr string) {
+			if _, err := upstream.NewClient().Probe(ctx, &inventory.Target{Addr: addr}); err == nil || !strings.Contains(err.Error(), reason) {
+				t.Errorf("error %v", err)
+			}
+		},
+		"check": func(ctx context.Context, t *testing.T, addr string) {
+			if got := upstream.NewPool().Contact(ctx, "t", addr, upstream.Check{Path: "/"}, reach.Heard); got == reach.Heard {
+				t.Error("the upstream was heard")
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr, closed := respondOnce(t, response, closes)
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			send(ctx, t, addr)
+			if ctx.Err() != nil {
+				t.Error("it was waited for more")
+			}
+			requireClosed(t, closed)
+		})
+	}
+}
+
+// Guards against bytes outside the grammar of a head that pass for a response, or that lead to a body which
+// is not the upstream's.
+func TestMalformedHeadIsNoResponse(t *testing.T) {
+	for name, response := range broken.Heads("Id: 1\r\n") {
+		t.Run(name, func(t *testing.T) { requireNoResponse(t, response, false, "malformed") })
+	}
+}
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -102,6 +102,40 @@
 	return err == nil && quiet
 }
 
+// beginHeader begins to read headers, of which all together have up to max bytes.
+func (c *conn) beginHeader(max int) error {
+	c.header.begin(max)
+	return c.beginResponse()
+}
+
+// nextHeader goes on with the header that follows a response to another request.
+func (c *conn) nextHeader() error {
+	c.header.next(HeaderStray)
+	return c.beginResponse()
+}
+
+func (c *conn) beginResponse() error {
+	ahead, err := c.r.Peek(c.r.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.Begin(ahead)
+}
+
+// readHeader reads the header of the next final response. The request of the response is req.
+func (c *conn) readHeader(req *http.Request) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(c.r, req)
+		if err != nil {
+			return nil, c.header.explain(err)
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+		c.header.next(HeaderInterim)
+	}
+}
+
 // exchange is one request on a connection and its response.
 type exchange struct {
 	conn *conn
@@ -167,16 +201,14 @@
 // have up to maxHeader bytes.
 func (e *exchange) readResponse(maxHeader int) (*http.Response, error) {
 	header := &e.conn.header
-	header.begin(maxHeader)
+	if err := e.conn.beginHeader(maxHeader); err != nil {
+		return nil, err
+	}
 	defer header.end()
-	for stray := 0; stray < maxStrayResponses; {
-		resp, err := http.ReadResponse(e.conn.r, &http.Request{Method: e.call.Method})
+	for range maxStrayResponses {
+		resp, err := e.conn.readHeader(&http.Request{Method: e.call.Method})
 		if err != nil {
-			return nil, header.explain(err)
-		}
-		if resp.StatusCode < 200 {
-			header.next(HeaderInterim)
-			continue
+			return nil, err
 		}
 		if e.call.EchoHeader == "" || resp.Header.Get(e.call.EchoHeader) == e.call.EchoID {
 			return resp, nil
@@ -188,8 +220,9 @@
 		if n, err := io.CopyN(io.Discard, resp.Body, maxStrayResponseBody); err != io.EOF || n == maxStrayResponseBody {
 			return nil, errStray
 		}
-		header.next(HeaderStray)
-		stray++
+		if err := e.conn.nextHeader(); err != nil {
+			return nil, err
+		}
 	}
 	return nil, errStray
 }
--- a/io/upstream/contact.go
+++ b/io/upstream/contact.go
@@ -98,7 +98,9 @@
 	if err := req.Write(c); err != nil {
 		return nil, err
 	}
-	c.header.begin(maxHeader)
+	if err := c.beginHeader(maxHeader); err != nil {
+		return nil, err
+	}
 	resp, err := http.ReadResponse(c.r, req)
 	if err != nil {
 		return nil, c.header.explain(err)
--- a/io/vm/endless_test.go
+++ b/io/vm/endless_test.go
@@ -55,19 +55,9 @@
 	}
 	f := newFleet(t, "z1", "z2")
 	var sending, sent atomic.Int64
-	ops := []inventory.Op{{Service: func() *inventory.Service { s := *f.inv.Service("istoric"); s.Timeout = time.Second; return &s }()}}
-	for _, target := range f.inv.Targets {
-		changed := *target
-		u := &endlessUpstream{t: t, forms: forms, serving: f.upstreams[target.Name], sending: &sending, sent: &sent}
-		changed.Addr = strings.TrimPrefix(f.serve(u), "http://")
-		ops = append(ops, inventory.Op{Target: &changed})
-	}
-	inv, err := f.inv.Apply(inventory.Change{ID: "endless", Based: f.inv.Version, Ops: ops})
-	if err != nil {
-		t.Fatal(err)
-	}
-	inv.Version = f.inv.Version
-	f.inv = inv
+	f.wrapUpstreams(func(serving http.Handler) http.Handler {
+		return &endlessUpstream{t: t, forms: forms, serving: serving, sending: &sending, sent: &sent}
+	})
 	a := f.startServing(vmSpec{"a", "z1"}, vmSpec{"b", "z2"})
 	for _, zone := range []string{"z1", "z2"} {
 		sendAllTo(a, zone)
@@ -90,6 +80,25 @@
 	}
 }
 
+// wrapUpstreams puts a handler in front of each upstream of the service istoric, whose timeout becomes a second.
+func (f *fleet) wrapUpstreams(wrap func(serving http.Handler) http.Handler) {
+	f.t.Helper()
+	service := *f.inv.Service("istoric")
+	service.Timeout = time.Second
+	ops := []inventory.Op{{Service: &service}}
+	for _, target := range f.inv.Targets {
+		changed := *target
+		changed.Addr = strings.TrimPrefix(f.serve(wrap(f.upstreams[target.Name])), "http://")
+		ops = append(ops, inventory.Op{Target: &changed})
+	}
+	inv, err := f.inv.Apply(inventory.Change{ID: "wrapped", Based: f.inv.Version, Ops: ops})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	inv.Version = f.inv.Version
+	f.inv = inv
+}
+
 // discard sends a request through a VM, and returns the status and the length of the response.
 func (f *fleet) discard(v *runningVM, method, path string, header map[string]string) (status int, n int64, err error) {
 	req, err := http.NewRequest(method, "http://"+v.cfg.CallerAddr+path, http.NoBody)
--- a/standin/broken/broken.go
+++ b/standin/broken/broken.go
@@ -1,7 +1,10 @@
-// Package broken has connections that learn of a reset when they write.
+// Package broken has the responses of a server in trouble, and connections that learn of a reset when
+// they write.
 //
 // # Usage
 //
+//	for name, response := range broken.Heads("Id: 1\r\n") { ... }
+//
 //	d := broken.NewDialer(int64(len(response)))
 //	p := upstream.NewPool(upstream.WithDial(d.DialContext))
 //	// The server:
@@ -17,6 +20,28 @@
 	"sync"
 )
 
+// body follows the fields of a response, and is the whole body.
+const body = "Content-Length: 5\r\n\r\nbytes"
+
+// Heads returns responses whose heads are outside the grammar of RFC 9112, by what is wrong with them. Each
+// has the given field lines and otherwise a whole body.
+func Heads(fields string) map[string]string {
+	whole := "HTTP/1.1 200 OK\r\n" + fields + body
+	status := func(line string) string { return line + "\r\n" + fields + body }
+	return map[string]string{
+		"status 000":                   status("HTTP/1.1 000 OK"),
+		"status 000 before a response": "HTTP/1.1 000 OK\r\n\r\n" + whole,
+		"status 099":                   status("HTTP/1.1 099 OK"),
+		"status +20":                   status("HTTP/1.1 +20 OK"),
+		"status of two digits":         status("HTTP/1.1 20 OK"),
+		"status of four digits":        status("HTTP/1.1 2000 OK"),
+		"no status":                    status("HTTP/1.1"),
+		"status 101":                   status("HTTP/1.1 101 Switching Protocols"),
+		"version 2.0":                  status("HTTP/2.0 200 OK"),
+		"noise":                        "\x00\x01\x02\r\n\r\n",
+	}
+}
+
 // Reset closes a connection with a reset.
 func Reset(c net.Conn) {
 	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
