--- a/standin/broken/broken.go
+++ b/standin/broken/broken.go
@@ -27,18 +27,36 @@
 // has the given field lines and otherwise a whole body.
 func Heads(fields string) map[string]string {
 	whole := "HTTP/1.1 200 OK\r\n" + fields + body
+	named := func(line string) string { return "HTTP/1.1 200 OK\r\n" + fields + line + "\r\n" + body }
 	status := func(line string) string { return line + "\r\n" + fields + body }
 	return map[string]string{
-		"status 000":                   status("HTTP/1.1 000 OK"),
-		"status 000 before a response": "HTTP/1.1 000 OK\r\n\r\n" + whole,
-		"status 099":                   status("HTTP/1.1 099 OK"),
-		"status +20":                   status("HTTP/1.1 +20 OK"),
-		"status of two digits":         status("HTTP/1.1 20 OK"),
-		"status of four digits":        status("HTTP/1.1 2000 OK"),
-		"no status":                    status("HTTP/1.1"),
-		"status 101":                   status("HTTP/1.1 101 Switching Protocols"),
-		"version 2.0":                  status("HTTP/2.0 200 OK"),
-		"noise":                        "\x00\x01\x02\r\n\r\n",
+		"status 000":                         status("HTTP/1.1 000 OK"),
+		"status 000 before a response":       "HTTP/1.1 000 OK\r\n\r\n" + whole,
+		"status 099":                         status("HTTP/1.1 099 OK"),
+		"status +20":                         status("HTTP/1.1 +20 OK"),
+		"status of two digits":               status("HTTP/1.1 20 OK"),
+		"status of four digits":              status("HTTP/1.1 2000 OK"),
+		"no status":                          status("HTTP/1.1"),
+		"status 101":                         status("HTTP/1.1 101 Switching Protocols"),
+		"version 2.0":                        status("HTTP/2.0 200 OK"),
+		"transfer encoding in HTTP/1.0":      "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n5\r\nbytes\r\n0\r\n\r\n",
+		"blank in a name":                    named("X A: v"),
+		"blank behind a name":                named("X-A : v"),
+		"blank in a name of an interim":      "HTTP/1.1 103 Early Hints\r\nX A: v\r\n\r\n" + whole,
+		"blank behind the length":            "HTTP/1.1 200 OK\r\n" + fields + "Content-Length : 5\r\n\r\n5\r\nbytes\r\n0\r\n\r\n",
+		"blank behind the transfer encoding": "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding : chunked\r\n\r\n5\r\nbytes\r\n0\r\n\r\n",
+		"blank before the first field":       "HTTP/1.1 200 OK\r\n X: v\r\n" + fields + body,
+		"tab in a name":                      named("X\tA: v"),
+		"NUL in a name":                      named("X\x00A: v"),
+		"escape in a name":                   named("X\x1bA: v"),
+		"carriage return in a name":          named("X\rA: v"),
+		"DEL in a name":                      named("X\x7fA: v"),
+		"byte beyond ASCII in a name":        named("X\xe9A: v"),
+		"empty name":                         named(": v"),
+		"no colon":                           named("X-A"),
+		"NUL in a value":                     named("X-A: \x00"),
+		"carriage return in a value":         named("X-A: a\rb"),
+		"noise":                              "\x00\x01\x02\r\n\r\n",
 	}
 }
 
