io/upstream: a check awaits the final response

By reading: a check of an upstream took an interim response for the answer, kept the connection, and the next request got the answer to the check as its own, where the upstream echoes no request ID.

Cause: responses were read in two places, and one of them did not skip interim ones.

Evidence: upstream.TestCheckAwaitsFinalResponse failed on: the request got the body "of the check".

Change: both read by conn.readHeader.

--- a/io/upstream/broken_test.go
+++ b/io/upstream/broken_test.go
@@ -179,3 +179,25 @@
 		t.Run(name, func(t *testing.T) { requireNoResponse(t, response, false, "malformed") })
 	}
 }
+
+// Guards against a check that takes an interim response for the final one, and keeps a connection on which
+// that is still to come.
+func TestCheckAwaitsFinalResponse(t *testing.T) {
+	addr := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for _, body := range []string{"of the check", "of the request"} {
+			if _, ok := readRequest(r); !ok {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n")
+			<-time.After(50 * time.Millisecond)
+			answer(c, "1", body)
+		}
+	})
+	p := upstream.NewPool()
+	if got := p.Contact(t.Context(), "t", addr, upstream.Check{Path: "/"}, reach.Heard); got != reach.Heard {
+		t.Errorf("contact %v", got)
+	}
+	if got, err := send(t, p, call(addr, "1")); got != "of the request" || err != nil {
+		t.Errorf("response %q, %v", got, err)
+	}
+}
--- a/io/upstream/contact.go
+++ b/io/upstream/contact.go
@@ -101,11 +101,11 @@
 	if err := c.beginHeader(maxHeader); err != nil {
 		return nil, err
 	}
-	resp, err := http.ReadResponse(c.r, req)
+	resp, err := c.readHeader(req)
+	c.header.end()
 	if err != nil {
-		return nil, c.header.explain(err)
+		return nil, err
 	}
-	c.header.end()
 	switch _, err = io.CopyN(io.Discard, resp.Body, maxHealthBody); err {
 	case io.EOF:
 		return resp, nil
