io/forward: a response that breaks off is reset for callers of HTTP/1.0

What callers saw: nothing in a report. A caller of auburnlatchd that speaks HTTP/1.0 got a part of a response without a length as the whole one where the upstream broke it off: the VM closed the connection in order, which is how such a response ends.

Cause: the end of the handler with http.ErrAbortHandler shows to HTTP/1.1 only. auburnlatch-entry resets the connection for that reason; auburnlatchd did not.

Change: Relay marks the connection of the request, and keepalive.Server resets one that is marked when it is closed.

--- a/io/caller/keyed.go
+++ b/io/caller/keyed.go
@@ -81,7 +81,7 @@
 		body.ReadCloser.Close()
 		s.finish(a, resp.StatusCode, header, body)
 	}()
-	forward.Relay(w, &http.Response{
+	forward.Relay(w, req.HTTP, &http.Response{
 		StatusCode: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength, Body: io.NopCloser(body),
 	})
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -171,7 +171,7 @@
 		s.refuse(w, r, verdict.As(err))
 		return nil
 	}
-	forward.Relay(w, resp)
+	forward.Relay(w, r, resp)
 	return nil
 }
 
--- a/io/forward/body_test.go
+++ b/io/forward/body_test.go
@@ -48,7 +48,7 @@
 			w.WriteHeader(http.StatusBadGateway)
 			return
 		}
-		Relay(w, resp)
+		Relay(w, r, resp)
 	}
 }
 
--- a/io/forward/doc.go
+++ b/io/forward/doc.go
@@ -11,7 +11,7 @@
 //
 //	c := forward.NewClient()
 //	resp, err := c.Send(ctx, vm, forward.Meta{Service: "istoric", Mode: forward.Offer}, req)
-//	forward.Relay(w, resp)
+//	forward.Relay(w, r, resp)
 package forward
 
 import "time"
--- a/io/forward/relay.go
+++ b/io/forward/relay.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"auburnlatch/io/keepalive"
 )
 
 const (
@@ -17,11 +19,12 @@
 // the largest cost of a small response.
 var buffers = sync.Pool{New: func() any { return new([relayBuffer]byte) }}
 
-// Relay copies a response to w as it arrives, and closes its body. If the body
+// Relay copies the response to r to w as it arrives, and closes its body. If the body
 // fails before its end, Relay panics with http.ErrAbortHandler: net/http then
 // closes the connection, so that the receiver does not take a truncated response
-// for a complete one.
-func Relay(w http.ResponseWriter, resp *http.Response) {
+// for a complete one. For HTTP/1.0, where the end of the connection may be the end of a
+// response, a keepalive.Server resets it.
+func Relay(w http.ResponseWriter, r *http.Request, resp *http.Response) {
 	defer resp.Body.Close()
 	h := w.Header()
 	for name, values := range resp.Header {
@@ -38,7 +41,7 @@
 		if n > 0 {
 			_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if _, werr := w.Write(buf[:n]); werr != nil {
-				panic(http.ErrAbortHandler)
+				abort(r)
 			}
 			if resp.ContentLength < 0 {
 				_ = rc.Flush()
@@ -48,7 +51,15 @@
 			return
 		}
 		if err != nil {
-			panic(http.ErrAbortHandler)
+			abort(r)
 		}
 	}
 }
+
+// abort ends the response to a request that is not whole.
+func abort(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		keepalive.ResetOnClose(r.Context())
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/io/forward/server.go
+++ b/io/forward/server.go
@@ -43,7 +43,7 @@
 			Refuse(w, verdict.As(err))
 			return
 		}
-		Relay(w, resp)
+		Relay(w, r, resp)
 	})
 }
 
--- a/io/keepalive/keepalive.go
+++ b/io/keepalive/keepalive.go
@@ -214,7 +214,7 @@
 
 // Server is an HTTP server whose Shutdown loses no request that a handler was given. That of
 // http.Server closes a connection which has just become active. HTTP is set before Serve and
-// not used otherwise; its hook ConnState is replaced.
+// not used otherwise; its hooks ConnState and ConnContext are replaced.
 type Server struct {
 	HTTP *http.Server
 
@@ -237,7 +237,7 @@
 	if !s.begin(l) {
 		return http.ErrServerClosed
 	}
-	s.HTTP.ConnState = s.conns.ConnState
+	s.HTTP.ConnState, s.HTTP.ConnContext = s.conns.ConnState, connContext
 	err := accept(&listener{l, &s.closer})
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -259,6 +259,25 @@
 	return true
 }
 
+// connKey is the context key of a request's *conn.
+type connKey struct{}
+
+// connContext implements the ConnContext hook of http.Server.
+func connContext(ctx context.Context, c net.Conn) context.Context {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// ResetOnClose has the connection of a request to a Server reset when it is closed, which shows a client
+// of HTTP/1.0 that its response is not whole. ctx is the request's; that of another server has no effect.
+func ResetOnClose(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		c.resetOnClose()
+	}
+}
+
 // Shutdown accepts no further connections and waits until those that are open have served
 // their requests, and their clients have the responses, or until ctx ends. It closes what is left
 // then.
@@ -310,6 +329,7 @@
 	state    State
 	deadline time.Time // Of reads, set by the server.
 	readErr  error     // Of the last read.
+	reset    bool      // It is to be reset when it is closed.
 	closed   bool
 }
 
@@ -338,6 +358,10 @@
 		return nil
 	}
 	c.closed = true
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && c.reset {
+		_ = l.SetLinger(0)
+		return c.Conn.Close()
+	}
 	now := time.Now()
 	within := closeTimeout
 	if q, ok := tcp.QueuesOf(c.Conn); ok && q == (tcp.Queues{}) && c.state.IsIdle() {
@@ -346,6 +370,12 @@
 	return c.closer.Close(c.Conn, c.readErr, now, now.Add(within))
 }
 
+func (c *conn) resetOnClose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reset = true
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
