io/forward: a body that is sent on late is still its sender's

What callers saw: a response of auburnlatchd that was cut, and an upload that its upstream did not get, where the upstream responded before the VM had begun to read the body.

Cause: the beginning of a response gave a body that nobody had begun to read to the http.Server, although its sender had it: http.Transport sends the header first and reads then. The sender's read failed, and the transport closed the connection.

TestBodyIsReadBehindTheBeginOfTheResponse makes it happen each time and failed before: "the request has been responded to".

Change: Relay, which passes an upstream's response on, records that the body was sent on. Bodies of requests that are refused are read by the server, as before.

--- a/io/forward/body.go
+++ b/io/forward/body.go
@@ -26,7 +26,7 @@
 	reading sync.Mutex // Held by who reads src.
 
 	mu              sync.Mutex
-	begun, complete bool // It was read from, to its end.
+	begun, complete bool // It was read from or sent on; it was read to its end.
 	ended           bool
 }
 
@@ -87,6 +87,14 @@
 // Close implements io.Closer. The server closes the body itself.
 func (b *Body) Close() error { return nil }
 
+// sent records that the body was given to who sends it on, who may not have begun to read it when the
+// response arrives.
+func (b *Body) sent() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.begun = true
+}
+
 // End ends a read that is in progress. It returns when nobody reads the body any more, or will.
 func (b *Body) End() {
 	if b == nil || !b.end() {
--- a/io/forward/relay.go
+++ b/io/forward/relay.go
@@ -26,6 +26,9 @@
 // response, a keepalive.Server resets it.
 func Relay(w http.ResponseWriter, r *http.Request, resp *http.Response) {
 	defer resp.Body.Close()
+	if bw, ok := w.(*bodyWriter); ok {
+		bw.body.sent()
+	}
 	h := w.Header()
 	for name, values := range resp.Header {
 		h[name] = values
--- a/io/forward/relay_test.go
+++ b/io/forward/relay_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"auburnlatch/io/keepalive"
 )
@@ -51,3 +52,42 @@
 		})
 	}
 }
+
+// Guards against a body that its sender can't read any more as the response arrives before it has begun to.
+func TestBodyIsReadBehindTheBeginOfTheResponse(t *testing.T) {
+	const body = "a body that is sent on late"
+	got := make(chan string, 1)
+	begun := make(chan struct{})
+	vm := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w, r, owned := OwnBody(w, r, time.Minute)
+		defer owned.End()
+		from, to := io.Pipe()
+		go func() {
+			defer to.Close()
+			_, _ = io.WriteString(to, "begin")
+			<-begun
+			data, err := io.ReadAll(r.Body)
+			got <- fmt.Sprint(string(data), err)
+		}()
+		Relay(w, r, &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, ContentLength: -1, Body: from})
+	}))
+	defer vm.Close()
+	c, err := net.Dial("tcp", vm.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(body))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	close(begun)
+	fmt.Fprint(c, body)
+	if text := <-got; text != body+"<nil>" {
+		t.Errorf("the upstream got %q", text)
+	}
+	if n, err := io.Copy(io.Discard, resp.Body); n != int64(len("begin")) || err != nil {
+		t.Errorf("the caller got %d bytes, %v", n, err)
+	}
+}
