--- a/io/entry/broken_test.go
+++ b/io/entry/broken_test.go
@@ -144,6 +144,16 @@
 	}
 }
 
+// Guards against callers that get a head without an end as a response with an empty or short body.
+func TestHeadThatStopsIsBadGateway(t *testing.T) {
+	for name, response := range broken.Stops("Request-Id: 1\r\n") {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			requireBadGateway(t, response, true, "")
+		})
+	}
+}
+
 // Guards against requests that can be repeated and fail with the malformed head of one upstream.
 func TestMalformedHeadIsRetried(t *testing.T) {
 	p := newPlatform()
--- a/io/upstream/broken_test.go
+++ b/io/upstream/broken_test.go
@@ -180,6 +180,13 @@
 	}
 }
 
+// Guards against heads without an end that pass for a response with an empty or short body.
+func TestHeadThatStopsIsNoResponse(t *testing.T) {
+	for name, response := range broken.Stops("Id: 1\r\n") {
+		t.Run(name, func(t *testing.T) { requireNoResponse(t, response, true, "") })
+	}
+}
+
 // Guards against a check that takes an interim response for the final one, and keeps a connection on which
 // that is still to come.
 func TestCheckAwaitsFinalResponse(t *testing.T) {
--- a/standin/broken/broken.go
+++ b/standin/broken/broken.go
@@ -60,6 +60,20 @@
 	}
 }
 
+// Stops returns heads that stop before their end, by where they do.
+func Stops(fields string) map[string]string {
+	const status = "HTTP/1.1 200 OK\r\n"
+	return map[string]string{
+		"in the status line":       "HTTP/1.1 20",
+		"behind the status":        "HTTP/1.1 200",
+		"behind the status line":   status,
+		"in a name":                status + fields + "Content-Len",
+		"in a value":               status + fields + "Content-Length: 5",
+		"behind a field":           status + fields + "Content-Length: 0\r\n",
+		"before the last new line": status + fields + "Content-Length: 0\r\n\r",
+	}
+}
+
 // Reset closes a connection with a reset.
 func Reset(c net.Conn) {
 	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
