--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -14,6 +14,8 @@
 // Error implements error.
 func (e *HeadError) Error() string { return "malformed response head: " + e.Reason }
 
+var errBareCR = &HeadError{"a carriage return within a line"}
+
 // state is the part of a response that the next byte belongs to.
 type state uint8
 
@@ -35,8 +37,7 @@
 	transferEncoding = "transfer-encoding"
 )
 
-// head follows the heads of the responses to one request, byte by byte. The zero value is at the
-// beginning.
+// head follows the heads of the responses to one request. The zero value is at the beginning.
 type head struct {
 	state   state
 	prefix  [maxPrefix]byte // The first kept bytes of the status line or of a name.
@@ -53,108 +54,132 @@
 // response has begun.
 func (h *head) scan(p []byte) (int, error) {
 	line := 0
-	for i, b := range p {
-		switch {
-		case h.state == inBody:
-			return len(p), nil
-		case h.state == inStatus && b != '\n':
-			h.nextOfStatus(b)
-			line = i + 1
-			continue
-		case h.state == inValue && isText[b] && !h.cr:
-			continue
-		case h.state == inName && isToken[b]:
-			h.keep(b)
-			continue
-		case h.state == atLine && !h.cr:
+	for i := 0; i < len(p) && h.state != inBody; {
+		if h.state == atLine && !h.cr {
 			line = i
 		}
-		if err := h.next(b); err != nil {
+		n, err := h.next(p[i:])
+		if h.state == inStatus {
+			line = i + n
+		}
+		if err != nil {
 			return line, err
 		}
+		i += n
 	}
 	return len(p), nil
 }
 
-// nextOfStatus follows a byte of the status line, which is checked at its end.
-func (h *head) nextOfStatus(b byte) {
-	h.control = h.control || h.cr || b != '\r' && !isText[b]
-	if h.cr = b == '\r'; !h.cr {
-		h.keep(b)
+// next follows the beginning of p, which is not empty, and returns how much of it.
+func (h *head) next(p []byte) (int, error) {
+	switch h.state {
+	case inStatus:
+		return h.nextOfStatus(p)
+	case inName:
+		return h.nextOfName(p)
+	case inValue:
+		return h.nextOfValue(p)
+	default:
+		return h.beginLine(p[0])
 	}
 }
 
-// next follows a byte behind the status line or at its end.
-func (h *head) next(b byte) error {
-	switch {
-	case h.cr && b != '\n':
-		return &HeadError{"a carriage return within a line"}
-	case b != '\r' && b != '\n' && !isText[b]:
-		return &HeadError{fmt.Sprintf("control byte %#02x", b)}
+// nextOfStatus follows the status line up to its end, or the end.
+func (h *head) nextOfStatus(p []byte) (int, error) {
+	if p[0] == '\n' {
+		return h.endStatus()
+	}
+	for i, b := range p {
+		if b == '\n' {
+			return i, nil
+		}
+		h.control = h.control || h.cr || b != '\r' && !isText[b]
+		h.cr = b == '\r'
+		if h.kept < len(h.prefix) && !h.cr {
+			h.prefix[h.kept] = b
+			h.kept++
+		}
 	}
-	h.cr = b == '\r'
+	return len(p), nil
+}
+
+// beginLine follows the first byte of a field line, or a byte of the end of the head.
+func (h *head) beginLine(b byte) (int, error) {
 	switch {
-	case h.state == inName:
-		return h.nextOfName(b)
-	case h.cr:
-		return nil
 	case b == '\n':
-		return h.endLine()
-	default:
-		return h.beginLine(b)
+		h.endHead()
+		return 1, nil
+	case h.cr:
+		return 0, errBareCR
+	case b == '\r':
+		h.cr = true
+		return 1, nil
+	case b != ' ' && b != '\t':
+		h.state, h.kept = inName, 0
+		return 0, nil
+	case !h.field:
+		return 0, &HeadError{"a blank before the first field"}
 	}
+	h.state = inValue // It continues the line before.
+	return 1, nil
 }
 
-// keep appends a byte to the prefix.
-func (h *head) keep(b byte) {
-	if h.kept < len(h.prefix) {
-		h.prefix[h.kept] = b
-		h.kept++
+// nextOfName follows a field name and the colon behind it.
+func (h *head) nextOfName(p []byte) (int, error) {
+	for i, b := range p {
+		switch {
+		case isToken[b]:
+			if h.kept < len(h.prefix) {
+				h.prefix[h.kept] = b
+				h.kept++
+			}
+		case b != ':' || h.kept == 0:
+			return i, &HeadError{fmt.Sprintf("%q in the name of a field", b)}
+		case h.old && strings.EqualFold(string(h.prefix[:h.kept]), transferEncoding):
+			return i, &HeadError{"a transfer encoding in HTTP/1.0"}
+		default:
+			h.state, h.field = inValue, true
+			return i + 1, nil
+		}
 	}
+	return len(p), nil
 }
 
-// beginLine follows the first byte of a field line.
-func (h *head) beginLine(b byte) error {
-	if b != ' ' && b != '\t' {
-		h.state, h.kept = inName, 0
-		return h.nextOfName(b)
-	}
-	if !h.field {
-		return &HeadError{"a blank before the first field"}
+// nextOfValue follows a field value up to its end, or the end.
+func (h *head) nextOfValue(p []byte) (int, error) {
+	for i, b := range p {
+		switch {
+		case h.cr && b != '\n':
+			return i, errBareCR
+		case isText[b]:
+		case b == '\r':
+			h.cr = true
+		case b == '\n':
+			h.state, h.cr = atLine, false
+			return i + 1, nil
+		default:
+			return i, &HeadError{fmt.Sprintf("control byte %#02x in the value of a field", b)}
+		}
 	}
-	h.state = inValue // It continues the line before.
-	return nil
+	return len(p), nil
 }
 
-// nextOfName follows a byte of a field name, or the colon behind it.
-func (h *head) nextOfName(b byte) error {
-	switch {
-	case isToken[b]:
-		h.keep(b)
-		return nil
-	case b != ':' || h.kept == 0:
-		return &HeadError{fmt.Sprintf("%q in the name of a field", b)}
-	case h.old && strings.EqualFold(string(h.prefix[:h.kept]), transferEncoding):
-		return &HeadError{"a transfer encoding in HTTP/1.0"}
+// endHead follows the end of a head.
+func (h *head) endHead() {
+	if h.interim {
+		*h = head{}
+		return
 	}
-	h.state, h.field = inValue, true
-	return nil
+	h.state = inBody
 }
 
-// endLine follows the end of a line outside a name.
-func (h *head) endLine() error {
-	switch {
-	case h.state == inStatus:
-		h.state, h.field = atLine, false
-		return h.checkStatus()
-	case h.state == inValue:
-		h.state = atLine
-	case h.interim:
-		*h = head{}
-	default:
-		h.state = inBody
+// endStatus follows the end of the status line.
+func (h *head) endStatus() (int, error) {
+	if err := h.checkStatus(); err != nil {
+		return 0, err
 	}
-	return nil
+	h.state, h.cr = atLine, false
+	return 1, nil
 }
 
 // checkStatus checks the version and the status code of a status line. A 101 switches to a protocol that
