--- a/io/http1/conn_test.go
+++ b/io/http1/conn_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"auburnlatch/io/http1"
 	"auburnlatch/standin/broken"
@@ -112,8 +113,13 @@
 	if got, err := io.ReadAll(c); string(got) != response || err != nil {
 		t.Errorf("read %q, %v", got, err)
 	}
-	if err := <-wrote; !errors.Is(err, os.ErrDeadlineExceeded) {
-		t.Errorf("write: %v", err)
+	select {
+	case err := <-wrote:
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("write: %v", err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the write goes on")
 	}
 }
 
--- a/io/operator/broken_test.go
+++ b/io/operator/broken_test.go
@@ -4,7 +4,6 @@
 	"crypto/tls"
 	"io"
 	"net"
-	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -16,15 +15,7 @@
 func TestMalformedHeadIsNoAnswer(t *testing.T) {
 	for name, response := range broken.Heads("") {
 		t.Run(name, func(t *testing.T) {
-			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				c, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					t.Error(err)
-					return
-				}
-				defer c.Close()
-				_, _ = io.WriteString(c, strings.Replace(response, "bytes", `{   }`, 1))
-			}))
+			srv := httptest.NewServer(broken.Handler(strings.Replace(response, "bytes", `{   }`, 1)))
 			defer srv.Close()
 			c, err := NewClient(strings.TrimPrefix(srv.URL, "http://"), nil)
 			if err != nil {
--- a/io/platform/broken_test.go
+++ b/io/platform/broken_test.go
@@ -18,15 +18,7 @@
 func TestMalformedHeadIsNoAnswer(t *testing.T) {
 	for name, response := range broken.Heads("Table-Era: 7\r\n") {
 		t.Run(name, func(t *testing.T) {
-			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				c, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					t.Error(err)
-					return
-				}
-				defer c.Close()
-				_, _ = io.WriteString(c, strings.Replace(response, "bytes", `{   }`, 1))
-			}))
+			srv := httptest.NewServer(broken.Handler(strings.Replace(response, "bytes", `{   }`, 1)))
 			defer srv.Close()
 			c := platform.New(srv.URL)
 			for call, f := range map[string]func() error{
--- a/io/vm/broken_test.go
+++ b/io/vm/broken_test.go
@@ -1,7 +1,6 @@
 package vm
 
 import (
-	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -21,14 +20,7 @@
 				serving.ServeHTTP(w, r)
 				return
 			}
-			_, _ = io.Copy(io.Discard, r.Body)
-			c, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			_, _ = io.WriteString(c, response)
-			c.Close()
+			broken.Handler(response).ServeHTTP(w, r)
 		})
 	})
 	a := f.startServing(vmSpec{"a", "z1"}, vmSpec{"b", "z2"})
--- a/standin/broken/broken.go
+++ b/standin/broken/broken.go
@@ -17,6 +17,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 )
 
@@ -74,6 +75,19 @@
 	}
 }
 
+// Handler responds to each request with bytes and closes the connection.
+func Handler(response string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, response)
+	})
+}
+
 // Reset closes a connection with a reset.
 func Reset(c net.Conn) {
 	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
