--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -15,15 +15,15 @@
 // aborted is a write deadline in the past. It makes a blocked write time out.
 var aborted = time.Unix(1, 0)
 
-// Conn is the client's side of a connection. Read fails at the first line of a head that is not
-// within the grammar, and returns io.EOF only if the peer ended the stream. After an error other than
-// a timeout all reads return it. A Conn has one reader and one writer at a time.
+// Conn is the client's side of a connection. Read fails at the first line of a head that is outside the
+// grammar, with a *HeadError, and returns io.EOF only after the peer's FIN. An error other than a timeout
+// is returned by all further reads. A Conn has one reader and one writer at a time.
 type Conn struct {
 	net.Conn
 	written atomic.Int64
 
 	writing sync.Mutex // Held while bytes are written.
-	// writeErr is the error that ended the connection, if a write returned it.
+	// writeErr is the socket's pending error, if a write returned it.
 	writeErr error
 
 	mu      sync.Mutex
@@ -40,8 +40,7 @@
 // Written returns how many bytes may have been sent.
 func (c *Conn) Written() int64 { return c.written.Load() }
 
-// Begin has the bytes that follow checked as the head of a response. ahead are those of them that have
-// been read already.
+// Begin starts the check of the head of a response. ahead are bytes of it that have been read already.
 func (c *Conn) Begin(ahead []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -59,16 +58,15 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
-	if err != nil && c.writeErr == nil && endedByError(err) {
+	if err != nil && c.writeErr == nil && isPending(err) {
 		c.writeErr = err
 	}
 	return n, err
 }
 
-// endedByError reports whether a write that failed was told of the error that ended the connection.
-// Linux returns EPIPE for a reset that follows the end of the peer's stream, and for one that another call
-// has been told of.
-func endedByError(err error) bool {
+// isPending reports whether the error of a write is the socket's pending error. Linux returns EPIPE for a
+// reset that follows the peer's FIN, and for an error that has been reported to another call.
+func isPending(err error) bool {
 	return !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, syscall.EPIPE)
 }
 
@@ -99,8 +97,8 @@
 	return c.readErr
 }
 
-// end returns io.EOF if the peer ended the stream, or else the error that ended the connection. A write
-// in progress may be returning that error, or waiting for a peer that reads no more, so it is ended.
+// end returns io.EOF if the peer has closed its side, or else the pending error that a write returned. A
+// write in progress may be about to return it, or may block as the peer reads no more, so it is interrupted.
 func (c *Conn) end() error {
 	if !c.writing.TryLock() {
 		_ = c.Conn.SetWriteDeadline(aborted)
@@ -108,7 +106,7 @@
 	}
 	defer c.writing.Unlock()
 	if c.writeErr != nil {
-		return errors.Wrap(c.writeErr, "response without an end")
+		return errors.Wrap(c.writeErr, "response cut short")
 	}
 	return io.EOF
 }
--- a/io/http1/conn_test.go
+++ b/io/http1/conn_test.go
@@ -52,8 +52,8 @@
 
 const response = "HTTP/1.1 200 OK\r\n\r\nbytes"
 
-// Guards against a reset that reads as the end of the stream after a write was told of it.
-func TestReadReturnsErrorThatWriteWasToldOf(t *testing.T) {
+// Guards against a reset that reads as an orderly close, as a write returned the error.
+func TestReadReturnsErrorOfWrite(t *testing.T) {
 	raw, server := connect(t)
 	c := http1.NewConn(raw)
 	_, _ = io.WriteString(server, response)
@@ -69,8 +69,8 @@
 	}
 }
 
-// Guards against an end of the stream that is lost to a reset behind it, which a write was told of.
-func TestReadReturnsEndBeforeReset(t *testing.T) {
+// Guards against an orderly close that reads as a reset, as the peer reset the connection afterwards.
+func TestReadReturnsEOFBeforeReset(t *testing.T) {
 	raw, server := connect(t)
 	c := http1.NewConn(raw)
 	_, _ = io.WriteString(c, "unread")
@@ -98,7 +98,7 @@
 }
 
 // Guards against a read that waits at the end of the stream for a write that the peer does not read.
-func TestEndInterruptsWrite(t *testing.T) {
+func TestEOFInterruptsWrite(t *testing.T) {
 	raw, server := connect(t)
 	begun := make(chan struct{})
 	c := http1.NewConn(&beginConn{raw, begun})
--- a/io/http1/doc.go
+++ b/io/http1/doc.go
@@ -1,15 +1,13 @@
-// Package http1 is the client's side of HTTP/1.1 connections (RFC 9112). Whatever reads responses
-// reads them from a Conn, which lets two kinds of bytes pass for a response no longer than it takes to
-// see them: a head outside the grammar, and a body that ends with its connection although the peer did
-// not end it.
+// Package http1 is the client's side of HTTP/1.1 connections (RFC 9112). All that reads responses
+// reads them from a Conn, which rejects two things that net/http accepts: a head outside the
+// grammar, and a body that ends with its connection although the peer did not close that in order.
 //
-// A socket reports the error that ended it once, to the call that comes first. If a write of a
-// request gets it, a read that follows returns the end of the stream, as after an orderly close. So a
-// Conn returns io.EOF only if no write has been told of a reset.
+// A socket reports its pending error once, to the first call. If that is a write of a request, the
+// next read returns io.EOF, as after an orderly close. So a Conn returns io.EOF only if no write has
+// failed with such an error.
 //
-// A Conn does not parse: it follows the heads of the responses to one request, interim ones
-// included, and leaves their meaning, the framing of bodies, and what arrives between two requests to
-// the reader.
+// A Conn is no parser: it checks the heads of the responses to one request, including interim ones. The
+// framing of bodies, and bytes that arrive between two requests, are left to the reader.
 //
 // # Usage
 //
--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -37,7 +37,7 @@
 	transferEncoding = "transfer-encoding"
 )
 
-// head follows the heads of the responses to one request. The zero value is at the beginning.
+// head checks the heads of the responses to one request as they arrive. The zero value is at the beginning.
 type head struct {
 	state   state
 	prefix  [maxPrefix]byte // The first kept bytes of the status line or of a name.
@@ -49,16 +49,16 @@
 	old     bool // The version is HTTP/1.0.
 }
 
-// scan follows p and returns how many bytes of it a parser may have: with an error, which says what is
-// wrong, those before the line with the error. Of a status line it may have all but the end, so that a
-// response has begun.
+// scan checks p and returns how many bytes of it may be passed to a parser. With an error those are the ones
+// before the malformed line, or of a status line all but its end: net/http may repeat a request if no byte of
+// a response was read.
 func (h *head) scan(p []byte) (int, error) {
 	line := 0
 	for i := 0; i < len(p) && h.state != inBody; {
 		if h.state == atLine && !h.cr {
 			line = i
 		}
-		n, err := h.next(p[i:])
+		n, err := h.scanPart(p[i:])
 		if h.state == inStatus {
 			line = i + n
 		}
@@ -70,22 +70,22 @@
 	return len(p), nil
 }
 
-// next follows the beginning of p, which is not empty, and returns how much of it.
-func (h *head) next(p []byte) (int, error) {
+// scanPart checks the beginning of p, which is not empty, and returns its length.
+func (h *head) scanPart(p []byte) (int, error) {
 	switch h.state {
 	case inStatus:
-		return h.nextOfStatus(p)
+		return h.scanStatus(p)
 	case inName:
-		return h.nextOfName(p)
+		return h.scanName(p)
 	case inValue:
-		return h.nextOfValue(p)
+		return h.scanValue(p)
 	default:
 		return h.beginLine(p[0])
 	}
 }
 
-// nextOfStatus follows the status line up to its end, or the end.
-func (h *head) nextOfStatus(p []byte) (int, error) {
+// scanStatus checks the status line up to its end, or the end.
+func (h *head) scanStatus(p []byte) (int, error) {
 	if p[0] == '\n' {
 		return h.endStatus()
 	}
@@ -103,7 +103,7 @@
 	return len(p), nil
 }
 
-// beginLine follows the first byte of a field line, or a byte of the end of the head.
+// beginLine checks the first byte of a field line, or a byte of the end of the head.
 func (h *head) beginLine(b byte) (int, error) {
 	switch {
 	case b == '\n':
@@ -124,8 +124,8 @@
 	return 1, nil
 }
 
-// nextOfName follows a field name and the colon behind it.
-func (h *head) nextOfName(p []byte) (int, error) {
+// scanName checks a field name and the colon behind it.
+func (h *head) scanName(p []byte) (int, error) {
 	for i, b := range p {
 		switch {
 		case isToken[b]:
@@ -145,8 +145,8 @@
 	return len(p), nil
 }
 
-// nextOfValue follows a field value up to its end, or the end.
-func (h *head) nextOfValue(p []byte) (int, error) {
+// scanValue checks a field value up to its end, or the end.
+func (h *head) scanValue(p []byte) (int, error) {
 	for i, b := range p {
 		switch {
 		case h.cr && b != '\n':
@@ -164,7 +164,7 @@
 	return len(p), nil
 }
 
-// endHead follows the end of a head.
+// endHead handles the end of a head.
 func (h *head) endHead() {
 	if h.interim {
 		*h = head{}
@@ -173,7 +173,7 @@
 	h.state = inBody
 }
 
-// endStatus follows the end of the status line.
+// endStatus handles the end of the status line.
 func (h *head) endStatus() (int, error) {
 	if err := h.checkStatus(); err != nil {
 		return 0, err
