io/http1, io/tcp: one call that traces and sends, one way to reset; names and servers of tests once

A benchmark used names of the users' platform.

TestMalformedHeadIsBadGateway also has upstreams that close behind such a head.

--- a/io/entry/broken_test.go
+++ b/io/entry/broken_test.go
@@ -15,6 +15,7 @@
 	"auburnlatch/io/forward"
 	"auburnlatch/io/http1"
 	"auburnlatch/io/logline"
+	"auburnlatch/io/tcp"
 	"auburnlatch/standin/broken"
 )
 
@@ -72,7 +73,7 @@
 	for _, version := range versions {
 		for _, n := range []int{3_000, 300_000} {
 			t.Run(fmt.Sprint(version, " ", n), func(t *testing.T) {
-				resp, body, err := uploadEarly(t, version, n, broken.Reset)
+				resp, body, err := uploadEarly(t, version, n, func(c net.Conn) { _ = tcp.Reset(c) })
 				buffered := n < 256<<10
 				switch {
 				case buffered && (err != nil || resp.StatusCode != http.StatusBadGateway || resp.Header.Get(forward.HeaderVerdict) != "Ran"):
@@ -136,11 +137,13 @@
 
 // Guards against callers that get bytes outside the grammar of a head as a response.
 func TestMalformedHeadIsBadGateway(t *testing.T) {
-	for name, response := range broken.Heads("Request-Id: 1\r\n") {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			requireBadGateway(t, response, false, "malformed")
-		})
+	for name, response := range broken.Heads("Request-Id: 1\r\n", "bytes") {
+		for _, closes := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", closes ", closes), func(t *testing.T) {
+				t.Parallel()
+				requireBadGateway(t, response, closes, "malformed")
+			})
+		}
 	}
 }
 
@@ -159,7 +162,7 @@
 	p := newPlatform()
 	p.set(entry.TableRules, "config", config(1))
 	bad := startUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
-		defer respondRaw(t, w, broken.Heads("Request-Id: 1\r\n")["status 000"]).Close()
+		defer respondRaw(t, w, broken.Heads("Request-Id: 1\r\n", "bytes")["status 000"]).Close()
 	})
 	good := startUpstream(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
 	register(p, "i-0", bad.addr())
@@ -178,7 +181,7 @@
 // Guards against a VM that relays a request and passes on as whole what the other one cut.
 func TestRelayedMalformedHeadIsBadGateway(t *testing.T) {
 	f := newCutFleet(t)
-	responses := broken.Heads("Request-Id: 1\r\n")
+	responses := broken.Heads("Request-Id: 1\r\n", "bytes")
 	f.handle = func(w http.ResponseWriter, r *http.Request) bool {
 		response, ok := responses[strings.ReplaceAll(strings.TrimPrefix(r.URL.Path, "/post/"), "_", " ")]
 		if ok {
--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -391,9 +391,8 @@
 	}
 	c.pipeline = nil
 	c.cond.Broadcast()
-	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && c.cut {
-		_ = l.SetLinger(0)
-		return c.Conn.Close()
+	if c.cut {
+		return tcp.Reset(c.Conn)
 	}
 	now := time.Now()
 	return c.closer.Close(c.Conn, c.readErr, now, c.closeBy(now))
--- a/io/http1/conn_test.go
+++ b/io/http1/conn_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"auburnlatch/io/http1"
+	"auburnlatch/io/tcp"
 	"auburnlatch/standin/broken"
 )
 
@@ -57,7 +58,7 @@
 	raw, server := connect(t)
 	c := http1.NewConn(raw)
 	_, _ = io.WriteString(server, response)
-	broken.Reset(server)
+	_ = tcp.Reset(server)
 	if err := writeUntilError(t, c); !errors.Is(err, syscall.ECONNRESET) {
 		t.Fatalf("write: %v", err)
 	}
@@ -125,7 +126,7 @@
 
 // Guards against heads that pass if they arrive in parts, behind interim ones, or were read ahead.
 func TestMalformedHeadsInParts(t *testing.T) {
-	for name, malformed := range broken.Heads("Id: 1\r\n") {
+	for name, malformed := range broken.Heads("Id: 1\r\n", "bytes") {
 		t.Run(name, func(t *testing.T) {
 			for i := range malformed {
 				for _, before := range []string{"", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"} {
@@ -216,7 +217,7 @@
 // FuzzHead checks that what a head is judged by does not depend on the parts in which it arrives, and that
 // names and statuses that pass are within the grammar.
 func FuzzHead(f *testing.F) {
-	for _, malformed := range broken.Heads("Id: 1\r\n") {
+	for _, malformed := range broken.Heads("Id: 1\r\n", "bytes") {
 		f.Add([]byte(malformed), 20)
 	}
 	f.Add([]byte(response), 3)
@@ -243,7 +244,7 @@
 }
 
 func BenchmarkHead(b *testing.B) {
-	const head = "HTTP/1.1 200 OK\r\nDate: Mon, 07 Dec 2026 00:00:00 GMT\r\nContent-Type: application/octet-stream\r\nContent-Length: 5\r\nX-Attempt-Id: 9c41d07be2a35f68\r\nX-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\r\nbytes"
+	const head = "HTTP/1.1 200 OK\r\nDate: Mon, 07 Dec 2026 00:00:00 GMT\r\nContent-Type: application/octet-stream\r\nContent-Length: 5\r\nRequest-Id: 9c41d07be2a35f68\r\nLast-Modified: Sun, 06 Dec 2026 00:00:00 GMT\r\n\r\nbytes"
 	c := http1.NewConn(nil)
 	b.SetBytes(int64(len(head)))
 	b.ReportAllocs()
--- a/io/http1/transport.go
+++ b/io/http1/transport.go
@@ -33,24 +33,19 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	ctx := WithTrace(req.Context(), func(*Conn, bool) {})
-	return t.RoundTripTraced(req.WithContext(ctx))
+	return t.Send(req.Context(), req, func(*Conn, bool) {})
 }
 
-// RoundTripTraced is RoundTrip of a request whose context is from WithTrace.
-func (t *Transport) RoundTripTraced(req *http.Request) (*http.Response, error) {
-	return t.http.RoundTrip(req)
-}
-
-// WithTrace returns a context for one request to a Transport. got is called with each connection that the
-// request is to be sent on, and whether that was used before.
-func WithTrace(ctx context.Context, got func(c *Conn, reused bool)) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+// Send sends a copy of req with the context ctx. got is called with each connection that it is to be sent on, and
+// whether that was used before.
+func (t *Transport) Send(ctx context.Context, req *http.Request, got func(c *Conn, reused bool)) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*Conn); ok {
 			_ = c.Begin(nil) // An error is returned by the next read.
 			got(c, info.Reused)
 		}
-	}})
+	}}
+	return t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 }
 
 // CloseIdleConnections closes the connections that are idle.
--- a/io/keepalive/keepalive.go
+++ b/io/keepalive/keepalive.go
@@ -358,9 +358,8 @@
 		return nil
 	}
 	c.closed = true
-	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && c.reset {
-		_ = l.SetLinger(0)
-		return c.Conn.Close()
+	if c.reset {
+		return tcp.Reset(c.Conn)
 	}
 	now := time.Now()
 	within := closeTimeout
--- a/io/operator/broken_test.go
+++ b/io/operator/broken_test.go
@@ -13,9 +13,9 @@
 
 // Guards against bytes outside the grammar of a head that operators get as the answer of a VM.
 func TestMalformedHeadIsNoAnswer(t *testing.T) {
-	for name, response := range broken.Heads("") {
+	for name, response := range broken.Heads("", "{   }") {
 		t.Run(name, func(t *testing.T) {
-			srv := httptest.NewServer(broken.Handler(strings.Replace(response, "bytes", `{   }`, 1)))
+			srv := httptest.NewServer(broken.Handler(response))
 			defer srv.Close()
 			c, err := NewClient(strings.TrimPrefix(srv.URL, "http://"), nil)
 			if err != nil {
--- a/io/platform/broken_test.go
+++ b/io/platform/broken_test.go
@@ -7,18 +7,18 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"auburnlatch/io/platform"
+	"auburnlatch/io/tcp"
 	"auburnlatch/standin/broken"
 )
 
 // Guards against bytes outside the grammar of a head that pass for an answer of the platform.
 func TestMalformedHeadIsNoAnswer(t *testing.T) {
-	for name, response := range broken.Heads("Table-Era: 7\r\n") {
+	for name, response := range broken.Heads("Table-Era: 7\r\n", "{   }") {
 		t.Run(name, func(t *testing.T) {
-			srv := httptest.NewServer(broken.Handler(strings.Replace(response, "bytes", `{   }`, 1)))
+			srv := httptest.NewServer(broken.Handler(response))
 			defer srv.Close()
 			c := platform.New(srv.URL)
 			for call, f := range map[string]func() error{
@@ -56,7 +56,7 @@
 		_, _ = http.ReadRequest(bufio.NewReader(c))
 		_, _ = io.WriteString(c, response)
 		<-d.Read
-		broken.Reset(c)
+		_ = tcp.Reset(c)
 	}()
 	c := platform.New("http://"+l.Addr().String(), platform.WithDial(d.DialContext))
 	if err := c.PutObject(t.Context(), "o", make([]byte, 32<<20)); err == nil {
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -27,6 +27,15 @@
 	"golang.org/x/sys/unix"
 )
 
+// Reset closes a connection with a reset, so that the peer sees that the stream is not whole. One that cannot be
+// reset is just closed.
+func Reset(conn net.Conn) error {
+	if l, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = l.SetLinger(0)
+	}
+	return conn.Close()
+}
+
 // Queues are the bytes that a socket holds.
 type Queues struct {
 	// Unread is what the peer has sent and the process has not read.
--- a/io/upstream/broken_test.go
+++ b/io/upstream/broken_test.go
@@ -14,6 +14,7 @@
 	"auburnlatch/core/inventory"
 	"auburnlatch/core/reach"
 	"auburnlatch/core/verdict"
+	"auburnlatch/io/tcp"
 	"auburnlatch/io/upstream"
 	"auburnlatch/standin/broken"
 )
@@ -84,7 +85,7 @@
 // Guards against responses that pass for whole where the connection was reset and the request's
 // writer learned of it first.
 func TestResetLearnedByWriterEndsNoResponse(t *testing.T) {
-	eachEarlyResponse(t, broken.Reset, func(t *testing.T, _ int, got int64, err error) {
+	eachEarlyResponse(t, func(c net.Conn) { _ = tcp.Reset(c) }, func(t *testing.T, _ int, got int64, err error) {
 		if err == nil {
 			t.Errorf("a whole response of %d bytes", got)
 		}
@@ -109,19 +110,12 @@
 // and then reads until the connection is closed, or closes it. closed is closed when that of the first is.
 func respondOnce(t *testing.T, response string, closes bool) (addr string, closed chan struct{}) {
 	t.Helper()
-	closed = make(chan struct{})
-	return startServer(t, func(n int, c net.Conn, r *bufio.Reader) {
-		if n == 0 {
-			defer close(closed)
-		}
-		if _, ok := readRequest(r); !ok {
-			return
-		}
+	return startClosing(t, func(c net.Conn, r *bufio.Reader) {
 		_, _ = io.WriteString(c, response)
 		if !closes {
 			_, _ = io.Copy(io.Discard, r)
 		}
-	}), closed
+	})
 }
 
 // requireNoResponse sends requests and checks to upstreams with a response, and fails if one takes it for a
@@ -175,7 +169,7 @@
 // Guards against bytes outside the grammar of a head that pass for a response, or that lead to a body which
 // is not the upstream's.
 func TestMalformedHeadIsNoResponse(t *testing.T) {
-	for name, response := range broken.Heads("Id: 1\r\n") {
+	for name, response := range broken.Heads("Id: 1\r\n", "bytes") {
 		t.Run(name, func(t *testing.T) { requireNoResponse(t, response, false, "malformed") })
 	}
 }
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -137,7 +137,7 @@
 }
 
 func (c *Client) roundTrip(ctx context.Context, addr string, req *http.Request, sent *writeTracker) (*http.Response, error) {
-	out := req.WithContext(http1.WithTrace(ctx, sent.gotConn))
+	out := *req
 	to := *req.URL
 	to.Scheme, to.Host = "http", addr
 	out.URL = &to
@@ -146,7 +146,7 @@
 	if !mayRepeat(req) {
 		out.Body = singleUseBody(req.Body)
 	}
-	resp, err := c.transport.RoundTripTraced(out)
+	resp, err := c.transport.Send(ctx, &out, sent.gotConn)
 	if err != nil {
 		return nil, sent.verdict(ctx, err)
 	}
--- a/io/upstream/endless_test.go
+++ b/io/upstream/endless_test.go
@@ -31,20 +31,28 @@
 // first connection is.
 func endlessServer(t *testing.T, status string, part endless.Body) (addr string, closed chan struct{}) {
 	t.Helper()
-	closed = make(chan struct{})
-	return startServer(t, func(n int, c net.Conn, r *bufio.Reader) {
-		if n == 0 {
-			defer close(closed)
-		}
-		if _, ok := readRequest(r); !ok {
-			return
-		}
+	return startClosing(t, func(c net.Conn, r *bufio.Reader) {
 		if part.Repeat != "" {
 			endless.Send(c, "HTTP/1.1 "+status+"\r\n"+part.Begin, part.Repeat, math.MaxInt64)
 			return
 		}
 		_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\n"+part.Begin)
 		_, _ = io.Copy(io.Discard, r)
+	})
+}
+
+// startClosing is startServer of an upstream that responds to the first request of each connection. closed is
+// closed when its first connection is.
+func startClosing(t *testing.T, respond func(c net.Conn, r *bufio.Reader)) (addr string, closed chan struct{}) {
+	t.Helper()
+	closed = make(chan struct{})
+	return startServer(t, func(n int, c net.Conn, r *bufio.Reader) {
+		if n == 0 {
+			defer close(closed)
+		}
+		if _, ok := readRequest(r); ok {
+			respond(c, r)
+		}
 	}), closed
 }
 
--- a/io/vm/broken_test.go
+++ b/io/vm/broken_test.go
@@ -11,7 +11,7 @@
 // Guards against bytes outside the grammar of a head that callers get as a response, from an upstream of this
 // VM or behind another one, or that are kept for a key.
 func TestMalformedHeadIsNoResponse(t *testing.T) {
-	responses := broken.Heads("")
+	responses := broken.Heads("", "bytes")
 	f := newFleet(t, "z1", "z2")
 	f.wrapUpstreams(func(serving http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/standin/broken/broken.go
+++ b/standin/broken/broken.go
@@ -3,14 +3,14 @@
 //
 // # Usage
 //
-//	for name, response := range broken.Heads("Id: 1\r\n") { ... }
+//	for name, response := range broken.Heads("Id: 1\r\n", "bytes") { ... }
 //
 //	d := broken.NewDialer(int64(len(response)))
 //	p := upstream.NewPool(upstream.WithDial(d.DialContext))
 //	// The server:
 //	io.WriteString(conn, response)
 //	<-d.Read
-//	broken.Reset(conn)
+//	tcp.Reset(conn)
 package broken
 
 import (
@@ -21,12 +21,11 @@
 	"sync"
 )
 
-// body follows the fields of a response, and is the whole body.
-const body = "Content-Length: 5\r\n\r\nbytes"
-
 // Heads returns responses whose heads are outside the grammar of RFC 9112, by what is wrong with them. Each
-// has the given field lines and otherwise a whole body.
-func Heads(fields string) map[string]string {
+// has the given field lines and otherwise a whole body of five bytes.
+func Heads(fields, body string) map[string]string {
+	chunks := "5\r\n" + body + "\r\n0\r\n\r\n"
+	body = "Content-Length: 5\r\n\r\n" + body
 	whole := "HTTP/1.1 200 OK\r\n" + fields + body
 	named := func(line string) string { return "HTTP/1.1 200 OK\r\n" + fields + line + "\r\n" + body }
 	status := func(line string) string { return line + "\r\n" + fields + body }
@@ -40,12 +39,12 @@
 		"no status":                          status("HTTP/1.1"),
 		"status 101":                         status("HTTP/1.1 101 Switching Protocols"),
 		"version 2.0":                        status("HTTP/2.0 200 OK"),
-		"transfer encoding in HTTP/1.0":      "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n5\r\nbytes\r\n0\r\n\r\n",
+		"transfer encoding in HTTP/1.0":      "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
 		"blank in a name":                    named("X A: v"),
 		"blank behind a name":                named("X-A : v"),
 		"blank in a name of an interim":      "HTTP/1.1 103 Early Hints\r\nX A: v\r\n\r\n" + whole,
-		"blank behind the length":            "HTTP/1.1 200 OK\r\n" + fields + "Content-Length : 5\r\n\r\n5\r\nbytes\r\n0\r\n\r\n",
-		"blank behind the transfer encoding": "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding : chunked\r\n\r\n5\r\nbytes\r\n0\r\n\r\n",
+		"blank behind the length":            "HTTP/1.1 200 OK\r\n" + fields + "Content-Length : 5\r\n\r\n" + chunks,
+		"blank behind the transfer encoding": "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding : chunked\r\n\r\n" + chunks,
 		"blank before the first field":       "HTTP/1.1 200 OK\r\n X: v\r\n" + fields + body,
 		"tab in a name":                      named("X\tA: v"),
 		"NUL in a name":                      named("X\x00A: v"),
@@ -88,14 +87,6 @@
 	})
 }
 
-// Reset closes a connection with a reset.
-func Reset(c net.Conn) {
-	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
-		_ = l.SetLinger(0)
-	}
-	c.Close()
-}
-
 // Dialer opens connections on which a write is the first to learn of a reset that comes once a number of
 // bytes have been read.
 type Dialer struct {
